--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,1 @@
+"""Set up fixtures shared by the features."""
--- /dev/null
+++ b/packages/radishferry-testing/src/radishferry_testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and load tools for radishferry."""
--- /dev/null
+++ b/packages/radishferry/src/radishferry/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the radishferry router, free of I/O."""
--- /dev/null
+++ b/packages/radishferryctl/src/radishferryctl/__init__.py
@@ -0,0 +1,1 @@
+"""Command line for operators of radishferry."""
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/__init__.py
@@ -0,0 +1,1 @@
+"""Entry host process of radishferry."""
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/http_message.py
@@ -0,0 +1,188 @@
+"""Parse and format HTTP/1.1 messages."""
+
+from __future__ import annotations
+
+import dataclasses
+import http
+
+import httptools
+
+#: Bytes of request line and headers taken before a message is refused.
+MAX_HEAD_BYTES = 16384
+
+#: Headers that concern one connection only and are not passed on.
+HOP_HEADERS = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'expect',
+    )
+)
+
+
+class HeadTooLargeError(Exception):
+    """Report a message head over :data:`MAX_HEAD_BYTES`."""
+
+
+class BadMessageError(Exception):
+    """Report bytes that are no HTTP message."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Head:
+    """Hold the first line and the headers of a message.
+
+    :ivar method: Request method, empty for a response.
+    :ivar target: Request target, empty for a response.
+    :ivar status: Status code, 0 for a request.
+    :ivar headers: Pairs of lower-case name and value.
+    :ivar keep_alive: Whether the connection outlives the message.
+    """
+
+    method: str
+    target: str
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    keep_alive: bool
+
+    def header(self, name, default=''):
+        """Return the first value of a header.
+
+        :param name: Lower-case name.
+        :param default: Returned when the header is missing.
+        """
+        return next((v for n, v in self.headers if n == name), default)
+
+
+class MessageParser:
+    """Turn bytes into heads, body chunks and ends of messages.
+
+    The owner offers ``on_head(head)``, ``on_body(data)`` and ``on_end()``.
+    """
+
+    def __init__(self, owner, *, is_request):
+        self._owner = owner
+        self._is_request = is_request
+        self._headers = []
+        self._target = b''
+        self._head_bytes = 0
+        self._in_head = True
+        self._ended = False
+        parser_class = (
+            httptools.HttpRequestParser
+            if is_request
+            else httptools.HttpResponseParser
+        )
+        self._parser = parser_class(self)
+
+    @property
+    def is_between_messages(self) -> bool:
+        """Tell whether no message has begun and not ended."""
+        return self._in_head and not self._head_bytes
+
+    def feed(self, data: bytes):
+        """Parse bytes.
+
+        :raises HeadTooLargeError: Headers exceed the limit.
+        :raises BadMessageError: The bytes are not valid HTTP.
+        """
+        if self._in_head:
+            self._head_bytes += min(len(data), MAX_HEAD_BYTES + 1)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as exc:
+            raise BadMessageError('protocol upgrade') from exc
+        except httptools.HttpParserCallbackError as exc:
+            cause = exc.__context__
+            if isinstance(cause, HeadTooLargeError):
+                raise cause from exc
+            raise
+        except httptools.HttpParserError as exc:
+            raise BadMessageError(str(exc)) from exc
+        if self._in_head and self._head_bytes > MAX_HEAD_BYTES:
+            raise HeadTooLargeError()
+
+    def on_message_begin(self):
+        """Reset the state of the previous message."""
+        self._headers = []
+        self._target = b''
+        self._in_head = True
+        self._ended = False
+
+    def on_url(self, url):
+        """Collect the request target."""
+        self._target += url
+
+    def on_header(self, name, value):
+        """Collect a header."""
+        self._headers.append(
+            (
+                name.decode('latin-1').lower(),
+                value.decode('latin-1'),
+            )
+        )
+
+    def on_headers_complete(self):
+        """Pass on the head."""
+        size = len(self._target) + sum(
+            len(n) + len(v) + 4 for n, v in self._headers
+        )
+        if size > MAX_HEAD_BYTES:
+            raise HeadTooLargeError()
+        self._in_head = False
+        self._head_bytes = 0
+        parser = self._parser
+        self._owner.on_head(
+            Head(
+                parser.get_method().decode() if self._is_request else '',
+                self._target.decode('latin-1'),
+                0 if self._is_request else parser.get_status_code(),
+                tuple(self._headers),
+                parser.should_keep_alive(),
+            )
+        )
+
+    def on_body(self, data):
+        """Pass on a part of the body."""
+        self._owner.on_body(data)
+
+    def on_message_complete(self):
+        """Pass on the end of the message."""
+        self._in_head = True
+        self._ended = True
+        self._owner.on_end()
+
+
+def format_request(method, target, headers) -> bytes:
+    """Return the bytes of a request head."""
+    return _format(f'{method} {target} HTTP/1.1', headers)
+
+
+def format_response(status, headers) -> bytes:
+    """Return the bytes of a response head."""
+    try:
+        phrase = http.HTTPStatus(status).phrase
+    except ValueError:
+        phrase = 'Unknown'
+    return _format(f'HTTP/1.1 {status} {phrase}', headers)
+
+
+def format_chunk(data: bytes) -> bytes:
+    """Return one chunk of a chunked body."""
+    return b'%x\r\n%b\r\n' % (len(data), data)
+
+
+#: End of a chunked body.
+LAST_CHUNK = b'0\r\n\r\n'
+
+
+def _format(first_line, headers):
+    lines = [first_line]
+    lines.extend(f'{name}: {value}' for name, value in headers)
+    return ('\r\n'.join(lines) + '\r\n\r\n').encode('latin-1', 'replace')
