Decide for the coordinator of a server

A delayed renewal timed from receipt at the server was ruled out: it would outlive the time the coordinator waits for.

--- /dev/null
+++ b/packages/radishferry/src/radishferry/coordinator.py
@@ -0,0 +1,632 @@
+"""Decide for the coordinator of one server."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import typing
+
+from radishferry import actions
+from radishferry import chart
+from radishferry import lease
+
+if typing.TYPE_CHECKING:
+    from radishferry import assignment as assignment_module
+
+#: Time between attempts to reach a server that does not answer, in seconds.
+RETRY_INTERVAL_S = 0.05
+#: Time between repeated requests to other coordinators, in seconds.
+REPEAT_INTERVAL_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class LeaseAnswer:
+    """Hold what a server answered to a lease request.
+
+    :ivar reading: The server's clock.
+    :ivar boot_id: Changes when the server process was restarted.
+    :ivar seq: Sequence number of the request that was answered.
+    :ivar previous_term: Highest term that the server had seen before the
+        request.
+    :ivar ranges: Range id to epoch held, including revoked ranges that
+        still run work.
+    """
+
+    reading: lease.ClockReading
+    boot_id: str
+    seq: int
+    previous_term: int
+    ranges: dict[int, int]
+
+
+@dataclasses.dataclass
+class _Pending:
+    assignment: assignment_module.RangeAssignment
+    unreleased: list[str]
+    asked_at: float = float('-inf')
+
+
+@dataclasses.dataclass(frozen=True)
+class _Release:
+    host: str
+    epoch: int
+    after_seq: int
+
+
+class Coordinator:
+    """Keep the lease of one server and the set of ranges it may hold.
+
+    Every method returns a list of :mod:`radishferry.actions`.  See "Lease"
+    in ``docs/design.md`` for the rules.
+    """
+
+    def __init__(self, server: str, host: str, first_seq: int):
+        """Begin without a term.
+
+        :param server: Name of the server.
+        :param host: Name of this host.
+        :param first_seq: Above every sequence number that an earlier process
+            of this host used; the wall clock in milliseconds will do.
+        """
+        self._server = server
+        self._host = host
+        self._seq = first_seq
+        self._chart = chart.Chart('coordinator')
+        self._assignment = None
+        self._term = 0
+        self._refused_term = 0
+        self._fenced_term = 0
+        self._earlier_fence = 0
+        self._timer = lease.LeaseTimer()
+        self._boot_id = None
+        self._outstanding = None
+        self._next_send_at = 0.0
+        self._is_handover = False
+        self._rows = {}
+        self._baseline = None
+        self._desired = {}
+        self._sent_ranges = None
+        self._held = {}
+        self._announced = {}
+        self._pending = {}
+        self._floors = {}
+        self._releases = {}
+        self._promotions = {}
+        self._query_id = 0
+        self._query_waits_for = set()
+        self._query_sent_at = float('-inf')
+        self._next_repeat_at = 0.0
+
+    @property
+    def state(self) -> str:
+        """Return the state of the chart ``coordinator``."""
+        return self._chart.state
+
+    @property
+    def term(self) -> int:
+        """Return the term under which this host acts, 0 for none."""
+        return self._term if self.state != 'waiting' else 0
+
+    @property
+    def lapsed_at(self) -> float:
+        """Return from when the server's lease has surely lapsed."""
+        return self._timer.lapsed_at
+
+    @property
+    def fenced_term(self) -> int:
+        """Return the highest term sent to the server."""
+        return self._fenced_term
+
+    @property
+    def base_term(self) -> int:
+        """Return the base term of the assignment known."""
+        return self._assignment.base_term if self._assignment else 0
+
+    @property
+    def hosts(self) -> tuple[str, ...]:
+        """Return the hosts of the assignment known."""
+        return self._assignment.hosts if self._assignment else ()
+
+    @property
+    def active(self) -> dict[int, int]:
+        """Return range id to epoch of the ranges open for work."""
+        if self.state != 'serving':
+            return {}
+        return self._announced
+
+    @property
+    def orphans(self) -> dict[int, int]:
+        """Return ranges assigned here that need a new epoch."""
+        if self._baseline is None or self.state not in ('serving', 'lost'):
+            return {}
+        return {
+            range_id: row.epoch
+            for range_id, row in self._rows.items()
+            if row.owner == self._server
+            and range_id not in self._desired
+            and range_id not in self._pending
+            and row.epoch <= self._epoch_floor(range_id)
+        }
+
+    def may_work(self, now) -> bool:
+        """Tell whether work may be sent to the server.
+
+        :param now: Time in seconds.
+        """
+        return self.state == 'serving' and now < self._timer.valid_until
+
+    def lease_margin(self, now) -> float:
+        """Return for how long work may still be sent, in seconds."""
+        return max(0.0, self._timer.valid_until - now)
+
+    # Who acts.
+
+    def assigned(self, assignment, now):
+        """Take over a coordinator assignment from the table.
+
+        :param assignment: A
+            :class:`~radishferry.assignment.CoordinatorAssignment`.
+        """
+        if assignment.base_term <= self.base_term:
+            return []
+        self._assignment = assignment
+        if self._host not in assignment.hosts:
+            return self._stand_down()
+        if self.state != 'waiting':
+            self._term = assignment.term_of(self._host)
+            self._next_send_at = now
+            return [actions.AnnounceCoordinator(self._term)]
+        if assignment.hosts[0] == self._host:
+            return self.take_over(now)
+        return []
+
+    def take_over(self, now, *, is_handover=False):
+        """Become the coordinator under the reserved term.
+
+        :param bool is_handover: Whether the last coordinator asked for it.
+        """
+        if self._assignment is None or self.state != 'waiting':
+            return []
+        term = self._assignment.term_of(self._host)
+        if term is None or term <= self._refused_term:
+            return []
+        self._term = term
+        self._is_handover = is_handover
+        self._forget()
+        self._chart.fire('take_over')
+        self._next_send_at = now
+        return [actions.ReadBaseline(), *self.tick(now)]
+
+    def hand_over(self):
+        """Stop acting so that a successor can take over."""
+        return self._stand_down()
+
+    # Answers of the server.
+
+    def lease_answered(self, answer: LeaseAnswer, now):
+        """Take the answer to the last lease request."""
+        if self._outstanding is None or answer.seq != self._outstanding[0]:
+            return []
+        _, sent_ranges, sent_term = self._outstanding
+        self._outstanding = None
+        if sent_term != self._term or self.state == 'waiting':
+            return []
+        result = []
+        if self._boot_id not in (None, answer.boot_id):
+            result += self._restarted()
+        self._boot_id = answer.boot_id
+        self._timer.answered(answer.reading)
+        was_state = self.state
+        if was_state == 'fencing':
+            result += self._fenced(answer, now)
+        else:
+            self._held = dict(answer.ranges)
+            result += self._reconcile_held(sent_ranges)
+        if was_state == 'lapsing':
+            self._timer.discard_expired(now)
+        if self._chart.fire('answered'):
+            # A renewal is sent at once: no work is sent before it is
+            # answered.
+            self._next_send_at = now
+            result.append(actions.StartWork())
+            if was_state == 'fencing':
+                result.append(actions.AnnounceCoordinator(self._term))
+        result += self._announce()
+        result += self._reply_releases(answer.seq)
+        return result + self.tick(now)
+
+    def lease_refused(self, seq, term, now):
+        """Take a refusal of the server.
+
+        :param seq: Sequence number of the refused request.
+        :param term: Highest term that the server has seen.
+        """
+        if self._outstanding is None or seq != self._outstanding[0]:
+            return []
+        self._outstanding = None
+        if term > self._term:
+            self._refused_term = max(self._refused_term, term)
+            return self._stand_down('superseded')
+        # The sequence number was too low.
+        self._seq += 1000
+        self._next_send_at = now
+        return []
+
+    def lease_failed(self, now, *, refused=False):
+        """Note that a lease request got no answer.
+
+        :param bool refused: Whether the connection was refused, which a
+            running server does not do.
+        """
+        if refused and self._outstanding is not None:
+            # The fence never reached the server.
+            self._fenced_term = self._earlier_fence
+        self._outstanding = None
+        self._next_send_at = now + RETRY_INTERVAL_S
+        if self.state != 'serving':
+            return []
+        if not refused and now < self._timer.valid_until:
+            return []
+        return self._unreachable()
+
+    # Ranges.
+
+    def baseline_read(self, rows, now):
+        """Take the range assignments read from the table after take-over.
+
+        Epochs up to these were known before this host acted, and may have
+        been used and lost; they are not granted anew.
+
+        :param rows: Range id to
+            :class:`~radishferry.assignment.RangeAssignment`.
+        """
+        if self._baseline is None:
+            self._baseline = {i: row.epoch for i, row in rows.items()}
+        return self.ranges_assigned(rows, now)
+
+    def ranges_assigned(self, rows, now):
+        """Take range assignments of the service, new or known.
+
+        :param rows: Range id to
+            :class:`~radishferry.assignment.RangeAssignment`.
+        """
+        for range_id, row in rows.items():
+            known = self._rows.get(range_id)
+            if known is not None and known.epoch >= row.epoch:
+                if known.epoch > row.epoch or known.owner != row.owner:
+                    continue
+            self._rows[range_id] = row
+            if row.owner != self._server:
+                self._pending.pop(range_id, None)
+                self._promotions.pop(range_id, None)
+        if self.state == 'waiting':
+            return []
+        self._plan_pending(rows)
+        return self.tick(now)
+
+    def release_requested(self, host, range_id, epoch, now):
+        """Give up a range below an epoch and confirm it later.
+
+        :param host: Host that asks.
+        :param range_id: The range.
+        :param epoch: The epoch that the new owner will use.
+        """
+        if self.state not in ('serving', 'lapsing', 'lost'):
+            return []
+        self._floors[range_id] = max(epoch, self._floors.get(range_id, 0))
+        if self._desired.get(range_id, epoch) < epoch:
+            del self._desired[range_id]
+            self._announced.pop(range_id, None)
+            self._next_send_at = min(self._next_send_at, now)
+        pending = self._pending.get(range_id)
+        if pending and pending.assignment.epoch < epoch:
+            del self._pending[range_id]
+        self._promotions.pop(range_id, None)
+        if self.state == 'lost':
+            return [actions.ReplyReleased(host, range_id, epoch)]
+        # Only an answer to a request sent from now on proves that this host
+        # still acts and that the server does not hold the range.
+        self._releases[range_id, host] = _Release(host, epoch, self._seq)
+        self._next_send_at = min(self._next_send_at, now)
+        return self.tick(now)
+
+    def released(self, server, range_id, epoch, now):
+        """Take the release of a range by another server."""
+        pending = self._pending.get(range_id)
+        if pending is None or pending.assignment.epoch > epoch:
+            return []
+        if pending.unreleased and pending.unreleased[0] == server:
+            pending.unreleased.pop(0)
+            pending.asked_at = float('-inf')
+        return self.tick(now)
+
+    def promoted(self, term, epochs, now):
+        """Activate ranges for which the server is the standby.
+
+        :param term: Term of the coordinator that the sender addressed.
+        :param epochs: Range id to epoch.
+        """
+        if self.state != 'serving' or term != self._term:
+            return []
+        for range_id, epoch in epochs.items():
+            row = self._rows.get(range_id)
+            if row is None or row.standby != self._server:
+                continue
+            if row.standby_epoch != epoch:
+                continue
+            if epoch < self._floors.get(range_id, 0):
+                continue
+            if self._desired.get(range_id, 0) < epoch:
+                self._desired[range_id] = epoch
+        self._next_send_at = min(self._next_send_at, now)
+        return self.tick(now) + self._announce(tuple(epochs))
+
+    def route_seen(self, range_id, epoch):
+        """Note that a range is active elsewhere under an epoch."""
+        promotion = self._promotions.get(range_id)
+        if promotion is not None and epoch >= promotion[1]:
+            del self._promotions[range_id]
+
+    def successor_replied(self, host, query_id, has_fenced, base_term, now):
+        """Take the reply to :class:`~radishferry.actions.QuerySuccessors`.
+
+        :param bool has_fenced: Whether the host has sent a fence under a
+            term above the one in the query.
+        :param base_term: Base term of the newest assignment it knows.
+        """
+        if query_id != self._query_id or self.state != 'lapsing':
+            return []
+        if has_fenced or base_term > self.base_term:
+            return self._stand_down('superseded')
+        self._query_waits_for.discard(host)
+        return self._confirm_loss(now)
+
+    # Time.
+
+    def tick(self, now):
+        """Do what is due.
+
+        :param now: Time in seconds.
+        """
+        if self.state == 'waiting':
+            return []
+        result = []
+        if self.state == 'serving' and now >= self._timer.valid_until:
+            if self._timer.valid_until:
+                result += self._unreachable()
+        if self.state == 'lapsing' and now >= self._timer.lapsed_at:
+            result += self._query_successors(now)
+        if now >= self._next_repeat_at:
+            self._next_repeat_at = now + REPEAT_INTERVAL_S
+            result += self._repeat_promotions()
+            if orphans := self.orphans:
+                result.append(actions.AnnounceOrphans(orphans))
+        result += self._advance_pending(now)
+        result += self._send_lease(now)
+        return result
+
+    def _send_lease(self, now):
+        if self._outstanding is not None:
+            return []
+        changed = self._desired != self._sent_ranges
+        is_due = now >= self._next_send_at
+        if not is_due and not (changed and self.state == 'serving'):
+            return []
+        self._seq += 1
+        ranges = None
+        expires_at_ms = 0.0
+        if self.state != 'fencing':
+            if changed or self.state != 'serving':
+                ranges = dict(self._desired)
+            expires_at_ms = self._timer.expires_at_ms
+            self._timer.sent()
+        self._outstanding = (self._seq, ranges, self._term)
+        self._earlier_fence = self._fenced_term
+        self._fenced_term = max(self._fenced_term, self._term)
+        self._next_send_at = now + lease.RENEW_INTERVAL_S
+        return [
+            actions.SendLease(self._term, self._seq, expires_at_ms, ranges)
+        ]
+
+    def _fenced(self, answer, now):
+        # Only a host of the same list as the last coordinator, or one to
+        # which that one handed over, may keep the ranges: a coordinator that
+        # finds its server lost asks just these hosts for their fences.
+        same_list = answer.previous_term >= self.base_term
+        keeps = same_list or self._is_handover
+        self._held = dict(answer.ranges)
+        self._sent_ranges = dict(answer.ranges)
+        self._desired = dict(answer.ranges) if keeps else {}
+        self._plan_pending(self._rows)
+        if not self._desired:
+            return []
+        return [actions.RangesTaken(tuple(self._desired))]
+
+    def _reconcile_held(self, sent_ranges):
+        if sent_ranges is not None:
+            self._sent_ranges = sent_ranges
+        dropped = [
+            range_id
+            for range_id, epoch in self._desired.items()
+            if (self._sent_ranges or {}).get(range_id) == epoch
+            and self._held.get(range_id) != epoch
+        ]
+        for range_id in dropped:
+            # The server's lease lapsed, or it refused the epoch.
+            del self._desired[range_id]
+            self._announced.pop(range_id, None)
+            self._raise_floor(range_id)
+        return []
+
+    def _restarted(self):
+        self._timer.forget_clock()
+        return self._lose_ranges()
+
+    def _announce(self, again=()):
+        if self.state != 'serving':
+            return []
+        fresh = {
+            range_id: epoch
+            for range_id, epoch in self._desired.items()
+            if self._held.get(range_id) == epoch
+            and self._announced.get(range_id) != epoch
+        }
+        self._announced.update(fresh)
+        repeated = {
+            range_id: self._announced[range_id]
+            for range_id in again
+            if range_id in self._announced
+        }
+        if not fresh and not repeated:
+            return []
+        result = [actions.AnnounceRoutes({**repeated, **fresh})]
+        if fresh:
+            result.append(actions.RangesTaken(tuple(fresh)))
+        return result
+
+    def _reply_releases(self, answered_seq):
+        ready = [
+            (key, release)
+            for key, release in self._releases.items()
+            if answered_seq > release.after_seq
+            and self._held.get(key[0], release.epoch) >= release.epoch
+        ]
+        for key, _ in ready:
+            del self._releases[key]
+        return [
+            actions.ReplyReleased(release.host, key[0], release.epoch)
+            for key, release in ready
+        ]
+
+    def _plan_pending(self, rows):
+        if self._baseline is None:
+            return
+        for range_id, row in rows.items():
+            row = self._rows[range_id]
+            if row.owner != self._server:
+                continue
+            if row.epoch <= self._epoch_floor(range_id):
+                continue
+            if self._desired.get(range_id, 0) >= row.epoch:
+                continue
+            known = self._pending.get(range_id)
+            if known is None or known.assignment.epoch < row.epoch:
+                # The former owner comes before its standby, which it could
+                # still promote until it has released the range.
+                self._pending[range_id] = _Pending(row, list(row.previous))
+
+    def _advance_pending(self, now):
+        if self.state != 'serving':
+            return []
+        result = []
+        for range_id, pending in list(self._pending.items()):
+            row = pending.assignment
+            if not pending.unreleased:
+                del self._pending[range_id]
+                self._desired[range_id] = row.epoch
+                continue
+            if now >= pending.asked_at + REPEAT_INTERVAL_S:
+                pending.asked_at = now
+                result.append(
+                    actions.RequestRelease(
+                        pending.unreleased[0], range_id, row.epoch
+                    )
+                )
+        return result
+
+    def _epoch_floor(self, range_id):
+        # A floor that was set by a release of epoch e still allows e.
+        return max(
+            (self._baseline or {}).get(range_id, 0),
+            self._floors.get(range_id, 0) - 1,
+        )
+
+    def _raise_floor(self, range_id):
+        row = self._rows.get(range_id)
+        if row is not None and row.owner == self._server:
+            floor = row.epoch + 1
+            self._floors[range_id] = max(floor, self._floors.get(range_id, 0))
+
+    # Loss of the server.
+
+    def _unreachable(self):
+        self._chart.fire('unreachable')
+        self._query_waits_for = set()
+        self._query_id += 1
+        self._query_sent_at = float('-inf')
+        return [actions.StopWork(give_up=False)]
+
+    def _query_successors(self, now):
+        if now < self._query_sent_at + REPEAT_INTERVAL_S:
+            return []
+        later = itertools.dropwhile(
+            lambda host: host != self._host, self._assignment.hosts
+        )
+        successors = tuple(later)[1:]
+        if self._query_sent_at == float('-inf'):
+            self._query_waits_for = set(successors)
+        self._query_sent_at = now
+        if not self._query_waits_for:
+            return self._confirm_loss(now)
+        waiting = tuple(sorted(self._query_waits_for))
+        return [actions.QuerySuccessors(waiting, self._query_id, self._term)]
+
+    def _confirm_loss(self, now):
+        if self._query_waits_for or now < self._timer.lapsed_at:
+            return []
+        self._chart.fire('loss_confirmed')
+        self._timer.forget_clock()
+        result = self._lose_ranges()
+        result.append(actions.StopWork(give_up=True))
+        waiting, self._releases = self._releases, {}
+        result.extend(
+            actions.ReplyReleased(release.host, range_id, release.epoch)
+            for (range_id, _), release in waiting.items()
+        )
+        return result
+
+    def _lose_ranges(self):
+        lost, self._desired = self._desired, {}
+        self._held = {}
+        self._announced = {}
+        self._sent_ranges = {}
+        for range_id, epoch in lost.items():
+            self._raise_floor(range_id)
+            row = self._rows.get(range_id)
+            if row is None or row.owner != self._server:
+                continue
+            if row.epoch == epoch and row.standby:
+                self._promotions[range_id] = (row.standby, row.standby_epoch)
+        return self._repeat_promotions()
+
+    def _repeat_promotions(self):
+        by_server = {}
+        for range_id, (server, epoch) in self._promotions.items():
+            by_server.setdefault(server, {})[range_id] = epoch
+        return [
+            actions.PromoteStandby(server, epochs)
+            for server, epochs in by_server.items()
+        ]
+
+    # End of the term.
+
+    def _stand_down(self, event='stand_down'):
+        if not self._chart.fire(event):
+            return []
+        self._forget()
+        return [actions.StopWork(give_up=True)]
+
+    def _forget(self):
+        self._outstanding = None
+        self._timer = lease.LeaseTimer()
+        self._boot_id = None
+        self._baseline = None
+        self._desired = {}
+        self._sent_ranges = None
+        self._held = {}
+        self._announced = {}
+        self._pending = {}
+        self._floors = {}
+        self._releases = {}
+        self._promotions = {}
+        self._query_waits_for = set()
