--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/http_client.py
@@ -0,0 +1,354 @@
+"""Send HTTP requests to servers and to the platform."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import typing
+
+import orjson
+
+from radishferryd import http_message
+from radishferryd import net
+
+#: Largest answer taken by :class:`JsonClient`, in bytes.
+MAX_JSON_BYTES = 16 * 1024 * 1024
+
+
+class Exchange(typing.Protocol):
+    """Receive the answer to one request."""
+
+    def on_head(self, head: http_message.Head) -> None:
+        """Take the status and the headers."""
+
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the body."""
+
+    def on_end(self) -> None:
+        """Note that the answer is complete."""
+
+    def on_failed(self, detail: str, was_sent: bool) -> None:
+        """Note that there will be no complete answer.
+
+        :param was_sent: Whether the server may have received the request.
+        """
+
+    def on_writable(self) -> None:
+        """Send more of the request body."""
+
+
+class ClientConnection:
+    """Carry one request at a time over one connection."""
+
+    def __init__(self, poller, address, on_idle=None, on_closed=None):
+        """Connect.
+
+        :param address: Pair of IP and port.
+        :param on_idle: Called with the connection when it can be reused.
+        :param on_closed: Called with the connection when it is closed.
+        """
+        self._exchange = None
+        self._on_idle = on_idle
+        self._on_closed = on_closed
+        self._is_connected = False
+        self._keep_alive = True
+        self._request_done = True
+        self._answer_done = True
+        self._writable = True
+        self._parser = http_message.MessageParser(self, is_request=False)
+        self._connection = net.connect(poller, address, self)
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the connection is open or being opened."""
+        return self._connection.is_open
+
+    @property
+    def is_writable(self) -> bool:
+        """Tell whether the server reads as fast as it is written to."""
+        return self._writable
+
+    def request(self, method, target, headers, exchange, body=b'', last=True):
+        """Send a request.
+
+        :param headers: Pairs of name and value with the body's framing.
+        :param exchange: An :class:`Exchange`.
+        :param bytes body: The body or its beginning.
+        :param bool last: Whether the body is complete.
+        """
+        self._exchange = exchange
+        self._answer_done = False
+        self._request_done = last
+        head = http_message.format_request(method, target, headers)
+        self._connection.write(head + body)
+
+    def send_body(self, data, last):
+        """Send more of the request body, already framed."""
+        self._request_done = last
+        self._connection.write(data)
+
+    def pause_reading(self):
+        """Leave the answer with the server for now."""
+        self._connection.pause_reading()
+
+    def resume_reading(self):
+        """Take the answer again."""
+        self._connection.resume_reading()
+
+    def abort(self):
+        """Close at once without telling the exchange."""
+        self._exchange = None
+        self._connection.abort()
+
+    def close(self):
+        """Close an idle connection."""
+        self._connection.close()
+
+    def connected(self, connection):
+        """See :class:`radishferryd.net.Handler`."""
+        self._is_connected = True
+
+    def received(self, data):
+        """See :class:`radishferryd.net.Handler`."""
+        if self._exchange is None:
+            # Bytes without a request: the connection cannot be trusted.
+            self._connection.abort()
+            return
+        try:
+            self._parser.feed(data)
+        except (
+            http_message.BadMessageError,
+            http_message.HeadTooLargeError,
+        ) as exc:
+            self._fail(f'bad answer: {exc}')
+            self._connection.abort()
+
+    def pause_producing(self):
+        """See :class:`radishferryd.net.Handler`."""
+        self._writable = False
+
+    def resume_producing(self):
+        """See :class:`radishferryd.net.Handler`."""
+        self._writable = True
+        if self._exchange is not None:
+            self._exchange.on_writable()
+
+    def closed(self, error):
+        """See :class:`radishferryd.net.Handler`."""
+        if self._exchange is not None and self._ends_with_connection(error):
+            self.on_end()
+        self._fail(str(error) if error else 'connection closed')
+        if self._on_closed is not None:
+            self._on_closed(self)
+
+    def on_head(self, head):
+        """Take the head from the parser."""
+        self._keep_alive = head.keep_alive
+        self._head = head
+        if self._exchange is not None:
+            self._exchange.on_head(head)
+
+    def on_body(self, data):
+        """Take a part of the body from the parser."""
+        if self._exchange is not None:
+            self._exchange.on_body(data)
+
+    def on_end(self):
+        """Take the end of the answer from the parser."""
+        exchange, self._exchange = self._exchange, None
+        self._answer_done = True
+        if exchange is None:
+            return
+        exchange.on_end()
+        if not self._connection.is_open:
+            return
+        if self._keep_alive and self._request_done:
+            self._connection.resume_reading()
+            if self._on_idle is not None:
+                self._on_idle(self)
+        else:
+            self._connection.close()
+
+    def _ends_with_connection(self, error):
+        # An answer without a length ends when the server closes.  It cannot
+        # be told from one cut short, so it is not taken as whole.
+        return False
+
+    def _fail(self, detail):
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None:
+            exchange.on_failed(detail, self._is_connected)
+
+
+class ConnectionPool:
+    """Reuse connections to one server."""
+
+    def __init__(self, poller, address, limit):
+        """Begin empty.
+
+        :param int limit: Most connections open at a time.
+        """
+        self._poller = poller
+        self._address = address
+        self._limit = limit
+        self._idle = collections.deque()
+        self._open = 0
+
+    @property
+    def open_connections(self) -> int:
+        """Return the number of open connections."""
+        return self._open
+
+    def acquire(self) -> ClientConnection | None:
+        """Return a connection without a request, None at the limit."""
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_open:
+                return connection
+        if self._open >= self._limit:
+            return None
+        self._open += 1
+        return ClientConnection(
+            self._poller, self._address, self._idle.append, self._closed
+        )
+
+    def warm(self, count):
+        """Open idle connections until there are ``count``."""
+        while len(self._idle) < count and self._open < self._limit:
+            self._open += 1
+            self._idle.append(
+                ClientConnection(
+                    self._poller,
+                    self._address,
+                    self._idle.append,
+                    self._closed,
+                )
+            )
+
+    def close(self):
+        """Close the idle connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+    def _closed(self, connection):
+        self._open -= 1
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+
+@dataclasses.dataclass(frozen=True)
+class JsonAnswer:
+    """Hold an answer with a JSON body.
+
+    :ivar status: HTTP status.
+    :ivar body: Decoded body; None when it is empty or no JSON.
+    :ivar sent_at: When the request was sent, in seconds.
+    :ivar received_at: When the answer was complete, in seconds.
+    """
+
+    status: int
+    body: typing.Any
+    sent_at: float
+    received_at: float
+
+
+@dataclasses.dataclass(frozen=True)
+class JsonFailure:
+    """Say that there is no answer.
+
+    :ivar detail: What happened.
+    :ivar was_sent: Whether the request may have taken effect.
+    """
+
+    detail: str
+    was_sent: bool
+
+
+class _JsonExchange:
+    def __init__(self, client, connection, done, deadline_s):
+        self._client = client
+        self._connection = connection
+        self._done = done
+        self._head = None
+        self._parts = []
+        self._size = 0
+        self._sent_at = client.scheduler.now()
+        self._timer = client.scheduler.call_later(
+            deadline_s, self._on_deadline
+        )
+
+    def on_head(self, head):
+        self._head = head
+
+    def on_body(self, data):
+        self._size += len(data)
+        if self._size > MAX_JSON_BYTES:
+            self._connection.abort()
+            self._finish(JsonFailure('answer too large', True))
+            return
+        self._parts.append(data)
+
+    def on_end(self):
+        try:
+            body = orjson.loads(b''.join(self._parts))
+        except orjson.JSONDecodeError:
+            body = None
+        now = self._client.scheduler.now()
+        self._finish(JsonAnswer(self._head.status, body, self._sent_at, now))
+
+    def on_failed(self, detail, was_sent):
+        self._finish(JsonFailure(detail, was_sent))
+
+    def on_writable(self):
+        pass
+
+    def _on_deadline(self):
+        self._connection.abort()
+        self._finish(JsonFailure('no answer in time', True))
+
+    def _finish(self, result):
+        self._timer.cancel()
+        done, self._done = self._done, None
+        if done is not None:
+            done(result)
+
+
+class JsonClient:
+    """Exchange JSON with one address over reused connections."""
+
+    def __init__(self, poller, scheduler, address, headers=(), limit=8):
+        """Begin without a connection.
+
+        :param address: Pair of IP and port.
+        :param headers: Pairs of name and value sent with each request.
+        :param int limit: Most connections open at a time.
+        """
+        self.scheduler = scheduler
+        self._address = address
+        self._headers = tuple(headers)
+        self._pool = ConnectionPool(poller, address, limit)
+
+    def call(self, method, target, body, deadline_s, done):
+        """Send a request.
+
+        :param body: Encoded as JSON; None for no body.
+        :param float deadline_s: Seconds until the call fails.
+        :param done: Called once with :class:`JsonAnswer` or
+            :class:`JsonFailure`.
+        """
+        data = b'' if body is None else orjson.dumps(body)
+        connection = self._pool.acquire()
+        if connection is None:
+            done(JsonFailure('too many calls in progress', False))
+            return
+        headers = [
+            ('Host', '{}:{}'.format(*self._address)),
+            ('Content-Length', str(len(data))),
+            *self._headers,
+        ]
+        exchange = _JsonExchange(self, connection, done, deadline_s)
+        connection.request(method, target, headers, exchange, data)
+
+    def close(self):
+        """Close idle connections."""
+        self._pool.close()
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/peer.py
@@ -0,0 +1,341 @@
+"""Connect hosts with authenticated links."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import logging
+import secrets
+import time
+import typing
+
+from radishferryd import net
+from radishferryd import peer_codec
+from radishferryd.gen import ttypes
+
+LOG = logging.getLogger(__name__)
+
+#: Seconds within which a new link must have proved the shared key.
+HANDSHAKE_TIMEOUT_S = 2.0
+#: Seconds until a failed link is opened again.
+RECONNECT_INTERVAL_S = 0.2
+#: Bytes of a nonce.
+NONCE_BYTES = 32
+
+
+class LinkOwner(typing.Protocol):
+    """Receive what happens on links."""
+
+    def link_opened(self, link: Link) -> None:
+        """Note that a link is ready for messages."""
+
+    def link_closed(self, link: Link) -> None:
+        """Note that a link that was open has closed."""
+
+    def message(self, link: Link, name: str, message: typing.Any) -> None:
+        """Take a message."""
+
+
+class Link:
+    """Be one connection to a peer.
+
+    Both sides send a challenge and answer the other's with an HMAC of both
+    nonces and the role of the side, so that a proof cannot be reflected.
+    """
+
+    def __init__(self, owner, identity, shared_key, *, target=''):
+        """Begin the handshake when connected.
+
+        :param owner: A :class:`LinkOwner`.
+        :param identity: A ``Challenge`` without a nonce.
+        :param bytes shared_key: Key known to all hosts.
+        :param target: Host to which this side opens the connection, empty
+            for a connection that the peer opened.
+        """
+        self._owner = owner
+        self._identity = identity
+        self._shared_key = shared_key
+        self._target = target
+        self._is_initiator = bool(target)
+        self._nonce = secrets.token_bytes(NONCE_BYTES)
+        self._peer = None
+        self._connection = None
+        self._buffer = peer_codec.FrameBuffer()
+        self._is_ready = False
+        self._was_closed = False
+        self._started_at = time.monotonic()
+        self._is_paused = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether messages can be sent."""
+        return self._is_ready
+
+    @property
+    def is_initiator(self) -> bool:
+        """Tell whether this side opened the link."""
+        return self._is_initiator
+
+    @property
+    def is_paused(self) -> bool:
+        """Tell whether the peer reads too slowly."""
+        return self._is_paused
+
+    @property
+    def is_closed(self) -> bool:
+        """Tell whether the link has ended."""
+        return self._was_closed
+
+    @property
+    def is_overdue(self) -> bool:
+        """Tell whether the handshake has taken too long."""
+        age = time.monotonic() - self._started_at
+        return not self._is_ready and age > HANDSHAKE_TIMEOUT_S
+
+    @property
+    def target(self) -> str:
+        """Return the host that this side meant to reach."""
+        return self._target
+
+    @property
+    def host(self) -> str:
+        """Return the name of the peer, empty before the handshake."""
+        return self._peer.host if self._peer else ''
+
+    @property
+    def data_centre(self) -> str:
+        """Return the data centre of the peer."""
+        return self._peer.data_centre if self._peer else ''
+
+    @property
+    def incarnation(self) -> int:
+        """Return the incarnation of the peer's process."""
+        return self._peer.incarnation if self._peer else 0
+
+    def send(self, name, message):
+        """Send a message; it is dropped when the link is not ready.
+
+        :param name: Field of ``Frame``.
+        :param message: The thrift struct.
+        """
+        if self._is_ready:
+            self._connection.write(peer_codec.encode(name, message))
+
+    def close(self):
+        """Close at once."""
+        if self._connection is not None:
+            self._connection.abort()
+
+    def connected(self, connection):
+        """See :class:`radishferryd.net.Handler`."""
+        self._connection = connection
+        challenge = ttypes.Challenge(
+            self._identity.host,
+            self._identity.data_centre,
+            self._identity.incarnation,
+            self._nonce,
+        )
+        connection.write(peer_codec.encode('challenge', challenge))
+
+    def received(self, data):
+        """See :class:`radishferryd.net.Handler`."""
+        try:
+            for name, message in self._buffer.feed(data):
+                self._on_message(name, message)
+                if not self._connection.is_open:
+                    return
+        except peer_codec.FrameError as exc:
+            LOG.error(
+                'peer: Closed the link to %s at %s: %s.',
+                self.host or 'an unproved peer',
+                self._connection.peer_address,
+                exc,
+            )
+            self._connection.abort()
+
+    def pause_producing(self):
+        """See :class:`radishferryd.net.Handler`."""
+        self._is_paused = True
+
+    def resume_producing(self):
+        """See :class:`radishferryd.net.Handler`."""
+        self._is_paused = False
+
+    def closed(self, error):
+        """See :class:`radishferryd.net.Handler`."""
+        was_ready, self._is_ready = self._is_ready, False
+        self._was_closed = True
+        if was_ready or self._is_initiator:
+            self._owner.link_closed(self)
+
+    def _on_message(self, name, message):
+        if self._is_ready:
+            self._owner.message(self, name, message)
+        elif name == 'challenge' and self._peer is None:
+            self._on_challenge(message)
+        elif name == 'proof' and self._peer is not None:
+            self._on_proof(message)
+        else:
+            raise peer_codec.FrameError(f'{name} before the handshake')
+
+    def _on_challenge(self, challenge):
+        if not challenge.host or len(challenge.nonce or b'') != NONCE_BYTES:
+            raise peer_codec.FrameError('challenge without host or nonce')
+        self._peer = challenge
+        proof = ttypes.Proof(self._mac(self._is_initiator, by_self=True))
+        self._connection.write(peer_codec.encode('proof', proof))
+
+    def _on_proof(self, proof):
+        expected = self._mac(not self._is_initiator, by_self=False)
+        if not hmac.compare_digest(expected, proof.mac or b''):
+            raise peer_codec.FrameError('wrong shared key')
+        self._buffer.allow_large()
+        self._is_ready = True
+        self._owner.link_opened(self)
+
+    def _mac(self, by_initiator, *, by_self):
+        pair = (self._nonce, self._peer.nonce)
+        if not self._is_initiator:
+            pair = pair[::-1]
+        prover = self._identity if by_self else self._peer
+        role = b'initiator' if by_initiator else b'acceptor'
+        text = b'|'.join((
+            role,
+            prover.host.encode(),
+            prover.data_centre.encode(),
+            str(prover.incarnation).encode(),
+            *pair,
+        ))
+        return hmac.digest(self._shared_key, text, hashlib.sha256)
+
+
+class LinkPool:
+    """Hold the links of this host.
+
+    Each side of a pair opens its own link for the messages and streams that
+    it begins; answers to streams return on the link of the stream.
+    """
+
+    def __init__(self, poller, scheduler, owner, identity, shared_key):
+        """Begin without links.
+
+        :param owner: A :class:`LinkOwner`.
+        :param identity: A ``Challenge`` without a nonce.
+        """
+        self._poller = poller
+        self._scheduler = scheduler
+        self._owner = owner
+        self._identity = identity
+        self._shared_key = shared_key
+        self._addresses = {}
+        self._outbound = {}
+        self._inbound = set()
+        self._blocked = {}
+        self._listener = None
+        scheduler.call_every(HANDSHAKE_TIMEOUT_S, self._close_overdue)
+
+    @property
+    def outbound(self) -> dict[str, Link]:
+        """Return the links that this host opened, by host name."""
+        return self._outbound
+
+    @property
+    def inbound(self) -> set[Link]:
+        """Return the links that peers opened."""
+        return self._inbound
+
+    def listen(self, address):
+        """Accept links.
+
+        :raises OSError: The address cannot be bound.
+        """
+        self._listener = net.Listener(self._poller, address, self._accept)
+
+    def set_addresses(self, addresses):
+        """Replace the known hosts.
+
+        :param addresses: Mapping of host name to pair of IP and port.
+        """
+        for host, address in self._addresses.items():
+            if addresses.get(host) != address and host in self._outbound:
+                self._outbound.pop(host).close()
+        self._addresses = dict(addresses)
+
+    def link(self, host) -> Link | None:
+        """Return the link to a host, opening one when there is none.
+
+        :returns: A link that may not be ready yet; None when the host is
+            unknown or could not be reached just now.
+        """
+        link = self._outbound.get(host)
+        if link is not None:
+            return link
+        address = self._addresses.get(host)
+        now = self._scheduler.now()
+        if address is None or self._blocked.get(host, 0) > now:
+            return None
+        link = Link(self, self._identity, self._shared_key, target=host)
+        self._outbound[host] = link
+        net.connect(self._poller, address, link)
+        return self._outbound.get(host)
+
+    def send(self, host, name, message) -> bool:
+        """Send a message to a host.
+
+        :returns: Whether a ready link took it.
+        """
+        link = self.link(host)
+        if link is None or not link.is_ready:
+            return False
+        link.send(name, message)
+        return True
+
+    def drop(self, host):
+        """Close the links with a host that does not answer."""
+        if link := self._outbound.get(host):
+            link.close()
+        for link in [k for k in self._inbound if k.host == host]:
+            link.close()
+
+    def close(self):
+        """Stop accepting and close all links."""
+        if self._listener is not None:
+            self._listener.close()
+        for link in [*self._outbound.values(), *self._inbound]:
+            link.close()
+
+    def link_opened(self, link):
+        """See :class:`LinkOwner`."""
+        if link.is_initiator and link.host != link.target:
+            LOG.error(
+                'peer: %s answered at the address of %s.',
+                link.host,
+                link.target,
+            )
+            link.close()
+            return
+        self._owner.link_opened(link)
+
+    def link_closed(self, link):
+        """See :class:`LinkOwner`."""
+        self._inbound.discard(link)
+        if link.is_initiator and self._outbound.get(link.target) is link:
+            del self._outbound[link.target]
+            now = self._scheduler.now()
+            self._blocked[link.target] = now + RECONNECT_INTERVAL_S
+        self._owner.link_closed(link)
+
+    def message(self, link, name, message):
+        """See :class:`LinkOwner`."""
+        self._owner.message(link, name, message)
+
+    def _accept(self):
+        link = Link(self, self._identity, self._shared_key)
+        self._inbound.add(link)
+        return link
+
+    def _close_overdue(self):
+        for link in [*self._outbound.values(), *self._inbound]:
+            if link.is_overdue:
+                link.close()
+        self._inbound = {k for k in self._inbound if not k.is_closed}
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/peer_codec.py
@@ -0,0 +1,117 @@
+"""Encode and decode the frames exchanged between hosts."""
+
+from __future__ import annotations
+
+import struct
+
+from thrift import Thrift
+from thrift import TSerialization
+from thrift.protocol import TBinaryProtocol
+
+from radishferryd.gen import ttypes
+
+#: Largest frame, in bytes.
+MAX_FRAME_BYTES = 1048576
+#: Largest frame before the peer has proved the shared key, in bytes.
+MAX_UNPROVED_FRAME_BYTES = 1024
+
+_LENGTH = struct.Struct('>I')
+_FACTORY = TBinaryProtocol.TBinaryProtocolAcceleratedFactory(
+    string_length_limit=MAX_FRAME_BYTES, container_length_limit=65536
+)
+#: Names of the messages of a frame, the most frequent first.
+MESSAGES = (
+    'response_chunk',
+    'response_head',
+    'request_head',
+    'credit',
+    'heartbeat',
+    *sorted(
+        spec[2]
+        for spec in ttypes.Frame.thrift_spec
+        if spec is not None
+        and spec[2]
+        not in (
+            'response_chunk',
+            'response_head',
+            'request_head',
+            'credit',
+            'heartbeat',
+        )
+    ),
+)
+
+
+class FrameError(Exception):
+    """Report bytes that are no valid frame."""
+
+
+def encode(name, message) -> bytes:
+    """Return the bytes of a frame.
+
+    :param name: Field of ``Frame``.
+    :param message: The thrift struct.
+    :raises FrameError: The frame exceeds :data:`MAX_FRAME_BYTES`.
+    """
+    frame = ttypes.Frame(**{name: message})
+    data = TSerialization.serialize(frame, _FACTORY)
+    if len(data) > MAX_FRAME_BYTES:
+        raise FrameError(f'{name} of {len(data)} bytes is too large')
+    return _LENGTH.pack(len(data)) + data
+
+
+def decode(data) -> tuple[str, object]:
+    """Return the name and the struct of a frame without its length.
+
+    :raises FrameError: The bytes are no frame.
+    """
+    try:
+        frame = TSerialization.deserialize(
+            ttypes.Frame(), bytes(data), _FACTORY
+        )
+    except (
+        EOFError,
+        Thrift.TException,
+        UnicodeDecodeError,
+        ValueError,
+        TypeError,
+        OverflowError,
+        MemoryError,
+    ) as exc:
+        raise FrameError(f'malformed frame: {exc!r}') from exc
+    for name in MESSAGES:
+        message = getattr(frame, name)
+        if message is not None:
+            return name, message
+    raise FrameError('frame without a known message')
+
+
+class FrameBuffer:
+    """Cut a byte stream into frames."""
+
+    def __init__(self):
+        self._data = bytearray()
+        self._limit = MAX_UNPROVED_FRAME_BYTES
+
+    def allow_large(self):
+        """Take frames up to :data:`MAX_FRAME_BYTES`."""
+        self._limit = MAX_FRAME_BYTES
+
+    def feed(self, data):
+        """Add bytes and yield the messages that are complete.
+
+        :raises FrameError: A length or a frame is invalid.
+        """
+        self._data += data
+        while len(self._data) >= _LENGTH.size:
+            (length,) = _LENGTH.unpack_from(self._data)
+            if length > self._limit:
+                raise FrameError(
+                    f'frame of {length} bytes, at most {self._limit} allowed'
+                )
+            end = _LENGTH.size + length
+            if len(self._data) < end:
+                return
+            message = decode(memoryview(self._data)[_LENGTH.size : end])
+            del self._data[:end]
+            yield message
