--- /dev/null
+++ b/packages/radishferry/src/radishferry/manifest_diff.py
@@ -0,0 +1,128 @@
+"""Compare two manifests."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+
+from radishferry import findings
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """Name one difference.
+
+    :ivar place: Where it is, by name: ``inventory.servers.inv-1.address``.
+    :ivar text: What changed, such as ``6 -> 3``, ``added`` or ``removed``.
+    """
+
+    place: str
+    text: str
+
+    def __str__(self):
+        return f'{self.place}: {self.text}'
+
+
+def diff(old, new) -> list[Change]:
+    """Return the differences between two manifests.
+
+    :param old: A :class:`~radishferry.manifest.Manifest`, or None when there
+        is none yet.
+    :param new: A manifest.
+    """
+    changes = []
+    if old is None or old.version != new.version:
+        before = 'none' if old is None else old.version
+        changes.append(Change('version', f'{before} -> {new.version}'))
+    old_services = () if old is None else old.services
+    changes.extend(_items('', old_services, new.services, 'name'))
+    return changes
+
+
+def transition_findings(old, new) -> list[findings.Finding]:
+    """Return why a manifest cannot follow another one.
+
+    :param old: The manifest in force, or None.
+    :param new: The manifest that is to replace it.
+    """
+    if old is None:
+        return []
+    found = []
+    if new.version <= old.version:
+        message = f'expected more than the version in force, {old.version}'
+        found.append(findings.Finding('version', message))
+    old_servers = _servers(old)
+    for i, service in enumerate(new.services):
+        found.extend(_fixed_fields(i, old.service(service.name), service))
+        for j, server in enumerate(service.servers):
+            place = f'services[{i}].servers[{j}]'
+            before = old_servers.get(server.name)
+            found.extend(_identity(place, before, (service.name, server)))
+    return found
+
+
+def _servers(manifest):
+    return {
+        server.name: (service.name, server)
+        for service in manifest.services
+        for server in service.servers
+    }
+
+
+def _fixed_fields(index, old, new):
+    if old is None:
+        return
+    # Either change maps keys to other ranges while hosts still route by the
+    # old mapping, so a key could have two owners.
+    for name in ('ranges', 'keyed'):
+        before, after = getattr(old, name), getattr(new, name)
+        if before != after:
+            yield findings.Finding(
+                f'services[{index}].{name}',
+                f'cannot change from {json.dumps(before)} to '
+                f'{json.dumps(after)}; declare a service with a new name',
+            )
+
+
+def _identity(place, before, after):
+    if before is None:
+        return
+    (old_service, old), (new_service, new) = before, after
+    # The process at the old address may still hold a lease under this name.
+    for name, a, b in (
+        ('name', old_service, new_service),
+        ('address', old.address, new.address),
+        ('data_centre', old.data_centre, new.data_centre),
+    ):
+        if a != b:
+            yield findings.Finding(
+                f'{place}.{name}',
+                f'server "{new.name}" cannot move from "{a}" to "{b}"; '
+                'add a server with a new name and remove this one',
+            )
+
+
+def _items(prefix, old, new, identity):
+    old_items = {getattr(item, identity): item for item in old}
+    new_items = {getattr(item, identity): item for item in new}
+    for name in old_items.keys() - new_items.keys():
+        yield Change(f'{prefix}{name}', 'removed')
+    for name, item in new_items.items():
+        place = f'{prefix}{name}'
+        if name not in old_items:
+            yield Change(place, 'added')
+        else:
+            yield from _fields(place, old_items[name], item)
+
+
+def _fields(place, old, new):
+    for field in dataclasses.fields(new):
+        before, after = getattr(old, field.name), getattr(new, field.name)
+        if before == after:
+            continue
+        at = f'{place}.{field.name}'
+        if isinstance(after, tuple):
+            identity = 'caller' if field.name == 'reservations' else 'name'
+            yield from _items(f'{at}.', before, after, identity)
+        else:
+            yield Change(at, f'{json.dumps(before)} -> {json.dumps(after)}')
