--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/logs.py
@@ -0,0 +1,54 @@
+"""Configure log lines."""
+
+from __future__ import annotations
+
+import logging
+import sys
+
+import structlog
+
+# Fields of every line, in this order; others follow by name.
+_KEY_ORDER = ('timestamp', 'level', 'logger', 'event')
+
+
+def configure(level, log_format, stream=None):
+    """Send the lines of all loggers to a stream.
+
+    Modules log with ``logging.getLogger(__name__)`` and begin each message
+    with the fixed prefix of their part, such as ``net:``. Fields given by
+    ``extra`` become fields of the line.
+
+    :param level: One of :data:`radishferryd.settings.LOG_LEVELS`.
+    :param log_format: One of :data:`radishferryd.settings.LOG_FORMATS`.
+    :param stream: Where lines go, by default standard error.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(_formatter(log_format))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
+    # The debug lines of asyncio, which no part of the process uses, would
+    # only add noise.
+    logging.getLogger('asyncio').setLevel(logging.WARNING)
+
+
+def _formatter(log_format):
+    if log_format == 'json':
+        renderer = structlog.processors.JSONRenderer(ensure_ascii=True)
+    else:
+        renderer = structlog.processors.KeyValueRenderer(
+            key_order=_KEY_ORDER, sort_keys=True, repr_native_str=True
+        )
+    return structlog.stdlib.ProcessorFormatter(
+        foreign_pre_chain=[
+            structlog.stdlib.add_log_level,
+            structlog.stdlib.add_logger_name,
+            structlog.stdlib.ExtraAdder(),
+            structlog.processors.TimeStamper(fmt='iso', utc=True),
+        ],
+        processors=[
+            structlog.stdlib.ProcessorFormatter.remove_processors_meta,
+            structlog.processors.format_exc_info,
+            renderer,
+        ],
+    )
