--- /dev/null
+++ b/packages/radishferry-testing/src/radishferry_testing/http_client.py
@@ -0,0 +1,196 @@
+"""Send HTTP/1.1 requests over kept connections."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+
+import httptools
+
+from radishferry_testing import http_io
+
+
+class ResponseLostError(ConnectionError):
+    """Report a request that may have been sent and got no response head."""
+
+
+class Response:
+    """Hold a response.
+
+    :ivar status: Status code.
+    :ivar headers: Mapping of lower-case names to values.
+    :ivar body: :class:`radishferry_testing.http_io.Body`; once it is read to
+        its end the connection serves the next request.
+    """
+
+    def __init__(self, connection, status, headers, body):
+        self._connection = connection
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    async def read(self) -> bytes:
+        """Return the whole body.
+
+        :raises BodyAbortedError: The body did not end properly.
+        """
+        return await self.body.read()
+
+    def close(self):
+        """Close the connection, which cancels an unfinished response."""
+        if not self.body.finished:
+            self._connection.transport.abort()
+
+
+class ClientConnection(http_io.HttpProtocol):
+    """Send one request at a time.
+
+    :param idle: Deque that takes the connection when it is free.
+    """
+
+    parser_class = httptools.HttpResponseParser
+
+    def __init__(self, idle):
+        super().__init__()
+        self._idle = idle
+        self._keep_alive = True
+        self._head = None
+        self._sent = True
+
+    def begin(self, *, without_body):
+        """Return a future of the response to the request sent next."""
+        self.body = None
+        self._sent = without_body
+        self._head = asyncio.get_running_loop().create_future()
+        return self._head
+
+    def note_sent(self):
+        """Note that the body of the request is sent."""
+        self._sent = True
+        if self.body is not None and self.body.finished:
+            self._release()
+
+    def on_head(self, parser, headers, target):
+        """Deliver the head."""
+        status = parser.get_status_code()
+        if 100 <= status < 200:
+            return
+        self._keep_alive = parser.should_keep_alive()
+        if self._head is None or self._head.done():
+            self.transport.abort()
+            return
+        response = Response(self, status, headers, self.body)
+        self._head.set_result(response)
+
+    def on_message_complete(self):
+        """Ignore the end of an interim response."""
+        if self._head is not None and self._head.done():
+            super().on_message_complete()
+
+    def on_end(self):
+        """Free or close the connection."""
+        if self._sent:
+            self._release()
+
+    def on_lost(self):
+        """Fail the waiting request."""
+        if self in self._idle:
+            self._idle.remove(self)
+        if self._head is not None and not self._head.done():
+            self._head.set_exception(ResponseLostError('no response'))
+
+    def _release(self):
+        if not self._keep_alive:
+            self.transport.close()
+        elif self.is_open:
+            self._idle.append(self)
+
+
+class Client:
+    """Send requests to one address.
+
+    :param address: ``ip:port``.
+    """
+
+    def __init__(self, address):
+        host, _, port = address.rpartition(':')
+        self._host = host
+        self._port = int(port)
+        self._idle = collections.deque()
+        self._open = set()
+
+    async def request(self, method, target, headers=(), body=b'', length=None):
+        """Send a request and return its :class:`Response`.
+
+        :param headers: Pairs of name and value.
+        :param body: Bytes, or an asynchronous iterator of them.
+        :param length: Bytes of an iterated body; None for a chunked one.
+        :raises OSError: No connection could be made; nothing was sent.
+        :raises ResponseLostError: No response came.
+        """
+        whole = isinstance(body, bytes)
+        lines = [f'{method} {target} HTTP/1.1', f'Host: {self._host}']
+        lines.extend(f'{name}: {value}' for name, value in headers)
+        if whole:
+            if body or method != 'GET':
+                lines.append(f'Content-Length: {len(body)}')
+        elif length is None:
+            lines.append('Transfer-Encoding: chunked')
+        else:
+            lines.append(f'Content-Length: {length}')
+        head = ('\r\n'.join(lines) + '\r\n\r\n').encode('latin-1')
+        connection = await self._connection()
+        answer = connection.begin(without_body=whole)
+        try:
+            if whole:
+                connection.transport.write(head + body)
+            else:
+                await self._send_body(connection, head, body, length)
+            return await answer
+        except BaseException:
+            if answer.done() and not answer.cancelled():
+                answer.exception()
+            connection.transport.abort()
+            raise
+
+    async def call(self, method, target, headers=(), body=b''):
+        """Send a request and return status, headers and whole body."""
+        response = await self.request(method, target, headers, body)
+        try:
+            return response.status, response.headers, await response.read()
+        finally:
+            response.close()
+
+    def close(self):
+        """Close all connections."""
+        for connection in list(self._open):
+            if connection.transport is not None:
+                connection.transport.abort()
+        self._open.clear()
+        self._idle.clear()
+
+    async def _connection(self):
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_open:
+                return connection
+        self._open = {c for c in self._open if c.is_open}
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(
+            lambda: ClientConnection(self._idle), self._host, self._port
+        )
+        self._open.add(connection)
+        return connection
+
+    async def _send_body(self, connection, head, body, length):
+        try:
+            await connection.send(head)
+            async for chunk in body:
+                if length is None:
+                    chunk = b'%x\r\n%b\r\n' % (len(chunk), chunk)
+                await connection.send(chunk)
+            if length is None:
+                await connection.send(b'0\r\n\r\n')
+        except http_io.BodyAbortedError as exc:
+            raise ResponseLostError('connection closed in request') from exc
+        connection.note_sent()
