--- a/packages/radishferry-testing/src/radishferry_testing/platform.py
+++ b/packages/radishferry-testing/src/radishferry_testing/platform.py
@@ -7,9 +7,9 @@
 import dataclasses
 import time
 
-import defopt
 import orjson
 
+from radishferry_testing import arguments
 from radishferry_testing import http_io
 
 #: Seconds of counts that are kept.
@@ -238,4 +238,4 @@
 
 
 if __name__ == '__main__':
-    defopt.run(main)
+    arguments.run(main)
