--- a/packages/radishferryd/src/radishferryd/poller.py
+++ b/packages/radishferryd/src/radishferryd/poller.py
@@ -2,14 +2,35 @@
 
 from __future__ import annotations
 
+import dataclasses
 import errno
 import select
+import typing
 
+from circuits.core import pollers
 from circuits.core.handlers import handler
-from circuits.core.pollers import BasePoller
 
+_HANGUP = select.EPOLLHUP | select.EPOLLERR
 
-class SocketPoller(BasePoller):
+
+@dataclasses.dataclass
+class _Target:
+    """Hold what a circuits component polls a socket for."""
+
+    sock: typing.Any
+    fd: int
+    channel: typing.Any
+    reading: bool = False
+    writing: bool = False
+
+    @property
+    def mask(self):
+        return (select.EPOLLIN if self.reading else 0) | (
+            select.EPOLLOUT if self.writing else 0
+        )
+
+
+class SocketPoller(pollers.BasePoller):
     """Call the registered callback of each ready socket.
 
     ``circuits.core.pollers.EPoll`` keeps its sockets in lists, registers a
@@ -17,6 +38,9 @@
     ready socket.  With hundreds of connections these costs exceed those of
     the requests themselves, so this poller keeps a dictionary and calls the
     owner directly.
+
+    Components of ``circuits.net`` use the same poller through the interface
+    of ``EPoll`` (``addReader`` to ``getTarget``) and receive its events.
     """
 
     channel = 'poller'
@@ -25,6 +49,8 @@
         super().__init__(channel=self.channel)
         self._epoll = select.epoll()
         self._callbacks = {}
+        # Components name sockets by object; one may be closed by then.
+        self._components = {}
         self._epoll.register(self._ctrl_recv, select.EPOLLIN)
 
     def add(self, fd, callback):
@@ -53,9 +79,80 @@
 
         :param int fd: File descriptor.
         """
-        if self._callbacks.pop(fd, None) is not None:
+        removed = self._callbacks.pop(fd, None)
+        if removed is not None and not self._epoll.closed:
             self._epoll.unregister(fd)
 
+    def addReader(self, source, fd):  # noqa: N802
+        """Poll the socket of a component for input.
+
+        :param source: The component, whose channel receives the events.
+        :param fd: Socket or file descriptor.
+        """
+        self._change(fd, source, reading=True)
+
+    def addWriter(self, source, fd):  # noqa: N802
+        """Poll the socket of a component for room to write."""
+        self._change(fd, source, writing=True)
+
+    def removeReader(self, fd):  # noqa: N802
+        """Stop polling the socket of a component for input."""
+        self._change(fd, reading=False)
+
+    def removeWriter(self, fd):  # noqa: N802
+        """Stop polling the socket of a component for room to write."""
+        self._change(fd, writing=False)
+
+    def isReading(self, fd):  # noqa: N802
+        """Tell whether the socket of a component is polled for input."""
+        target = self._components.get(fd)
+        return target is not None and target.reading
+
+    def isWriting(self, fd):  # noqa: N802
+        """Tell whether the socket of a component is polled for writing."""
+        target = self._components.get(fd)
+        return target is not None and target.writing
+
+    def discard(self, fd):
+        """Stop polling the socket of a component."""
+        target = self._components.pop(fd, None)
+        if target is not None:
+            self.remove(target.fd)
+
+    def getTarget(self, fd):  # noqa: N802
+        """Return the channel that receives the events of a socket."""
+        target = self._components.get(fd)
+        return self.parent if target is None else target.channel
+
+    def _change(self, sock, source=None, **interests):
+        target = self._components.get(sock)
+        if target is None:
+            if source is None or self._epoll.closed:
+                return
+            fd = sock if isinstance(sock, int) else sock.fileno()
+            if fd < 0:
+                # A component may still write to a socket it has closed.
+                return
+            target = _Target(sock, fd, getattr(source, 'channel', '*'))
+            self._components[sock] = target
+            self.add(fd, lambda mask: self._fire_ready(target, mask))
+        for name, value in interests.items():
+            setattr(target, name, value)
+        if not target.mask:
+            self.discard(sock)
+        elif not self._epoll.closed:
+            self._epoll.modify(target.fd, target.mask)
+
+    def _fire_ready(self, target, mask):
+        if mask & _HANGUP and not mask & select.EPOLLIN:
+            self.discard(target.sock)
+            self.fire(pollers._disconnect(target.sock), target.channel)
+            return
+        if mask & select.EPOLLIN and target.reading:
+            self.fire(pollers._read(target.sock), target.channel)
+        if mask & select.EPOLLOUT and target.writing:
+            self.fire(pollers._write(target.sock), target.channel)
+
     @handler('stopped', channel='*')
     def _on_stopped(self, *args):
         self._epoll.close()
--- a/packages/radishferryd/src/radishferryd/settings.py
+++ b/packages/radishferryd/src/radishferryd/settings.py
@@ -8,17 +8,13 @@
 import typing
 
 from radishferry import findings
-from radishferry import manifest_fields
+from radishferryd import setting_readers
 
-#: Fewer characters than this can be guessed.
-MIN_SECRET_CHARACTERS = 16
 #: Levels of log lines.
 LOG_LEVELS = ('debug', 'info', 'warning', 'error')
 #: Formats of log lines.
 LOG_FORMATS = ('key-value', 'json')
 
-Address = tuple[str, int]
-
 
 @dataclasses.dataclass(frozen=True)
 class Option:
@@ -55,10 +51,10 @@
 
     host_name: str
     host_data_centre: str
-    listen_callers: Address
-    listen_peers: Address
-    listen_admin: Address
-    platform_address: Address
+    listen_callers: tuple[str, int]
+    listen_peers: tuple[str, int]
+    listen_admin: tuple[str, int]
+    platform_address: tuple[str, int]
     peers_shared_key: str = dataclasses.field(repr=False)
     admin_token: str = dataclasses.field(repr=False)
     platform_timeout_ms: int = 1000
@@ -67,71 +63,41 @@
     log_format: str = 'key-value'
 
 
-def _name(text):
-    problem = manifest_fields.check_name(text)
-    if problem:
-        raise ValueError(problem)
-    return text
-
-
-def _address(text):
-    problem = manifest_fields.check_address(text)
-    if problem:
-        raise ValueError(problem)
-    ip, _, port = text.rpartition(':')
-    return ip, int(port)
-
-
-def _secret(text):
-    if len(text) < MIN_SECRET_CHARACTERS:
-        raise ValueError(
-            f'expected at least {MIN_SECRET_CHARACTERS} characters'
-        )
-    # Tokens travel in a header, where other characters are ambiguous.
-    if not all('!' <= character <= '~' for character in text):
-        raise ValueError('expected printable ASCII characters without spaces')
-    return text
-
-
-def _milliseconds(text):
-    is_integer = text.isascii() and text.isdigit() and len(text) <= 6
-    if not is_integer or not 10 <= int(text) <= 60000:
-        raise ValueError('expected an integer from 10 to 60000')
-    return int(text)
-
-
-def _boolean(text):
-    if text not in ('yes', 'no'):
-        raise ValueError('expected yes or no')
-    return text == 'yes'
-
-
-def _one_of(*values):
-    def read(text):
-        if text not in values:
-            raise ValueError('expected one of {}'.format(', '.join(values)))
-        return text
-
-    return read
-
-
 #: Every option that a settings file may hold.
 OPTIONS = (
     Option(
         'host',
         'name',
         'name',
-        _name,
+        setting_readers.read_name,
         'Name of this host in the host list of the platform.',
     ),
-    Option('host', 'data_centre', 'name', _name, 'Where this host is.'),
-    Option('listen', 'callers', 'ip:port', _address, 'Listens for callers.'),
-    Option('listen', 'peers', 'ip:port', _address, 'Listens for other hosts.'),
+    Option(
+        'host',
+        'data_centre',
+        'name',
+        setting_readers.read_name,
+        'Where this host is.',
+    ),
+    Option(
+        'listen',
+        'callers',
+        'ip:port',
+        setting_readers.read_address,
+        'Listens for callers.',
+    ),
+    Option(
+        'listen',
+        'peers',
+        'ip:port',
+        setting_readers.read_address,
+        'Listens for other hosts.',
+    ),
     Option(
         'listen',
         'admin',
         'ip:port',
-        _address,
+        setting_readers.read_address,
         'Listens for administration and metrics; a loopback address unless '
         '``allow_remote`` is set.',
         '127.0.0.1:7903',
@@ -140,14 +106,14 @@
         'platform',
         'address',
         'ip:port',
-        _address,
+        setting_readers.read_address,
         'Table service, object store and host list.',
     ),
     Option(
         'platform',
         'timeout_ms',
         'integer',
-        _milliseconds,
+        setting_readers.read_milliseconds,
         'Milliseconds after which a request to the platform has failed.',
         '1000',
     ),
@@ -155,21 +121,21 @@
         'peers',
         'shared_key',
         'secret',
-        _secret,
+        setting_readers.read_secret,
         'Authenticates hosts to each other; the same on all hosts.',
     ),
     Option(
         'admin',
         'token',
         'secret',
-        _secret,
+        setting_readers.read_secret,
         'Authenticates operators to the administration listener.',
     ),
     Option(
         'admin',
         'allow_remote',
         'yes or no',
-        _boolean,
+        setting_readers.read_boolean,
         'Whether the administration listener may have an address other than '
         'loopback. It does not encrypt, so the token can be read on the '
         'network.',
@@ -179,7 +145,7 @@
         'log',
         'level',
         'level',
-        _one_of(*LOG_LEVELS),
+        setting_readers.one_of(*LOG_LEVELS),
         'Least level of log lines: ``debug``, ``info``, ``warning`` or '
         '``error``.',
         'info',
@@ -188,7 +154,7 @@
         'log',
         'format',
         'format',
-        _one_of(*LOG_FORMATS),
+        setting_readers.one_of(*LOG_FORMATS),
         'Format of log lines on standard error: ``key-value`` or ``json``.',
         'key-value',
     ),
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/state_dump.py
@@ -0,0 +1,162 @@
+"""Turn the state of the process into bounded JSON values."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import enum
+import itertools
+import math
+import signal
+import sys
+
+from circuits.core import BaseComponent
+from circuits.core import events
+from circuits.core.handlers import handler
+import orjson
+
+#: Levels of nesting that are shown.
+MAX_DEPTH = 12
+#: Elements of one container that are shown.
+MAX_ITEMS = 2000
+#: Values shown altogether; at most 25 MB when each is a text of MAX_TEXT.
+MAX_VALUES = 50000
+#: Characters of one text that are shown.
+MAX_TEXT = 500
+
+#: Attributes that may hold a secret.
+_SECRET_WORDS = ('token', 'shared_key', 'secret', 'password')
+_MAX_EXACT_INTEGER = 2**63 - 1
+
+
+def to_jsonable(value, *, max_values: int = MAX_VALUES):
+    """Return a value that JSON can express, at most of a bounded size.
+
+    Data classes and mappings become objects, other collections become
+    lists, and objects of unknown classes are shown by the class name.
+    What exceeds a bound is replaced by a text that begins with ``...``.
+
+    :param value: Any nesting of data classes, collections and plain values.
+    :param max_values: Number of values shown.
+    """
+    return _Dumper(max_values).convert(value, 0)
+
+
+def to_json(value, *, max_values: int = MAX_VALUES) -> bytes:
+    """Return a value as one line of JSON.
+
+    :param value: As for :func:`to_jsonable`.
+    :param max_values: Number of values shown.
+    """
+    return orjson.dumps(to_jsonable(value, max_values=max_values))
+
+
+class _Dumper:
+    def __init__(self, max_values):
+        self._left = max_values
+
+    def convert(self, value, depth):
+        self._left -= 1
+        if self._left < 0:
+            return '... more values'
+        if value is None or isinstance(value, bool):
+            return value
+        if isinstance(value, enum.Enum):
+            return self.convert(value.value, depth)
+        if isinstance(value, int):
+            exact = abs(value) <= _MAX_EXACT_INTEGER
+            return int(value) if exact else str(value)[:MAX_TEXT]
+        if isinstance(value, float):
+            return float(value) if math.isfinite(value) else str(value)
+        if isinstance(value, str):
+            return _text(value)
+        if isinstance(value, (bytes, bytearray, memoryview)):
+            return f'{len(value)} bytes'
+        return self._convert_nested(value, depth)
+
+    def _convert_nested(self, value, depth):
+        if depth >= MAX_DEPTH:
+            return '... nested more deeply'
+        if dataclasses.is_dataclass(value) and not isinstance(value, type):
+            fields = (f.name for f in dataclasses.fields(value) if f.repr)
+            pairs = [(n, getattr(value, n, None)) for n in fields]
+            return self._object(pairs, len(pairs), depth)
+        if isinstance(value, collections.abc.Mapping):
+            return self._object(value.items(), len(value), depth)
+        is_set = isinstance(value, collections.abc.Set)
+        if is_set or isinstance(value, collections.abc.Sequence):
+            return self._list(value, depth)
+        return f'<{type(value).__name__}>'
+
+    def _object(self, pairs, size, depth):
+        shown = {}
+        for name, item in itertools.islice(pairs, MAX_ITEMS):
+            if self._left <= 0:
+                break
+            name = _key(name)
+            if any(word in name for word in _SECRET_WORDS):
+                shown[name] = '(secret)'
+            else:
+                shown[name] = self.convert(item, depth + 1)
+        if len(shown) < size:
+            shown['...'] = f'{size - len(shown)} more'
+        return shown
+
+    def _list(self, values, depth):
+        shown = []
+        for item in itertools.islice(values, MAX_ITEMS):
+            if self._left <= 0:
+                break
+            shown.append(self.convert(item, depth + 1))
+        if len(shown) < len(values):
+            shown.append(f'... {len(values) - len(shown)} more')
+        return shown
+
+
+def _key(name):
+    if isinstance(name, enum.Enum):
+        name = name.value
+    if isinstance(name, tuple):
+        name = ':'.join(str(part) for part in name)
+    return _text(str(name))
+
+
+def _text(text):
+    # Surrogates cannot be encoded.
+    text = text.encode('utf-8', 'replace').decode()
+    return text if len(text) <= MAX_TEXT else text[:MAX_TEXT] + '...'
+
+
+class dump_requested(events.signal):  # noqa: N801
+    """Ask for a dump.
+
+    Events of class ``signal`` may be fired from a signal handler: they wake
+    the poller.
+    """
+
+
+class DumpOnSignal(BaseComponent):
+    """Write a dump to standard error when SIGUSR1 arrives."""
+
+    channel = 'state_dump'
+
+    def __init__(self, dump, stream=None):
+        """Install the signal handler; only the main thread may do so.
+
+        :param dump: Returns the state, as for :func:`to_jsonable`.
+        :param stream: Where the dump goes, by default standard error.
+        """
+        super().__init__(channel=self.channel)
+        self._dump = dump
+        self._stream = stream
+        signal.signal(signal.SIGUSR1, self._on_signal)
+
+    def _on_signal(self, signo, frame):
+        # The state may be half changed here, so the loop writes the dump.
+        self.fire(dump_requested(signo, frame))
+
+    @handler('dump_requested')
+    def _on_dump_requested(self, signo, frame):
+        stream = self._stream or sys.stderr
+        line = to_json({'state': self._dump()}).decode()
+        print(line, file=stream, flush=True)
