--- a/packages/radishferry-testing/src/radishferry_testing/server.py
+++ b/packages/radishferry-testing/src/radishferry_testing/server.py
@@ -75,6 +75,7 @@
 
     async def _grant(self, request, values):
         now_ms = self._clock_ms(time.monotonic_ns())
+        previous_term = max(0, self._lease.term)
         accepted = self._lease.grant(
             now_ms,
             values['term'],
@@ -86,6 +87,7 @@
             'clock_ms': now_ms,
             'boot_id': self._boot_id,
             'term': self._lease.term,
+            'previous_term': previous_term,
             'ranges': self._lease.held(now_ms),
         }
         await _reply(request, answer, 200 if accepted else 409)
--- a/packages/radishferry/src/radishferry/actions.py
+++ b/packages/radishferry/src/radishferry/actions.py
@@ -125,3 +125,13 @@
     """
 
     range_ids: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class HandOver:
+    """Hand the server over to another host once its work has ended.
+
+    :ivar host: Name of the host.
+    """
+
+    host: str
--- a/packages/radishferry/src/radishferry/coordinator.py
+++ b/packages/radishferry/src/radishferry/coordinator.py
@@ -51,6 +51,13 @@
     host: str
     epoch: int
     after_seq: int
+    floors: dict[int, int]
+
+    def is_met(self, held, answered_seq):
+        return answered_seq > self.after_seq and all(
+            held.get(range_id, epoch) >= epoch
+            for range_id, epoch in self.floors.items()
+        )
 
 
 class Coordinator:
@@ -60,16 +67,18 @@
     in ``docs/design.md`` for the rules.
     """
 
-    def __init__(self, server: str, host: str, first_seq: int):
+    def __init__(self, server: str, host: str, ranges: int, first_seq: int):
         """Begin without a term.
 
         :param server: Name of the server.
         :param host: Name of this host.
+        :param ranges: Number of hash ranges of the service.
         :param first_seq: Above every sequence number that an earlier process
             of this host used; the wall clock in milliseconds will do.
         """
         self._server = server
         self._host = host
+        self._ranges = ranges
         self._seq = first_seq
         self._chart = chart.Chart('coordinator')
         self._assignment = None
@@ -161,11 +170,13 @@
 
     # Who acts.
 
-    def assigned(self, assignment, now):
+    def assigned(self, assignment, now, *, is_other_live=False):
         """Take over a coordinator assignment from the table.
 
         :param assignment: A
             :class:`~radishferry.assignment.CoordinatorAssignment`.
+        :param bool is_other_live: Whether another live host acts now; it
+            will hand over.
         """
         if assignment.base_term <= self.base_term:
             return []
@@ -173,13 +184,19 @@
         if self._host not in assignment.hosts:
             return self._stand_down()
         if self.state != 'waiting':
-            self._term = assignment.term_of(self._host)
-            self._next_send_at = now
-            return [actions.AnnounceCoordinator(self._term)]
-        if assignment.hosts[0] == self._host:
+            return self._adopt(assignment, now)
+        if assignment.hosts[0] == self._host and not is_other_live:
             return self.take_over(now)
         return []
 
+    def _adopt(self, assignment, now):
+        self._term = assignment.term_of(self._host)
+        self._next_send_at = now
+        result = [actions.AnnounceCoordinator(self._term)]
+        if assignment.hosts[0] != self._host:
+            result.append(actions.HandOver(assignment.hosts[0]))
+        return result
+
     def take_over(self, now, *, is_handover=False):
         """Become the coordinator under the reserved term.
 
@@ -302,7 +319,7 @@
         if self.state == 'waiting':
             return []
         self._plan_pending(rows)
-        return self.tick(now)
+        return self._announce() + self.tick(now)
 
     def release_requested(self, host, range_id, epoch, now):
         """Give up a range below an epoch and confirm it later.
@@ -313,11 +330,14 @@
         """
         if self.state not in ('serving', 'lapsing', 'lost'):
             return []
+        floors = self._release_floors(range_id, epoch)
+        if floors is None:
+            return []
         self._floors[range_id] = max(epoch, self._floors.get(range_id, 0))
-        if self._desired.get(range_id, epoch) < epoch:
-            del self._desired[range_id]
-            self._announced.pop(range_id, None)
-            self._next_send_at = min(self._next_send_at, now)
+        for floored, floor in floors.items():
+            if self._desired.get(floored, floor) < floor:
+                del self._desired[floored]
+                self._announced.pop(floored, None)
         pending = self._pending.get(range_id)
         if pending and pending.assignment.epoch < epoch:
             del self._pending[range_id]
@@ -326,10 +346,25 @@
             return [actions.ReplyReleased(host, range_id, epoch)]
         # Only an answer to a request sent from now on proves that this host
         # still acts and that the server does not hold the range.
-        self._releases[range_id, host] = _Release(host, epoch, self._seq)
+        self._releases[range_id, host] = _Release(
+            host, epoch, self._seq, floors
+        )
         self._next_send_at = min(self._next_send_at, now)
         return self.tick(now)
 
+    def _release_floors(self, range_id, epoch):
+        if range_id < self._ranges:
+            return {range_id: epoch}
+        # A hot key was part of its hash range, which must be released too,
+        # below the epoch it got when the key was split out.
+        row = self._rows.get(range_id)
+        if row is None or row.epoch < epoch or row.key_hash is None:
+            return None
+        home = row.key_hash % self._ranges
+        if home not in self._rows:
+            return None
+        return {range_id: epoch, home: self._rows[home].epoch}
+
     def released(self, server, range_id, epoch, now):
         """Take the release of a range by another server."""
         pending = self._pending.get(range_id)
@@ -470,6 +505,7 @@
             for range_id, epoch in self._desired.items()
             if self._held.get(range_id) == epoch
             and self._announced.get(range_id) != epoch
+            and self._is_in_table(range_id, epoch)
         }
         self._announced.update(fresh)
         repeated = {
@@ -484,12 +520,21 @@
             result.append(actions.RangesTaken(tuple(fresh)))
         return result
 
+    def _is_in_table(self, range_id, epoch):
+        # A host that missed the row with this epoch may also have missed
+        # that a hot key was split out of the range.
+        row = self._rows.get(range_id)
+        if row is None:
+            return False
+        if row.epoch == epoch:
+            return row.owner == self._server
+        return row.standby_epoch == epoch and row.standby == self._server
+
     def _reply_releases(self, answered_seq):
         ready = [
             (key, release)
             for key, release in self._releases.items()
-            if answered_seq > release.after_seq
-            and self._held.get(key[0], release.epoch) >= release.epoch
+            if release.is_met(self._held, answered_seq)
         ]
         for key, _ in ready:
             del self._releases[key]
--- a/packages/radishferry/src/radishferry/routing.py
+++ b/packages/radishferry/src/radishferry/routing.py
@@ -73,6 +73,11 @@
         routes = self._services.get(service)
         return dict(routes.assignments) if routes else {}
 
+    def active(self, service, range_id):
+        """Return ``(epoch, server)`` last announced, None when unknown."""
+        routes = self._services.get(service)
+        return routes and routes.active.get(range_id)
+
     def coordinator_of(self, server):
         """Return ``(host, term)`` of a server, None when unknown."""
         known = self._coordinators.get(server)
--- a/packages/radishferryd/idl/peer.thrift
+++ b/packages/radishferryd/idl/peer.thrift
@@ -193,10 +193,18 @@
   2: string server
   3: i32 in_flight
   4: i32 waiting
+  5: string state
 }
 
 struct LoadReport {
   1: list<ServerLoad> loads
+  2: i32 hops
+}
+
+/* The platform's host list as JSON, read by a relay. */
+struct HostListPush {
+  1: binary hosts
+  2: i32 hops
 }
 
 /* Requests per second on ranges and hot keys, for the placement writer. */
@@ -205,6 +213,7 @@
   2: map<i32, double> ranges
   3: map<i64, double> hot_keys
   4: string host
+  5: i32 hops
 }
 
 struct Frame {
@@ -231,4 +240,5 @@
   21: optional SnapshotRequest snapshot_request
   22: optional LoadReport load_report
   23: optional DemandReport demand_report
+  24: optional HostListPush host_list_push
 }
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/dispatch.py
@@ -0,0 +1,451 @@
+"""Run requests on the servers that this host coordinates."""
+
+from __future__ import annotations
+
+import itertools
+import logging
+import typing
+
+from radishferry import outcomes
+from radishferry import server_queue
+from radishferryd import http_client
+from radishferryd import http_message
+from radishferryd import streams
+
+if typing.TYPE_CHECKING:
+    from radishferry import manifest
+
+LOG = logging.getLogger(__name__)
+
+#: Seconds after which a caller may come back when a server is being moved.
+MOVE_RETRY_S = 0.2
+#: Prefix of headers that only the router sets.
+OWN_HEADERS = 'radishferry-'
+#: Seconds that a server has beyond the deadline to answer that it stopped.
+DEADLINE_GRACE_S = 0.05
+
+_REASON_BY_REFUSAL = {
+    'stale-term': outcomes.Reason.STALE_ROUTE,
+    'range-not-held': outcomes.Reason.STALE_ROUTE,
+    'shed': outcomes.Reason.SHED,
+}
+
+
+def forwarded(headers):
+    """Return the headers that pass from one side to the other.
+
+    :param headers: Pairs of lower-case name and value.
+    """
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name == 'connection'
+        for token in value.split(',')
+    }
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name not in http_message.HOP_HEADERS
+        and name not in named
+        and name != 'host'
+        and not name.startswith(OWN_HEADERS)
+    )
+
+
+class LeaseView(typing.Protocol):
+    """Tell what the coordinator of a server allows."""
+
+    @property
+    def term(self) -> int:
+        """Return the term, 0 when this host does not act."""
+
+    @property
+    def active(self) -> dict[int, int]:
+        """Return range id to epoch of the ranges open for work."""
+
+    def may_work(self, now: float) -> bool:
+        """Tell whether work may be sent."""
+
+
+class JobObserver(typing.Protocol):
+    """Follow the jobs of a server, for duplicates and crashes."""
+
+    def admit(self, job: Job, now: float) -> outcomes.Refusal | None:
+        """Refuse a job before it is queued, or return None."""
+
+    def started(self, job: Job, now: float) -> None:
+        """Note that a job is being sent."""
+
+    def finished(self, job: Job, now: float) -> None:
+        """Note the end of a job; ``job.result`` says how."""
+
+    def ranges_taken(self, range_ids, now: float) -> None:
+        """Note that ranges became active here."""
+
+
+class ServerDispatcher:
+    """Queue requests for one server and send them when it has slots."""
+
+    def __init__(self, poller, scheduler, service, server, view, observer):
+        """Begin with an empty queue.
+
+        :param service: A :class:`~radishferry.manifest.Service`.
+        :param server: A :class:`~radishferry.manifest.Server`.
+        :param view: A :class:`LeaseView`.
+        :param observer: A :class:`JobObserver`.
+        """
+        self.scheduler = scheduler
+        self.service: manifest.Service = service
+        self.server: manifest.Server = server
+        self.view = view
+        self.observer = observer
+        self.pool = http_client.ConnectionPool(
+            poller, server.socket_address, service.connections
+        )
+        self.queue = server_queue.ServerQueue(
+            slots=service.slots,
+            reservations={r.caller: r.share for r in service.reservations},
+        )
+        self._ids = itertools.count(1)
+        self._jobs = {}
+        self._timer = None
+
+    @property
+    def jobs(self) -> dict[int, Job]:
+        """Return the jobs that wait or run, by id."""
+        return self._jobs
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether nothing waits or runs."""
+        return not self._jobs
+
+    def reconfigure(self, service, server):
+        """Take a new manifest for the same server."""
+        self.service = service
+        self.server = server
+        self.queue.set_limit(service.slots)
+        self.queue.set_reservations(
+            {r.caller: r.share for r in service.reservations}
+        )
+
+    def begin(self, request, sink) -> streams.Source | None:
+        """See :class:`radishferryd.streams.Dispatcher`."""
+        now = self.scheduler.now()
+        kind = self.service.kind(request.kind)
+        job = Job(self, next(self._ids), request, kind, sink, now)
+        refusal = self._check(job, now)
+        if refusal is None:
+            refusal = self.queue.offer(job.work, now)
+            if refusal is not None:
+                self.observer.finished(job.refused_early(refusal), now)
+        if refusal is not None:
+            sink.on_refused(refusal)
+            return None
+        self._jobs[job.job_id] = job
+        self.pump()
+        return job
+
+    def pump(self):
+        """Send waiting work while the server has slots."""
+        now = self.scheduler.now()
+        if self.view.may_work(now):
+            for work in self.queue.start(now):
+                self._jobs[work.work_id].start(now)
+        self._expire(now)
+
+    def give_up(self):
+        """Refuse everything that waits, because this host stood down."""
+        for work in self.queue.drain():
+            self._jobs[work.work_id].refuse(
+                outcomes.Reason.STALE_ROUTE,
+                MOVE_RETRY_S,
+                'The server is being moved to another coordinator.',
+            )
+
+    def ended(self, job, now, *, ran):
+        """Free the place of a job that has ended."""
+        if self._jobs.pop(job.job_id, None) is None:
+            return
+        if not self.queue.cancel(job.job_id, now):
+            self.queue.finish(job.job_id, now, ran=ran)
+        self.observer.finished(job, now)
+        if self._jobs:
+            self.pump()
+
+    def _check(self, job, now):
+        request = job.request
+        if not self.view.term or not self._holds(request):
+            return outcomes.Refusal(
+                outcomes.Outcome.NOT_RUN,
+                outcomes.Reason.STALE_ROUTE,
+                MOVE_RETRY_S,
+                f'{self.server.name} does not hold range '
+                f'{request.range_id} here.',
+            )
+        return self.observer.admit(job, now)
+
+    def _holds(self, request):
+        return request.range_id < 0 or request.range_id in self.view.active
+
+    def _expire(self, now):
+        for work in self.queue.expire(now):
+            self._jobs[work.work_id].refuse(
+                outcomes.Reason.DEADLINE,
+                self.queue.expected_wait,
+                'The deadline passed before the server had a free slot.',
+            )
+        if self.queue.waiting and self._timer is None:
+            self._timer = self.scheduler.call_later(0.01, self._on_timer)
+
+    def _on_timer(self):
+        self._timer = None
+        self.pump()
+
+
+class Job:
+    """Be one request at the coordinator of its server."""
+
+    def __init__(self, dispatcher, job_id, request, kind, sink, now):
+        self._dispatcher = dispatcher
+        self.job_id = job_id
+        self.request = request
+        self.kind = kind
+        self.deadline = now + request.deadline_s
+        self.result = None
+        self.response = None
+        self._sink = sink
+        self._connection = None
+        self._body = []
+        self._body_done = not request.has_body
+        self._is_chunked = request.has_body and not any(
+            name == 'content-length' for name, _ in request.headers
+        )
+        self._credit = streams.WINDOW_BYTES
+        self._has_head = False
+        self._refused_by_server = ''
+        self._timer = None
+        self.work = server_queue.Work(
+            job_id, kind.name, request.caller, self.deadline, kind.long
+        )
+
+    @property
+    def body_start(self) -> bytes:
+        """Return the part of the request body received before the start."""
+        return b''.join(self._body)
+
+    @property
+    def has_whole_body(self) -> bool:
+        """Tell whether the request body was complete at the start."""
+        return self._body_done
+
+    # From the queue.
+
+    def start(self, now):
+        """Send the request to the server."""
+        view = self._dispatcher.view
+        request = self.request
+        epoch = view.active.get(request.range_id)
+        if request.range_id >= 0 and epoch is None:
+            self.refuse(
+                outcomes.Reason.STALE_ROUTE,
+                MOVE_RETRY_S,
+                'The range moved while the request waited.',
+            )
+            return
+        connection = self._dispatcher.pool.acquire()
+        if connection is None:
+            self.refuse(
+                outcomes.Reason.OVERLOADED,
+                MOVE_RETRY_S,
+                'All connections of the server are in use.',
+            )
+            return
+        self._connection = connection
+        self._dispatcher.observer.started(self, now)
+        self._timer = self._dispatcher.scheduler.call_later(
+            max(0.0, self.deadline - now) + DEADLINE_GRACE_S,
+            self._on_deadline,
+        )
+        body = b''.join(self._frame(part) for part in self._body)
+        if self._is_chunked and self._body_done:
+            body += http_message.LAST_CHUNK
+        connection.request(
+            request.method,
+            request.target,
+            self._headers(view.term, epoch, now),
+            self,
+            body,
+            self._body_done,
+        )
+        self._acknowledge(self._body)
+        self._body = []
+
+    def refuse(self, reason, retry_after_s, detail):
+        """End the job with proof that it did not run."""
+        self._refuse(outcomes.Outcome.NOT_RUN, reason, retry_after_s, detail)
+
+    def refused_early(self, refusal):
+        """Note a refusal that the sink is told by the caller of this."""
+        self.result = refusal.outcome
+        return self
+
+    # From the entry host.
+
+    def send(self, data, is_last):
+        """See :class:`radishferryd.streams.Source`."""
+        if self._body_done or self.result is not None:
+            return
+        self._body_done = is_last
+        if self._connection is None:
+            self._body.append(data)
+            return
+        framed = self._frame(data)
+        if is_last and self._is_chunked:
+            framed += http_message.LAST_CHUNK
+        self._connection.send_body(framed, is_last)
+        if self._connection.is_writable:
+            self._acknowledge([data])
+        else:
+            self._body.append(data)
+
+    def grant(self, size):
+        """See :class:`radishferryd.streams.Source`."""
+        was_spent = self._credit <= 0
+        self._credit += size
+        if was_spent and self._credit > 0 and self._connection is not None:
+            self._connection.resume_reading()
+
+    def cancel(self):
+        """See :class:`radishferryd.streams.Source`."""
+        if self.result is not None:
+            return
+        started = self._connection is not None
+        self._end(
+            outcomes.Outcome.UNKNOWN if started else outcomes.Outcome.NOT_RUN
+        )
+
+    # From the server.
+
+    def on_head(self, head):
+        """See :class:`radishferryd.http_client.Exchange`."""
+        self._has_head = True
+        self._refused_by_server = head.header('radishferry-refused')
+        if self._refused_by_server:
+            return
+        self.response = (head.status, forwarded(head.headers))
+        if self.kind.long:
+            # The deadline of a long kind is for the answer to begin.
+            self._timer.cancel()
+        self._sink.on_head(*self.response)
+
+    def on_body(self, data):
+        """See :class:`radishferryd.http_client.Exchange`."""
+        if self._refused_by_server:
+            return
+        self._credit -= len(data)
+        if self._credit <= 0:
+            self._connection.pause_reading()
+        self._sink.on_chunk(data, False)
+
+    def on_end(self):
+        """See :class:`radishferryd.http_client.Exchange`."""
+        if self._refused_by_server:
+            reason = _REASON_BY_REFUSAL.get(
+                self._refused_by_server, outcomes.Reason.SHED
+            )
+            self.refuse(reason, MOVE_RETRY_S, self._refused_by_server)
+            return
+        self._connection = None
+        self._end(outcomes.Outcome.RAN)
+        self._sink.on_chunk(b'', True)
+
+    def on_failed(self, detail, was_sent):
+        """See :class:`radishferryd.http_client.Exchange`."""
+        self._connection = None
+        if was_sent:
+            self._refuse(
+                outcomes.Outcome.UNKNOWN,
+                outcomes.Reason.SERVER_LOST,
+                None,
+                f'{self._dispatcher.server.name}: {detail}.',
+            )
+        else:
+            self.refuse(
+                outcomes.Reason.UNREACHABLE,
+                MOVE_RETRY_S,
+                f'{self._dispatcher.server.name}: {detail}.',
+            )
+
+    def on_writable(self):
+        """See :class:`radishferryd.http_client.Exchange`."""
+        self._acknowledge(self._body)
+        self._body = []
+
+    def _headers(self, term, epoch, now):
+        request = self.request
+        server = self._dispatcher.server
+        left_ms = max(1, int((self.deadline - now) * 1000))
+        headers = [
+            ('Host', server.address),
+            *request.headers,
+            ('Radishferry-Term', str(term)),
+            ('Idempotency-Key', request.request_id),
+        ]
+        if not self.kind.long:
+            headers.append(('Radishferry-Deadline-Ms', str(left_ms)))
+        if request.key:
+            headers.append(('Radishferry-Key', _header_safe(request.key)))
+        if epoch is not None:
+            headers.append(('Radishferry-Range', str(request.range_id)))
+            headers.append(('Radishferry-Epoch', str(epoch)))
+        if self._is_chunked:
+            headers.append(('Transfer-Encoding', 'chunked'))
+        return headers
+
+    def _frame(self, data):
+        if not data or not self._is_chunked:
+            return data
+        return http_message.format_chunk(data)
+
+    def _acknowledge(self, parts):
+        size = sum(len(part) for part in parts)
+        if size:
+            self._sink.on_credit(size)
+
+    def _on_deadline(self):
+        self._refuse(
+            outcomes.Outcome.UNKNOWN,
+            outcomes.Reason.DEADLINE,
+            None,
+            'The server did not answer before the deadline.',
+        )
+
+    def _refuse(self, outcome, reason, retry_after_s, detail):
+        if self.result is not None:
+            return
+        self._end(outcome)
+        self._sink.on_refused(
+            outcomes.Refusal(outcome, reason, retry_after_s, detail)
+        )
+
+    def _end(self, outcome):
+        self.result = outcome
+        if self._timer is not None:
+            self._timer.cancel()
+        connection, self._connection = self._connection, None
+        if connection is not None and not self._refused_by_server:
+            # The answer did not end, so the connection is not reused; its
+            # closing cancels the work.
+            connection.abort()
+        now = self._dispatcher.scheduler.now()
+        ran = outcome is outcomes.Outcome.RAN
+        self._dispatcher.ended(self, now, ran=ran)
+
+
+def _header_safe(key):
+    return (
+        key.encode('utf-8')
+        .decode('latin-1')
+        .translate({13: ' ', 10: ' ', 0: ' '})
+    )
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/entry.py
@@ -0,0 +1,317 @@
+"""Take requests from callers to the coordinators of the servers."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+import typing
+
+from radishferry import keyspace
+from radishferry import outcomes
+from radishferryd import dispatch
+from radishferryd import streams
+
+if typing.TYPE_CHECKING:
+    from radishferry import manifest
+
+LOG = logging.getLogger(__name__)
+
+#: Most attempts beyond the first one.
+MAX_RETRIES = 2
+#: Request bodies up to this size are kept for another attempt, in bytes.
+REPLAY_BYTES = 65536
+#: Seconds beyond the deadline that the coordinator has to say how it ended.
+COORDINATOR_GRACE_S = 0.1
+#: Seconds after which a caller may come back when there is no owner.
+NO_OWNER_RETRY_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerRequest:
+    """Hold a request as the caller sent it.
+
+    :ivar service: The :class:`~radishferry.manifest.Service`.
+    :ivar kind: The :class:`~radishferry.manifest.RequestKind`.
+    :ivar key: The key, empty when the kind has none.
+    :ivar headers: Pairs that are passed on.
+    """
+
+    service: manifest.Service
+    kind: manifest.RequestKind
+    key: str
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    request_id: str
+    caller: str
+    has_body: bool
+
+
+class Answer(typing.Protocol):
+    """Write the answer to the caller."""
+
+    def on_head(self, status: int, headers) -> None:
+        """Write the head of the server's answer."""
+
+    def on_chunk(self, data: bytes, is_last: bool) -> None:
+        """Write a part of the server's answer."""
+
+    def on_refused(self, refusal: outcomes.Refusal) -> None:
+        """Write the router's own answer, or break off the server's."""
+
+    def on_credit(self, size: int) -> None:
+        """Read more of the request body."""
+
+
+class Router(typing.Protocol):
+    """Find the way to a coordinator."""
+
+    def route(self, request: CallerRequest) -> streams.Request | None:
+        """Return the request for the present owner, None without one.
+
+        ``deadline_s`` is left 0.
+        """
+
+    def connect(
+        self, request: streams.Request, sink: streams.Sink
+    ) -> streams.Source | outcomes.Refusal | None:
+        """Begin a stream, see :class:`radishferryd.streams.Dispatcher`."""
+
+
+class EntryRequest:
+    """Follow one request of a caller over its attempts."""
+
+    def __init__(self, router, scheduler, budget, request, answer):
+        """Begin; :meth:`start` makes the first attempt.
+
+        :param router: A :class:`Router`.
+        :param budget: A :class:`~radishferry.retries.RetryBudget`.
+        :param request: A :class:`CallerRequest`.
+        :param answer: An :class:`Answer`.
+        """
+        self._router = router
+        self._scheduler = scheduler
+        self._budget = budget
+        self._request = request
+        self._answer = answer
+        self._deadline = scheduler.now() + request.kind.deadline_ms / 1000
+        self._attempt = 0
+        self._source = None
+        self._sink = None
+        self._body = []
+        self._body_size = 0
+        self._body_done = not request.has_body
+        self._can_replay = True
+        self._has_head = False
+        self._is_done = False
+        self._timer = None
+        self.started_at = scheduler.now()
+        self.route = None
+
+    @property
+    def request(self) -> CallerRequest:
+        """Return the request."""
+        return self._request
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether the caller has its whole answer."""
+        return self._is_done
+
+    def is_current(self, sink) -> bool:
+        """Tell whether a sink belongs to the running attempt."""
+        return self._sink is sink
+
+    def start(self):
+        """Send the request to the present owner's coordinator."""
+        if self._timer is None:
+            self._timer = self._scheduler.call_later(
+                self._left() + COORDINATOR_GRACE_S, self._on_deadline
+            )
+        self._attempt += 1
+        request = self._router.route(self._request)
+        self.route = request
+        if request is None:
+            self._refuse_unsent(
+                outcomes.Reason.NO_OWNER, 'No server owns the key just now.'
+            )
+            return
+        request = dataclasses.replace(request, deadline_s=self._left())
+        sink = _AttemptSink(self)
+        self._sink = sink
+        source = self._router.connect(request, sink)
+        if isinstance(source, outcomes.Refusal):
+            self._finish(source)
+            return
+        if source is None or sink is not self._sink:
+            return
+        self._source = source
+        for index, data in enumerate(self._body):
+            is_last = self._body_done and index == len(self._body) - 1
+            source.send(data, is_last)
+
+    def send(self, data, is_last):
+        """Take a part of the request body from the caller."""
+        self._body_done = is_last
+        self._body_size += len(data)
+        if self._body_size > REPLAY_BYTES:
+            self._can_replay = False
+            self._body = []
+        if self._can_replay:
+            self._body.append(data)
+        if self._source is not None:
+            self._source.send(data, is_last)
+
+    def grant(self, size):
+        """Allow more bytes of the answer."""
+        if self._source is not None:
+            self._source.grant(size)
+
+    def cancel(self):
+        """Give up, because the caller has gone."""
+        self._done()
+        if self._source is not None:
+            self._source.cancel()
+
+    def attempt_head(self, status, headers):
+        """Take the head of the answer."""
+        self._has_head = True
+        if self._request.kind.long:
+            self._timer.cancel()
+        self._answer.on_head(status, headers)
+
+    def attempt_chunk(self, data, is_last):
+        """Take a part of the answer."""
+        if is_last:
+            self._done()
+            self._budget.succeeded(self._scheduler.now())
+        self._answer.on_chunk(data, is_last)
+
+    def attempt_refused(self, refusal):
+        """Try again, or pass the refusal on."""
+        self._source = None
+        if self._has_head or not self._may_retry(refusal):
+            self._finish(refusal)
+            return
+        self.start()
+
+    def attempt_credit(self, size):
+        """Read more of the request body."""
+        self._answer.on_credit(size)
+
+    def _may_retry(self, refusal):
+        if self._is_done or not self._can_replay:
+            return False
+        if refusal.reason not in _RETRIED or self._left() <= 0:
+            return False
+        if not self._budget.may_retry(
+            refusal.outcome,
+            idempotent=self._request.kind.idempotent,
+            attempts=self._attempt,
+            now=self._scheduler.now(),
+        ):
+            return False
+        return self._has_new_route()
+
+    def _has_new_route(self):
+        # Another attempt at the same owner under the same epoch would end
+        # in the same way.
+        route = self._router.route(self._request)
+        if route is None:
+            return False
+        old = self.route
+        return (route.server, route.epoch) != (old.server, old.epoch)
+
+    def _refuse_unsent(self, reason, detail):
+        self._finish(
+            outcomes.Refusal(
+                outcomes.Outcome.NOT_RUN, reason, NO_OWNER_RETRY_S, detail
+            )
+        )
+
+    def _on_deadline(self):
+        if self._source is not None:
+            self._source.cancel()
+        self._finish(
+            outcomes.Refusal(
+                outcomes.Outcome.UNKNOWN,
+                outcomes.Reason.DEADLINE,
+                None,
+                'The coordinator did not answer before the deadline.',
+            )
+        )
+
+    def _left(self):
+        return max(0.0, self._deadline - self._scheduler.now())
+
+    def _finish(self, refusal):
+        if self._is_done:
+            return
+        self._done()
+        self._answer.on_refused(refusal)
+
+    def _done(self):
+        self._is_done = True
+        self._sink = None
+        if self._timer is not None:
+            self._timer.cancel()
+
+
+#: Reasons after which another attempt can meet another owner.
+_RETRIED = frozenset(
+    (
+        outcomes.Reason.STALE_ROUTE,
+        outcomes.Reason.UNREACHABLE,
+        outcomes.Reason.SERVER_LOST,
+        outcomes.Reason.STOPPING,
+    )
+)
+
+
+class _AttemptSink:
+    """Drop what arrives for an attempt that was given up."""
+
+    def __init__(self, entry):
+        self._entry = entry
+
+    def on_head(self, status, headers):
+        if self._is_current:
+            self._entry.attempt_head(status, headers)
+
+    def on_chunk(self, data, is_last):
+        if self._is_current:
+            self._entry.attempt_chunk(data, is_last)
+
+    def on_refused(self, refusal):
+        if self._is_current:
+            self._entry.attempt_refused(refusal)
+
+    def on_credit(self, size):
+        if self._is_current:
+            self._entry.attempt_credit(size)
+
+    @property
+    def _is_current(self):
+        return self._entry.is_current(self)
+
+
+def key_hash_of(request: CallerRequest) -> int | None:
+    """Return the hash that decides the range of a request.
+
+    :returns: None when any server of the service may run it.
+    """
+    if request.service.keyed:
+        return keyspace.key_hash(request.key)
+    if not request.kind.idempotent:
+        # The same request id must meet the same memory of requests.
+        return keyspace.key_hash(request.request_id)
+    return None
+
+
+def forwarded_headers(headers):
+    """Return the caller's headers that go to the server."""
+    return tuple(
+        pair
+        for pair in dispatch.forwarded(headers)
+        if pair[0] != 'idempotency-key'
+    )
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/gateway.py
@@ -0,0 +1,191 @@
+"""Connect callers with the coordinators of the servers."""
+
+from __future__ import annotations
+
+import logging
+
+from radishferry import keyspace
+from radishferry import manifest_paths
+from radishferry import outcomes
+from radishferryd import entry
+from radishferryd import streams
+
+LOG = logging.getLogger(__name__)
+
+#: Seconds after which a caller may come back when a host is unreachable.
+UNREACHABLE_RETRY_S = 0.5
+
+
+class Gateway:
+    """Match, route and start the requests of callers.
+
+    Implements :class:`radishferryd.http_server.Gateway` and
+    :class:`radishferryd.entry.Router`.
+    """
+
+    def __init__(self, app, budget, chooser_for):
+        """Begin without a manifest.
+
+        :param app: Offers ``routes``, ``ownership``, ``links``,
+            ``scheduler``, ``metrics`` and ``is_stopping``.
+        :param budget: A :class:`~radishferry.retries.RetryBudget`.
+        :param chooser_for: Returns the chooser of servers of a service.
+        """
+        self._app = app
+        self._budget = budget
+        self._chooser_for = chooser_for
+        self._matcher = None
+        self._requests = set()
+        self._connections = set()
+        self._outbound = {}
+
+    @property
+    def open_requests(self) -> int:
+        """Return the number of requests without a complete answer."""
+        return len(self._requests)
+
+    @property
+    def connections(self):
+        """Return the connections of callers."""
+        return self._connections
+
+    def configure(self, manifest):
+        """Route by a manifest."""
+        self._matcher = manifest_paths.PathMatcher(manifest)
+
+    # For caller connections.
+
+    def match(self, method, target):
+        """See :class:`radishferryd.http_server.Gateway`."""
+        return self._matcher.match(method, target)
+
+    def is_ready(self):
+        """See :class:`radishferryd.http_server.Gateway`."""
+        return self._matcher is not None
+
+    def is_stopping(self):
+        """See :class:`radishferryd.http_server.Gateway`."""
+        return self._app.is_stopping
+
+    def begin(self, request, answer):
+        """See :class:`radishferryd.http_server.Gateway`."""
+        found = entry.EntryRequest(
+            self, self._app.scheduler, self._budget, request, answer
+        )
+        self._requests.add(found)
+        return found
+
+    def finished(self, request, status, refusal):
+        """See :class:`radishferryd.http_server.Gateway`."""
+        metrics = self._app.metrics
+        if refusal is not None:
+            metrics.refusals.inc(refusal.reason.value)
+        if request is None:
+            return
+        self._requests.discard(request)
+        service = request.request.service.name
+        kind = request.request.kind.name
+        outcome = outcomes.Outcome.RAN
+        reason = 'none'
+        if refusal is not None:
+            outcome, reason = refusal.outcome, refusal.reason.value
+        metrics.requests.inc(service, kind, outcome.value, reason)
+        elapsed = self._app.scheduler.now() - request.started_at
+        metrics.latency.observe(elapsed, service, kind)
+        if request.route is not None and request.route.range_id < 0:
+            self._note_server(request, status, refusal, elapsed)
+
+    def connection_opened(self, connection):
+        """See :class:`radishferryd.http_server.Gateway`."""
+        self._connections.add(connection)
+
+    def connection_closed(self, connection):
+        """See :class:`radishferryd.http_server.Gateway`."""
+        self._connections.discard(connection)
+        self._requests = {r for r in self._requests if not r.is_done}
+
+    # For requests.
+
+    def route(self, request):
+        """See :class:`radishferryd.entry.Router`."""
+        service = request.service
+        key_hash = entry.key_hash_of(request)
+        if key_hash is None:
+            found = self._any_server(service)
+        else:
+            found = self._app.routes.lookup(service.name, key_hash)
+        if found is None or not found.host:
+            return None
+        return streams.Request(
+            service.name,
+            request.kind.name,
+            found.server,
+            found.range_id,
+            found.epoch,
+            request.method,
+            request.target,
+            request.headers,
+            0.0,
+            request.request_id,
+            request.caller,
+            request.key,
+            request.has_body,
+        )
+
+    def connect(self, request, sink):
+        """See :class:`radishferryd.entry.Router`."""
+        if request.range_id < 0:
+            chooser = self._chooser_for(request.service)
+            chooser.started(request.server, self._app.scheduler.now())
+        host, _ = self._app.routes.coordinator_of(request.server)
+        if host == self._app.host_name:
+            return self._app.dispatch(request, sink)
+        link = self._app.links.link(host)
+        if link is None or not link.is_ready:
+            return outcomes.Refusal(
+                outcomes.Outcome.NOT_RUN,
+                outcomes.Reason.UNREACHABLE,
+                UNREACHABLE_RETRY_S,
+                f'{host}, which coordinates the server, cannot be reached.',
+            )
+        return self._app.outbound_streams(link).begin(request, sink)
+
+    def _any_server(self, service):
+        now = self._app.scheduler.now()
+        name = self._chooser_for(service.name).choose(
+            self._candidates(service), now
+        )
+        if name is None:
+            return None
+        return _AnyRoute(name, self._app.routes.coordinator_of(name)[0])
+
+    def _candidates(self, service):
+        coordinator_of = self._app.routes.coordinator_of
+        return [
+            server
+            for server in service.servers
+            if server.state == 'live'
+            and coordinator_of(server.name) is not None
+        ]
+
+    def _note_server(self, request, status, refusal, elapsed):
+        chooser = self._chooser_for(request.request.service.name)
+        failed = refusal is not None or status >= 500
+        now = self._app.scheduler.now()
+        chooser.finished(request.route.server, elapsed, failed, now)
+
+
+class _AnyRoute:
+    """Be a route that needs no range."""
+
+    range_id = -1
+    epoch = 0
+
+    def __init__(self, server, host):
+        self.server = server
+        self.host = host
+
+
+def key_hash(text):
+    """Return the hash of a key for the log."""
+    return f'{keyspace.key_hash(text):016x}'
--- a/packages/radishferryd/src/radishferryd/gen/ttypes.py
+++ b/packages/radishferryd/src/radishferryd/gen/ttypes.py
@@ -2435,15 +2435,17 @@
      - server
      - in_flight
      - waiting
+     - state
 
     """
 
 
-    def __init__(self, service_name=None, server=None, in_flight=None, waiting=None,):
+    def __init__(self, service_name=None, server=None, in_flight=None, waiting=None, state=None,):
         self.service_name = service_name
         self.server = server
         self.in_flight = in_flight
         self.waiting = waiting
+        self.state = state
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2474,6 +2476,11 @@
                     self.waiting = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.state = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2500,6 +2507,10 @@
             oprot.writeFieldBegin('waiting', TType.I32, 4)
             oprot.writeI32(self.waiting)
             oprot.writeFieldEnd()
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.STRING, 5)
+            oprot.writeString(self.state.encode('utf-8') if sys.version_info[0] == 2 else self.state)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2522,12 +2533,14 @@
     """
     Attributes:
      - loads
+     - hops
 
     """
 
 
-    def __init__(self, loads=None,):
+    def __init__(self, loads=None, hops=None,):
         self.loads = loads
+        self.hops = hops
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2549,6 +2562,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.hops = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2566,6 +2584,78 @@
                 iter71.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.hops is not None:
+            oprot.writeFieldBegin('hops', TType.I32, 2)
+            oprot.writeI32(self.hops)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HostListPush(object):
+    """
+    Attributes:
+     - hosts
+     - hops
+
+    """
+
+
+    def __init__(self, hosts=None, hops=None,):
+        self.hosts = hosts
+        self.hops = hops
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.hosts = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.hops = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HostListPush')
+        if self.hosts is not None:
+            oprot.writeFieldBegin('hosts', TType.STRING, 1)
+            oprot.writeBinary(self.hosts)
+            oprot.writeFieldEnd()
+        if self.hops is not None:
+            oprot.writeFieldBegin('hops', TType.I32, 2)
+            oprot.writeI32(self.hops)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2591,15 +2681,17 @@
      - ranges
      - hot_keys
      - host
+     - hops
 
     """
 
 
-    def __init__(self, service_name=None, ranges=None, hot_keys=None, host=None,):
+    def __init__(self, service_name=None, ranges=None, hot_keys=None, host=None, hops=None,):
         self.service_name = service_name
         self.ranges = ranges
         self.hot_keys = hot_keys
         self.host = host
+        self.hops = hops
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2642,6 +2734,11 @@
                     self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.hops = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2676,6 +2773,10 @@
             oprot.writeFieldBegin('host', TType.STRING, 4)
             oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
             oprot.writeFieldEnd()
+        if self.hops is not None:
+            oprot.writeFieldBegin('hops', TType.I32, 5)
+            oprot.writeI32(self.hops)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2720,11 +2821,12 @@
      - snapshot_request
      - load_report
      - demand_report
+     - host_list_push
 
     """
 
 
-    def __init__(self, challenge=None, proof=None, heartbeat=None, request_head=None, request_chunk=None, response_head=None, response_chunk=None, credit=None, cancel=None, refused=None, route_delta=None, assignment_push=None, manifest_push=None, release_request=None, released=None, promote=None, loss_query=None, loss_reply=None, take_over=None, poison_push=None, snapshot_request=None, load_report=None, demand_report=None,):
+    def __init__(self, challenge=None, proof=None, heartbeat=None, request_head=None, request_chunk=None, response_head=None, response_chunk=None, credit=None, cancel=None, refused=None, route_delta=None, assignment_push=None, manifest_push=None, release_request=None, released=None, promote=None, loss_query=None, loss_reply=None, take_over=None, poison_push=None, snapshot_request=None, load_report=None, demand_report=None, host_list_push=None,):
         self.challenge = challenge
         self.proof = proof
         self.heartbeat = heartbeat
@@ -2748,6 +2850,7 @@
         self.snapshot_request = snapshot_request
         self.load_report = load_report
         self.demand_report = demand_report
+        self.host_list_push = host_list_push
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2896,6 +2999,12 @@
                     self.demand_report.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.STRUCT:
+                    self.host_list_push = HostListPush()
+                    self.host_list_push.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2998,6 +3107,10 @@
             oprot.writeFieldBegin('demand_report', TType.STRUCT, 23)
             self.demand_report.write(oprot)
             oprot.writeFieldEnd()
+        if self.host_list_push is not None:
+            oprot.writeFieldBegin('host_list_push', TType.STRUCT, 24)
+            self.host_list_push.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3228,11 +3341,19 @@
     (2, TType.STRING, 'server', 'UTF8', None, ),  # 2
     (3, TType.I32, 'in_flight', None, None, ),  # 3
     (4, TType.I32, 'waiting', None, None, ),  # 4
+    (5, TType.STRING, 'state', 'UTF8', None, ),  # 5
 )
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'loads', (TType.STRUCT, [ServerLoad, None], False), None, ),  # 1
+    (2, TType.I32, 'hops', None, None, ),  # 2
+)
+all_structs.append(HostListPush)
+HostListPush.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'hosts', 'BINARY', None, ),  # 1
+    (2, TType.I32, 'hops', None, None, ),  # 2
 )
 all_structs.append(DemandReport)
 DemandReport.thrift_spec = (
@@ -3241,6 +3362,7 @@
     (2, TType.MAP, 'ranges', (TType.I32, None, TType.DOUBLE, None, False), None, ),  # 2
     (3, TType.MAP, 'hot_keys', (TType.I64, None, TType.DOUBLE, None, False), None, ),  # 3
     (4, TType.STRING, 'host', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'hops', None, None, ),  # 5
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
@@ -3268,6 +3390,7 @@
     (21, TType.STRUCT, 'snapshot_request', [SnapshotRequest, None], None, ),  # 21
     (22, TType.STRUCT, 'load_report', [LoadReport, None], None, ),  # 22
     (23, TType.STRUCT, 'demand_report', [DemandReport, None], None, ),  # 23
+    (24, TType.STRUCT, 'host_list_push', [HostListPush, None], None, ),  # 24
 )
 fix_spec(all_structs)
 del all_structs
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/manifests.py
@@ -0,0 +1,153 @@
+"""Keep the manifest in force and accept new ones."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+
+from radishferry import findings
+from radishferry import manifest_parser
+from radishferryd import operations
+from radishferryd import platform
+from radishferryd.gen import ttypes
+
+LOG = logging.getLogger(__name__)
+
+#: Row that holds the manifest in force.
+CURRENT_ROW = 'manifest/current'
+#: Seconds between attempts to read the manifest.
+RETRY_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Document:
+    """Hold a manifest with its text."""
+
+    version: int
+    text: bytes
+
+
+class Manifests:
+    """Apply the highest manifest version known."""
+
+    def __init__(self, app, apply):
+        """Begin without a manifest.
+
+        :param app: Offers ``table``, ``scheduler`` and ``spread``.
+        :param apply: Called with a manifest that is in force from now on.
+        """
+        self._app = app
+        self._apply = apply
+        self._document = None
+
+    @property
+    def document(self) -> Document | None:
+        """Return the manifest in force."""
+        return self._document
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 for none."""
+        return self._document.version if self._document else 0
+
+    def load(self):
+        """Read the manifest from the table until there is an answer."""
+
+        def done(result):
+            if isinstance(result, platform.Unavailable):
+                if self._document is None:
+                    LOG.warning(
+                        'manifest: The table cannot be read: %s.',
+                        result.detail,
+                    )
+                self._app.scheduler.call_later(RETRY_S, self.load)
+                return
+            for row in result:
+                self.offer(
+                    row.value['version'], row.value['document'].encode()
+                )
+
+        self._app.table.read(CURRENT_ROW, done)
+
+    def offer(self, version, text) -> bool:
+        """Take a manifest that was accepted somewhere.
+
+        :returns: Whether it is newer than what was in force.
+        """
+        if version <= self.version:
+            return False
+        try:
+            manifest = manifest_parser.parse(text)
+        except findings.FindingsError as exc:
+            LOG.error('manifest: Version %d is not valid: %s.', version, exc)
+            return False
+        self._document = Document(version, text)
+        LOG.info('manifest: Version %d is in force.', version)
+        self._apply(manifest)
+        return True
+
+    def submit(self, text, done):
+        """Accept a manifest for all hosts.
+
+        :param bytes text: The document.
+        :param done: Called with a result of :mod:`radishferryd.operations`.
+        """
+        try:
+            manifest = manifest_parser.parse(text)
+        except findings.FindingsError as exc:
+            done(operations.Rejected(exc.findings))
+            return
+
+        def read(result):
+            if isinstance(result, platform.Unavailable):
+                done(operations.Unavailable(result.detail))
+                return
+            row = next(iter(result), None)
+            in_force = row.value['version'] if row else 0
+            if row is not None:
+                self.offer(in_force, row.value['document'].encode())
+            if manifest.version <= in_force:
+                done(operations.Conflict(in_force))
+                return
+            self._write(manifest, text, row.version if row else 0, done)
+
+        self._app.table.read(CURRENT_ROW, read)
+
+    def push(self, hops) -> ttypes.ManifestPush | None:
+        """Return the message with the manifest in force."""
+        if self._document is None:
+            return None
+        document = self._document
+        return ttypes.ManifestPush(document.version, document.text, hops)
+
+    def _write(self, manifest, text, row_version, done):
+        value = {'version': manifest.version, 'document': text.decode()}
+        history = f'manifest/{manifest.version}'
+
+        def written(result):
+            if isinstance(result, platform.Written):
+                self.offer(manifest.version, text)
+                self._app.spread.send('manifest_push', self.push(0))
+                done(operations.Accepted(manifest.version))
+            elif isinstance(result, platform.Conflict):
+                # Another operator was first; say which version won.
+                self._report_winner(done)
+            else:
+                done(operations.Unavailable(result.detail))
+
+        self._app.table.transact(
+            {history: 0, CURRENT_ROW: row_version},
+            {history: value, CURRENT_ROW: value},
+            written,
+        )
+
+    def _report_winner(self, done):
+        def read(result):
+            if isinstance(result, platform.Unavailable) or not result:
+                done(operations.Conflict(self.version))
+                return
+            row = result[0]
+            self.offer(row.value['version'], row.value['document'].encode())
+            done(operations.Conflict(row.value['version']))
+
+        self._app.table.read(CURRENT_ROW, read)
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/ownership.py
@@ -0,0 +1,532 @@
+"""Run the coordinators of this host and carry out their actions."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import logging
+import time
+import typing
+
+from radishferry import actions
+from radishferry import coordinator as coordinator_module
+from radishferry import lease
+from radishferryd import dispatch
+from radishferryd import http_client
+from radishferryd.gen import ttypes
+
+if typing.TYPE_CHECKING:
+    from radishferry import manifest
+
+LOG = logging.getLogger(__name__)
+
+#: Seconds between calls of ``Coordinator.tick``.
+TICK_S = 0.01
+#: Seconds until a lease request counts as unanswered.
+LEASE_TIMEOUT_S = 0.2
+#: Most connections to a server for lease requests; a request that was given
+#: up may still be closing.
+LEASE_CONNECTIONS = 4
+#: Seconds without a turn of the loop after which the host takes itself for
+#: paused and confirms its terms before it sends work.
+PAUSE_S = 0.25
+
+
+@dataclasses.dataclass
+class Owned:
+    """Hold what this host keeps for one server."""
+
+    service: manifest.Service
+    server: manifest.Server
+    coordinator: coordinator_module.Coordinator
+    dispatcher: dispatch.ServerDispatcher
+    client: http_client.JsonClient
+    hand_over_to: str = ''
+
+
+class Ownership:
+    """Coordinate servers for this host.
+
+    The owner of this object, the application, passes messages in and offers
+    the connections out; see :class:`radishferryd.app.App`.
+    """
+
+    def __init__(self, app):
+        """Begin without servers.
+
+        :param app: Offers ``poller``, ``scheduler``, ``host_name``,
+            ``table``, ``routes``, ``spread``, ``links``, ``membership``,
+            ``observer_for(service, server)`` and ``counters``.
+        """
+        self._app = app
+        self._owned = {}
+        self._last_tick = app.scheduler.now()
+        app.scheduler.call_every(TICK_S, self._tick)
+
+    @property
+    def owned(self) -> dict[str, Owned]:
+        """Return what is kept for each server, by its name."""
+        return self._owned
+
+    def dispatcher(self, server) -> dispatch.ServerDispatcher | None:
+        """Return the dispatcher of a server this host coordinates."""
+        owned = self._owned.get(server)
+        if owned is None or not owned.coordinator.term:
+            return None
+        return owned.dispatcher
+
+    def configure(self, manifest):
+        """Add and remove servers by a manifest.
+
+        :param manifest: The :class:`~radishferry.manifest.Manifest`.
+        """
+        wanted = {
+            server.name: (service, server)
+            for service in manifest.services
+            for server in service.servers
+            if server.state != 'lost'
+        }
+        for name in [n for n in self._owned if n not in wanted]:
+            self._remove(name)
+        for name, (service, server) in wanted.items():
+            owned = self._owned.get(name)
+            if owned is None:
+                continue
+            if owned.server.address != server.address:
+                self._remove(name)
+                continue
+            owned.service, owned.server = service, server
+            owned.dispatcher.reconfigure(service, server)
+
+    def coordinators_assigned(self, service, assignments):
+        """Take the coordinator assignments of a service.
+
+        :param service: The :class:`~radishferry.manifest.Service`.
+        :param assignments: Server name to
+            :class:`~radishferry.assignment.CoordinatorAssignment`.
+        """
+        now = self._app.scheduler.now()
+        for name, found in assignments.items():
+            server = service.server(name)
+            is_mine = self._app.host_name in found.hosts
+            if server is None or server.state == 'lost':
+                continue
+            if name not in self._owned:
+                if not is_mine:
+                    continue
+                self._add(service, server)
+            owned = self._owned[name]
+            owned.coordinator.ranges_assigned(
+                self._app.routes.assignments(service.name), now
+            )
+            self._run(
+                owned,
+                owned.coordinator.assigned(
+                    found, now, is_other_live=self._is_other_live(name)
+                ),
+            )
+
+    def ranges_assigned(self, service_name, rows):
+        """Take range assignments of a service.
+
+        :param rows: Range id to
+            :class:`~radishferry.assignment.RangeAssignment`.
+        """
+        now = self._app.scheduler.now()
+        for owned in self._of_service(service_name):
+            self._run(owned, owned.coordinator.ranges_assigned(rows, now))
+
+    def route_seen(self, service_name, range_id, epoch):
+        """Take a route that another host announced."""
+        for owned in self._of_service(service_name):
+            owned.coordinator.route_seen(range_id, epoch)
+
+    def hand_over_all(self):
+        """Hand every server over, because the host stops."""
+        for name, owned in list(self._owned.items()):
+            if not owned.coordinator.term:
+                continue
+            hosts = owned.coordinator.hosts
+            successor = self._live_successor(hosts)
+            if successor:
+                owned.hand_over_to = successor
+                self._complete_hand_over(name, owned)
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no request waits or runs here."""
+        return all(o.dispatcher.is_idle for o in self._owned.values())
+
+    # Messages of peers.
+
+    def release_request(self, host, message):
+        """Take a ``ReleaseRequest``."""
+        owned = self._owned.get(message.server)
+        if owned is None:
+            return
+        self._run(
+            owned,
+            owned.coordinator.release_requested(
+                host, message.range_id, message.epoch, self._now()
+            ),
+        )
+
+    def released(self, host, message):
+        """Take a ``Released``."""
+        for owned in self._of_service(message.service_name):
+            self._run(
+                owned,
+                owned.coordinator.released(
+                    message.server,
+                    message.range_id,
+                    message.epoch,
+                    self._now(),
+                ),
+            )
+
+    def promote(self, host, message):
+        """Take a ``Promote``."""
+        owned = self._owned.get(message.server)
+        if owned is None:
+            return
+        self._run(
+            owned,
+            owned.coordinator.promoted(
+                message.server_term, message.epochs, self._now()
+            ),
+        )
+
+    def loss_query(self, host, message):
+        """Answer a ``LossQuery``."""
+        owned = self._owned.get(message.server)
+        fenced_term = owned.coordinator.fenced_term if owned else 0
+        base_term = owned.coordinator.base_term if owned else 0
+        reply = ttypes.LossReply(
+            message.service_name,
+            message.server,
+            message.query_id,
+            fenced_term > message.term,
+            base_term,
+        )
+        self._app.links.send(host, 'loss_reply', reply)
+
+    def loss_reply(self, host, message):
+        """Take a ``LossReply``."""
+        owned = self._owned.get(message.server)
+        if owned is None:
+            return
+        self._run(
+            owned,
+            owned.coordinator.successor_replied(
+                host,
+                message.query_id,
+                message.has_fenced,
+                message.base_term,
+                self._now(),
+            ),
+        )
+
+    def take_over(self, host, message):
+        """Take a ``TakeOver``."""
+        for name in message.servers:
+            owned = self._owned.get(name)
+            if owned is None:
+                continue
+            LOG.info('ownership: %s hands %s over.', host, name)
+            self._run(
+                owned,
+                owned.coordinator.take_over(self._now(), is_handover=True),
+            )
+
+    # Private.
+
+    def _now(self):
+        return self._app.scheduler.now()
+
+    def _of_service(self, service_name):
+        return [
+            owned
+            for owned in self._owned.values()
+            if owned.service.name == service_name
+        ]
+
+    def _add(self, service, server):
+        app = self._app
+        coordinator = coordinator_module.Coordinator(
+            server.name,
+            app.host_name,
+            service.ranges,
+            time.time_ns() // 1_000_000,
+        )
+        self._owned[server.name] = Owned(
+            service,
+            server,
+            coordinator,
+            dispatch.ServerDispatcher(
+                app.poller,
+                app.scheduler,
+                service,
+                server,
+                coordinator,
+                app.observer_for(service, server),
+            ),
+            http_client.JsonClient(
+                app.poller,
+                app.scheduler,
+                server.socket_address,
+                limit=LEASE_CONNECTIONS,
+            ),
+        )
+
+    def _remove(self, name):
+        owned = self._owned.pop(name)
+        self._run(owned, owned.coordinator.hand_over())
+        owned.client.close()
+        owned.dispatcher.pool.close()
+
+    def _tick(self):
+        now = self._now()
+        was_paused = now - self._last_tick > PAUSE_S
+        self._last_tick = now
+        for name, owned in list(self._owned.items()):
+            coordinator = owned.coordinator
+            if was_paused and coordinator.term:
+                LOG.warning('ownership: Resumed after a pause.')
+                was_paused = False
+            if coordinator.state == 'waiting':
+                if self._should_take_over(name, coordinator):
+                    LOG.info('ownership: Taking over %s.', name)
+                    self._app.metrics.takeovers.inc(owned.service.name)
+                    self._run(owned, coordinator.take_over(now))
+                continue
+            if owned.hand_over_to:
+                self._complete_hand_over(name, owned)
+            self._run(owned, coordinator.tick(now))
+
+    def _is_other_live(self, name):
+        known = self._app.routes.coordinator_of(name)
+        if known is None or known[0] == self._app.host_name:
+            return False
+        return self._app.membership.is_live(known[0], self._now())
+
+    def _should_take_over(self, name, coordinator):
+        hosts = coordinator.hosts
+        me = self._app.host_name
+        if me not in hosts or self._app.is_stopping:
+            return False
+        now = self._now()
+        is_live = self._app.membership.is_live
+        known = self._app.routes.coordinator_of(name)
+        if known is not None and known[0] != me:
+            host, term = known
+            my_term = coordinator.base_term + hosts.index(me)
+            if is_live(host, now) or my_term <= term:
+                return False
+        return not any(is_live(h, now) for h in hosts[: hosts.index(me)])
+
+    def _live_successor(self, hosts):
+        now = self._now()
+        me = self._app.host_name
+        later = hosts[hosts.index(me) + 1 :] if me in hosts else ()
+        return next(
+            (h for h in later if self._app.membership.is_live(h, now)), ''
+        )
+
+    def _complete_hand_over(self, name, owned):
+        host, owned.hand_over_to = owned.hand_over_to, ''
+        message = ttypes.TakeOver(owned.service.name, [name])
+        if not self._app.links.send(host, 'take_over', message):
+            return
+        LOG.info('ownership: Handing %s over to %s.', name, host)
+        self._run(owned, owned.coordinator.hand_over())
+
+    def _run(self, owned, todo):
+        for action in todo:
+            self._HANDLERS[type(action)](self, owned, action)
+
+    def _send_lease(self, owned, action):
+        body = {
+            'term': action.term,
+            'seq': action.seq,
+            'expires_at_ms': action.expires_at_ms,
+            'ranges': None,
+        }
+        if action.ranges is not None:
+            body['ranges'] = {str(r): e for r, e in action.ranges.items()}
+        done = functools.partial(self._lease_done, owned, action.seq)
+        owned.client.call('POST', '/lease', body, LEASE_TIMEOUT_S, done)
+
+    def _lease_done(self, owned, seq, result):
+        now = self._now()
+        coordinator = owned.coordinator
+        if isinstance(result, http_client.JsonFailure):
+            todo = coordinator.lease_failed(now, refused=not result.was_sent)
+        elif result.status == 200 and isinstance(result.body, dict):
+            todo = coordinator.lease_answered(_answer(seq, result), now)
+        elif result.status == 409 and isinstance(result.body, dict):
+            todo = coordinator.lease_refused(seq, result.body['term'], now)
+            if not coordinator.term:
+                LOG.warning(
+                    'ownership: %s refused term of this host; its term is %d.',
+                    owned.server.name,
+                    result.body['term'],
+                )
+        else:
+            todo = coordinator.lease_failed(now)
+        self._run(owned, todo)
+        if coordinator.term:
+            owned.dispatcher.pump()
+
+    def _read_baseline(self, owned, action):
+        term = owned.coordinator.term
+
+        def done(result):
+            if owned.coordinator.term != term or not term:
+                return
+            if not isinstance(result, list):
+                self._app.scheduler.call_later(
+                    1.0, lambda: self._retry_baseline(owned, action, term)
+                )
+                return
+            rows = self._app.take_rows(result)
+            self._run(
+                owned,
+                owned.coordinator.baseline_read(
+                    rows.get(owned.service.name, {}), self._now()
+                ),
+            )
+
+        self._app.table.read(f'ranges/{owned.service.name}/', done)
+
+    def _retry_baseline(self, owned, action, term):
+        if owned.coordinator.term == term:
+            self._read_baseline(owned, action)
+
+    def _announce_coordinator(self, owned, action):
+        found = ttypes.ActiveCoordinator(
+            owned.service.name,
+            owned.server.name,
+            self._app.host_name,
+            action.term,
+        )
+        self._app.spread.routes([], [found], [])
+
+    def _announce_routes(self, owned, action):
+        found = [
+            ttypes.ActiveRoute(
+                owned.service.name, range_id, epoch, owned.server.name
+            )
+            for range_id, epoch in action.epochs.items()
+        ]
+        self._app.spread.routes(found, [], [])
+
+    def _announce_orphans(self, owned, action):
+        found = [
+            ttypes.Orphan(
+                owned.service.name, range_id, epoch, owned.server.name
+            )
+            for range_id, epoch in action.epochs.items()
+        ]
+        self._app.spread.routes([], [], found)
+
+    def _request_release(self, owned, action):
+        message = ttypes.ReleaseRequest(
+            owned.service.name, action.server, action.range_id, action.epoch
+        )
+        known = self._app.routes.coordinator_of(action.server)
+        if known is None:
+            return
+        if known[0] == self._app.host_name:
+            self.release_request(self._app.host_name, message)
+        else:
+            self._app.links.send(known[0], 'release_request', message)
+
+    def _reply_released(self, owned, action):
+        message = ttypes.Released(
+            owned.service.name,
+            owned.server.name,
+            action.range_id,
+            action.epoch,
+        )
+        if action.host == self._app.host_name:
+            self.released(action.host, message)
+        else:
+            self._app.links.send(action.host, 'released', message)
+
+    def _query_successors(self, owned, action):
+        message = ttypes.LossQuery(
+            owned.service.name,
+            owned.server.name,
+            action.term,
+            action.query_id,
+        )
+        for host in action.hosts:
+            self._app.links.send(host, 'loss_query', message)
+
+    def _promote_standby(self, owned, action):
+        known = self._app.routes.coordinator_of(action.server)
+        if known is None:
+            return
+        host, term = known
+        message = ttypes.Promote(
+            owned.service.name,
+            action.server,
+            term,
+            action.epochs,
+            owned.server.name,
+        )
+        self._app.metrics.promotions.add(
+            len(action.epochs), owned.service.name
+        )
+        if host == self._app.host_name:
+            self.promote(host, message)
+        else:
+            self._app.links.send(host, 'promote', message)
+
+    def _stop_work(self, owned, action):
+        LOG.info(
+            'ownership: No work is sent to %s, state %s.',
+            owned.server.name,
+            owned.coordinator.state,
+        )
+        if action.give_up:
+            owned.dispatcher.give_up()
+
+    def _start_work(self, owned, action):
+        LOG.info('ownership: %s takes work.', owned.server.name)
+        owned.dispatcher.pump()
+
+    def _ranges_taken(self, owned, action):
+        owned.dispatcher.observer.ranges_taken(action.range_ids, self._now())
+
+    def _hand_over(self, owned, action):
+        owned.hand_over_to = action.host
+
+    _HANDLERS: typing.ClassVar = {
+        actions.SendLease: _send_lease,
+        actions.ReadBaseline: _read_baseline,
+        actions.AnnounceCoordinator: _announce_coordinator,
+        actions.AnnounceRoutes: _announce_routes,
+        actions.AnnounceOrphans: _announce_orphans,
+        actions.RequestRelease: _request_release,
+        actions.ReplyReleased: _reply_released,
+        actions.QuerySuccessors: _query_successors,
+        actions.PromoteStandby: _promote_standby,
+        actions.StopWork: _stop_work,
+        actions.StartWork: _start_work,
+        actions.RangesTaken: _ranges_taken,
+        actions.HandOver: _hand_over,
+    }
+
+
+def _answer(seq, result):
+    body = result.body
+    return coordinator_module.LeaseAnswer(
+        lease.ClockReading(
+            body['clock_ms'], result.sent_at, result.received_at
+        ),
+        body['boot_id'],
+        seq,
+        body['previous_term'],
+        {int(r): e for r, e in body['ranges'].items()},
+    )
--- a/packages/radishferryd/src/radishferryd/peer.py
+++ b/packages/radishferryd/src/radishferryd/peer.py
@@ -199,13 +199,15 @@
             pair = pair[::-1]
         prover = self._identity if by_self else self._peer
         role = b'initiator' if by_initiator else b'acceptor'
-        text = b'|'.join((
-            role,
-            prover.host.encode(),
-            prover.data_centre.encode(),
-            str(prover.incarnation).encode(),
-            *pair,
-        ))
+        text = b'|'.join(
+            (
+                role,
+                prover.host.encode(),
+                prover.data_centre.encode(),
+                str(prover.incarnation).encode(),
+                *pair,
+            )
+        )
         return hmac.digest(self._shared_key, text, hashlib.sha256)
 
 
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/planner.py
@@ -0,0 +1,337 @@
+"""Write assignments to the table where this host is responsible."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import logging
+
+from circuits.core import Component
+
+from radishferry import assignment
+from radishferry import placement
+from radishferry import rewrites
+from radishferryd import platform
+
+LOG = logging.getLogger(__name__)
+
+#: Seconds between checks for something to write.
+PLAN_INTERVAL_S = 0.1
+#: Seconds between plans that look for uneven load.
+BALANCE_INTERVAL_S = 5.0
+#: Seconds that a host has to be down before it is replaced in the lists of
+#: coordinators; a restart is shorter.
+HOST_DOWN_S = 2.0
+#: Seconds that an orphan waits for the route of a promoted standby.
+ORPHAN_WAIT_S = 0.3
+#: Seconds within which a server's coordinator must have reported.
+REPORT_AGE_S = 3.0
+#: Seconds that the first plan waits for all servers to be reported.
+FIRST_PLAN_WAIT_S = 3.0
+
+
+class Planner(Component):
+    """Plan coordinators of a data centre and ranges of all services.
+
+    The relay of each data centre writes the coordinators of its servers; the
+    relay of the first data centre that has one writes the ranges.  Two that
+    write at the same time are fenced by the versions of the rows.
+    """
+
+    channel = 'control'
+
+    def __init__(self, app):
+        super().__init__()
+        self._app = app
+        self._is_busy = False
+        self._is_current = False
+        self._is_dirty = True
+        self._balanced_at = 0.0
+        self._manifest_at = None
+        self._reports = {}
+        self._orphans = {}
+        self._down_since = {}
+        app.scheduler.call_every(PLAN_INTERVAL_S, self._on_timer)
+
+    def manifest_applied(self, manifest):
+        """Plan for a new manifest."""
+        self._manifest_at = self._app.scheduler.now()
+        self._is_dirty = True
+
+    def rows_applied(self, ranges, coordinators):
+        """Look again after rows have changed."""
+        self._is_dirty = True
+
+    def hosts_changed(self, changes):
+        """Read the rows anew when this host becomes responsible."""
+        self._is_dirty = True
+        self._is_current = False
+
+    def server_reported(self, load):
+        """Take what a coordinator says about its server.
+
+        :param load: A ``ServerLoad``.
+        """
+        now = self._app.scheduler.now()
+        before = self._reports.get(load.server)
+        self._reports[load.server] = (load.state, now)
+        if before is None or before[0] != load.state:
+            self._is_dirty = True
+
+    def orphans_reported(self, orphans):
+        """Take ranges that need a new epoch.
+
+        :param orphans: List of ``Orphan``.
+        """
+        now = self._app.scheduler.now()
+        for orphan in orphans:
+            key = (orphan.service_name, orphan.range_id)
+            known = self._orphans.get(key)
+            if known is None or known[0] != orphan.epoch:
+                self._orphans[key] = (orphan.epoch, now)
+            self._is_dirty = True
+
+    # Private.
+
+    def _on_timer(self):
+        app = self._app
+        now = app.scheduler.now()
+        if self._is_busy or app.manifest is None or app.is_stopping:
+            return
+        if not app.membership.is_relay(now):
+            self._is_current = False
+            return
+        if not self._is_current:
+            self._read_rows()
+            return
+        is_due = now - self._balanced_at > BALANCE_INTERVAL_S
+        if not self._is_dirty and not is_due:
+            return
+        self._is_dirty = False
+        writes = self._plan_coordinators(now)
+        if not writes and self._is_range_writer(now):
+            writes = self._plan_ranges(now)
+            if is_due:
+                self._balanced_at = now
+        if writes:
+            self._write(writes)
+
+    def _is_range_writer(self, now):
+        membership = self._app.membership
+        relays = (
+            membership.relay(data_centre, now)
+            for data_centre in membership.data_centres()
+        )
+        return next(filter(None, relays), None) == self._app.host_name
+
+    def _read_rows(self):
+        self._is_busy = True
+        prefixes = ['ranges/', 'coordinators/']
+
+        def done(result):
+            self._is_busy = False
+            if not isinstance(result, list):
+                # The timer tries again.
+                self._is_busy = True
+                self._app.scheduler.call_later(1.0, self._not_busy)
+                return
+            self._app.take_rows(result)
+            if prefixes:
+                self._is_busy = True
+                self._app.table.read(prefixes.pop(), done)
+            else:
+                self._is_current = True
+                self._is_dirty = True
+
+        self._app.table.read(prefixes.pop(), done)
+
+    def _not_busy(self):
+        self._is_busy = False
+
+    def _write(self, writes):
+        app = self._app
+        conditions = {row: app.row_version(row) for row in writes}
+        self._is_busy = True
+
+        def done(result):
+            self._is_busy = False
+            if isinstance(result, platform.Written):
+                rows = [
+                    platform.Row(row, result.versions[row], '', value)
+                    for row, value in writes.items()
+                    if row in result.versions
+                ]
+                app.take_rows(rows)
+                app.push_rows(rows)
+                self._is_dirty = True
+                return
+            if isinstance(result, platform.Unavailable):
+                LOG.warning('planner: Rows not written: %s.', result.detail)
+            self._is_current = False
+
+        app.table.transact(conditions, writes, done)
+
+    def _plan_coordinators(self, now):
+        app = self._app
+        writes = {}
+        for service in app.manifest.services:
+            row = assignment.coordinators_row(service.name, app.data_centre)
+            current = assignment.unpack_coordinators(app.row_value(row) or {})
+            hosts = self._usable_hosts(now)
+            adjusted = self._acting_first(current, now)
+            changed = placement.plan_coordinators(
+                service, app.data_centre, hosts, adjusted
+            )
+            merged = {**adjusted, **changed}
+            if merged != current:
+                writes[row] = assignment.pack_coordinators(merged)
+        return writes
+
+    def _usable_hosts(self, now):
+        app = self._app
+        usable = []
+        for info in app.host_infos:
+            if info.data_centre != app.data_centre or info.state != 'live':
+                continue
+            if app.membership.is_live(info.name, now):
+                self._down_since.pop(info.name, None)
+                usable.append(info.name)
+                continue
+            since = self._down_since.setdefault(info.name, now)
+            if now - since < HOST_DOWN_S:
+                usable.append(info.name)
+                self._is_dirty = True
+        return usable
+
+    def _acting_first(self, current, now):
+        app = self._app
+        adjusted = {}
+        for server, found in current.items():
+            acting = app.routes.coordinator_of(server)
+            if (
+                acting is not None
+                and acting[1] >= found.base_term
+                and acting[0] in found.hosts[1:]
+                and app.membership.is_live(acting[0], now)
+            ):
+                # The first host was superseded; its term is used up.
+                rest = [h for h in found.hosts if h != acting[0]]
+                found = assignment.CoordinatorAssignment(
+                    (acting[0], *rest), found.next_base_term
+                )
+            adjusted[server] = found
+        return adjusted
+
+    def _plan_ranges(self, now):
+        writes = {}
+        for service in self._app.manifest.services:
+            if not self._is_plannable(service, now):
+                self._is_dirty = True
+                continue
+            current = self._app.routes.assignments(service.name)
+            rows = self._recorded(service, current)
+            rows = self._adopted(service, rows, now)
+            demand = self._app.demand(service.name)
+            changed = placement.plan_ranges(
+                service,
+                rows,
+                demand.ranges,
+                demand.hot_keys,
+                self._unavailable(service, now),
+            )
+            rows = {**rows, **changed}
+            if rows != current:
+                self._count_moves(service, current, rows)
+                writes.update(self._packed(service, current, rows))
+        return writes
+
+    def _is_plannable(self, service, now):
+        if self._app.routes.assignments(service.name):
+            return True
+        if now - self._manifest_at > FIRST_PLAN_WAIT_S:
+            return len(self._unavailable(service, now)) < len(service.servers)
+        return not self._unavailable(service, now)
+
+    def _unavailable(self, service, now):
+        return frozenset(
+            server.name
+            for server in service.servers
+            if not self._is_available(server.name, now)
+        )
+
+    def _is_available(self, server, now):
+        state, at = self._reports.get(server, ('', float('-inf')))
+        return state == 'serving' and now - at < REPORT_AGE_S
+
+    def _recorded(self, service, current):
+        rows = dict(current)
+        for range_id, found in current.items():
+            active = self._app.routes.active(service.name, range_id)
+            if active is None or rewrites.is_retired(found):
+                continue
+            epoch, server = active
+            is_owner = (epoch, server) == (found.epoch, found.owner)
+            is_standby = server and (
+                (epoch, server) == (found.standby_epoch, found.standby)
+            )
+            if is_standby or (is_owner and found.previous):
+                rows[range_id] = rewrites.record_active(found, epoch, server)
+        # Emptied ``previous`` alone is not worth a write.
+        only_trimmed = all(rows[i].epoch == current[i].epoch for i in current)
+        return dict(current) if only_trimmed else rows
+
+    def _adopted(self, service, rows, now):
+        lost = {s.name for s in service.servers if s.state == 'lost'}
+        rows = dict(rows)
+        for key, (epoch, since) in list(self._orphans.items()):
+            service_name, range_id = key
+            if service_name != service.name:
+                continue
+            found = rows.get(range_id)
+            if found is None or found.epoch != epoch:
+                del self._orphans[key]
+                continue
+            if now - since < ORPHAN_WAIT_S:
+                self._is_dirty = True
+                continue
+            owner = self._adopter(service, found, now)
+            if owner:
+                del self._orphans[key]
+                standby = found.standby if found.standby != owner else ''
+                rows[range_id] = rewrites.reassign(found, owner, standby, lost)
+        return rows
+
+    def _adopter(self, service, found, now):
+        candidates = (found.owner, found.standby)
+        return next(
+            (c for c in candidates if c and self._is_available(c, now)), ''
+        )
+
+    def _count_moves(self, service, current, rows):
+        moved = collections.Counter(
+            range_id in current and current[range_id].owner != found.owner
+            for range_id, found in rows.items()
+        )
+        self._app.metrics.moves.add(moved[True], service.name)
+
+    def _packed(self, service, current, rows):
+        blocks = collections.defaultdict(dict)
+        changed = set()
+        for range_id, found in rows.items():
+            row = assignment.ranges_row(service.name, range_id)
+            blocks[row][range_id] = found
+            if current.get(range_id) != found:
+                changed.add(row)
+        return {row: assignment.pack_ranges(blocks[row]) for row in changed}
+
+
+@dataclasses.dataclass(frozen=True)
+class Demand:
+    """Hold measured load of one service, in requests per second.
+
+    :ivar ranges: Range id to load.
+    :ivar hot_keys: Key hash to load.
+    """
+
+    ranges: dict[int, float] = dataclasses.field(default_factory=dict)
+    hot_keys: dict[int, float] = dataclasses.field(default_factory=dict)
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/spread.py
@@ -0,0 +1,85 @@
+"""Pass control messages on to all hosts through the relays."""
+
+from __future__ import annotations
+
+import logging
+
+from radishferryd.gen import ttypes
+
+LOG = logging.getLogger(__name__)
+
+#: Values of ``hops``: for the receiver only.
+FINAL = 0
+#: For the relay of the sender's data centre: pass on to the other relays.
+TO_RELAYS = 1
+#: For the relay of another data centre: pass on to its hosts.
+TO_DATA_CENTRE = 2
+
+
+class Spread:
+    """Send messages to the hosts of the data centre and to other relays."""
+
+    def __init__(self, app):
+        """Begin.
+
+        :param app: Offers ``links``, ``membership``, ``scheduler``,
+            ``host_name``, ``data_centre``, ``host_infos`` and
+            ``take_route_delta``.
+        """
+        self._app = app
+
+    def routes(self, routes, coordinators, orphans):
+        """Announce what became active or orphaned at this host."""
+        delta = ttypes.RouteDelta(routes, coordinators, orphans, FINAL)
+        self._app.take_route_delta(delta)
+        self.send('route_delta', delta)
+
+    def send(self, name, message):
+        """Send a message to every host.
+
+        :param name: Field of ``Frame``.
+        :param message: A struct with a field ``hops``.
+        """
+        app = self._app
+        relay = app.membership.relay(app.data_centre, app.scheduler.now())
+        for host in self._local_hosts():
+            message.hops = TO_RELAYS if host == relay else FINAL
+            app.links.send(host, name, message)
+        if relay == app.host_name:
+            self._to_relays(name, message)
+
+    def forward(self, name, message):
+        """Pass on a message that arrived, as far as it asks for that."""
+        hops = message.hops
+        if hops == TO_RELAYS:
+            self._to_relays(name, message)
+        elif hops == TO_DATA_CENTRE:
+            message.hops = FINAL
+            for host in self._local_hosts():
+                self._app.links.send(host, name, message)
+        message.hops = hops
+
+    def hops_for(self, host) -> int:
+        """Return the ``hops`` of a message sent to one host only."""
+        info = self._app.membership.info(host)
+        if info is not None and info.data_centre != self._app.data_centre:
+            return TO_DATA_CENTRE
+        return FINAL
+
+    def _to_relays(self, name, message):
+        app = self._app
+        now = app.scheduler.now()
+        message.hops = TO_DATA_CENTRE
+        for data_centre in app.membership.data_centres():
+            relay = app.membership.relay(data_centre, now)
+            if data_centre != app.data_centre and relay:
+                app.links.send(relay, name, message)
+
+    def _local_hosts(self):
+        app = self._app
+        return [
+            info.name
+            for info in app.host_infos
+            if info.data_centre == app.data_centre
+            and info.name != app.host_name
+        ]
