--- /dev/null
+++ b/packages/radishferry-testing/src/radishferry_testing/checker.py
@@ -0,0 +1,312 @@
+"""Check run logs of servers and records of callers for violations."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+import sys
+
+from radishferry_testing import arguments
+from radishferry_testing import bodies
+from radishferry_testing import run_log
+
+#: Responses from this status on may come from work that did not commit.
+SERVER_ERROR = 500
+
+
+@dataclasses.dataclass(frozen=True)
+class Violation:
+    """Name one broken promise.
+
+    :ivar rule: Short name of the promise.
+    :ivar places: Lines (``path:line``) that show it.
+    :ivar message: What happened, as a sentence.
+    """
+
+    rule: str
+    places: tuple[str, ...]
+    message: str
+
+    def __str__(self):
+        return f'{self.rule}: {self.message} ({", ".join(self.places)})'
+
+
+@dataclasses.dataclass
+class Run:
+    """Hold one execution at a server; times are monotonic, in ns.
+
+    :ivar owner: Server and boot id.
+    :ivar commit_ns: None without a commit.
+    """
+
+    place: str
+    owner: tuple[str, str]
+    service: str
+    id: str
+    key: str | None
+    range: str | None
+    epoch: int
+    start_ns: int
+    commit_ns: int | None = None
+    body_bytes: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Evidence:
+    """Hold what is checked.
+
+    :ivar runs: List of :class:`Run`.
+    :ivar records: Pairs of place and fields of
+        :class:`radishferry_testing.load_kinds.Record`.
+    :ivar unkeyed: Services whose ranges do not follow keys.
+    """
+
+    runs: list
+    records: list
+    unkeyed: frozenset = frozenset()
+
+
+def read_runs(paths) -> list[Run]:
+    """Return the executions in run logs.
+
+    :raises ValueError: A log is damaged.
+    """
+    runs = {}
+    for path in paths:
+        for place, line in run_log.read(path):
+            if line['event'] == 'start':
+                run = _run(place, line)
+                runs[run.owner, line['run']] = run
+            elif line['event'] == 'commit':
+                run = runs[(line['server'], line['boot_id']), line['run']]
+                run.commit_ns = line['time_ns']
+                run.body_bytes = line['body_bytes']
+    return list(runs.values())
+
+
+def read_records(paths) -> list:
+    """Return the pairs of place and fields in records of load generators."""
+    return [pair for path in paths for pair in run_log.read(path)]
+
+
+def check(evidence) -> list[Violation]:
+    """Return all violations.
+
+    :param evidence: :class:`Evidence`.
+    """
+    runs_by_id = _group(evidence.runs, lambda run: run.id)
+    return [
+        *_check_ranges(evidence.runs),
+        *_check_keys(evidence.runs, evidence.unkeyed),
+        *_check_once(evidence.records, runs_by_id),
+        *_check_not_run(evidence.records, runs_by_id),
+        *_check_ran(evidence.records, runs_by_id),
+    ]
+
+
+def known_outcome(record) -> str:
+    """Return what the caller knows from one answer.
+
+    A broken body or no answer leaves it unknown, whatever the header said.
+    """
+    if record['outcome'] == 'lost' or record['body'] == 'broken':
+        return 'unknown'
+    return record['outcome']
+
+
+def _run(place, line):
+    return Run(
+        place,
+        (line['server'], line['boot_id']),
+        line.get('service', ''),
+        line['id'],
+        line['key'],
+        line['range'],
+        line['epoch'],
+        line['time_ns'],
+    )
+
+
+def _group(values, name):
+    groups = collections.defaultdict(list)
+    for value in values:
+        groups[name(value)].append(value)
+    return groups
+
+
+def _check_ranges(runs):
+    with_range = [run for run in runs if run.range is not None]
+    groups = _group(with_range, lambda run: (run.service, run.range))
+    for (service, range_id), group in groups.items():
+        what = f'range {range_id} of {service or "the service"}'
+        yield from _check_overlap('range-overlap', what, group)
+        yield from _check_epochs(what, group)
+
+
+def _check_keys(runs, unkeyed):
+    keyed = [
+        run
+        for run in runs
+        if run.range is not None
+        and run.key is not None
+        and run.service not in unkeyed
+    ]
+    groups = _group(keyed, lambda run: (run.service, run.key))
+    for (service, key), group in groups.items():
+        what = f'key {key!r} of {service or "the service"}'
+        yield from _check_overlap('key-overlap', what, group)
+
+
+def _check_overlap(rule, what, runs):
+    last_by_owner = {}
+    committed = [run for run in runs if run.commit_ns is not None]
+    for run in sorted(committed, key=lambda run: run.start_ns):
+        for owner, last in last_by_owner.items():
+            if owner != run.owner and last.commit_ns > run.start_ns:
+                yield Violation(
+                    rule,
+                    (last.place, run.place),
+                    f'{what} ran at {last.owner[0]} (epoch {last.epoch}) and '
+                    f'at {run.owner[0]} (epoch {run.epoch}) at one time',
+                )
+        last = last_by_owner.get(run.owner)
+        if last is None or last.commit_ns < run.commit_ns:
+            last_by_owner[run.owner] = run
+
+
+def _check_epochs(what, runs):
+    highest = None
+    for run in sorted(runs, key=lambda run: run.start_ns):
+        if highest is not None and run.epoch < highest.epoch:
+            yield Violation(
+                'epoch-backwards',
+                (highest.place, run.place),
+                f'{what} started at {run.owner[0]} under epoch {run.epoch} '
+                f'after epoch {highest.epoch} at {highest.owner[0]}',
+            )
+        elif (
+            highest is not None
+            and run.epoch == highest.epoch
+            and run.owner != highest.owner
+        ):
+            yield Violation(
+                'epoch-shared',
+                (highest.place, run.place),
+                f'{what} started under epoch {run.epoch} at '
+                f'{highest.owner[0]} and at {run.owner[0]}',
+            )
+        else:
+            highest = run
+
+
+def _check_once(records, runs_by_id):
+    once = {record['id'] for _, record in records if not record['idempotent']}
+    for request_id in once:
+        committed = [
+            run
+            for run in runs_by_id.get(request_id, ())
+            if run.commit_ns is not None
+        ]
+        if len(committed) > 1:
+            servers = ', '.join(run.owner[0] for run in committed)
+            yield Violation(
+                'committed-twice',
+                tuple(run.place for run in committed),
+                f'non-idempotent request {request_id} committed '
+                f'{len(committed)} times, at {servers}',
+            )
+
+
+def _check_not_run(records, runs_by_id):
+    records_by_id = _group(records, lambda pair: pair[1]['id'])
+    for request_id, group in records_by_id.items():
+        told = [p for p, r in group if known_outcome(r) == 'not-run']
+        if not told:
+            continue
+        first_ns = min(
+            (
+                r['send_ns']
+                for _, r in group
+                if known_outcome(r) not in ('not-run', 'not-sent')
+            ),
+            default=math.inf,
+        )
+        for run in runs_by_id.get(request_id, ()):
+            # A later repeat that was not told not-run explains the run.
+            if run.start_ns >= first_ns:
+                continue
+            done = 'started' if run.commit_ns is None else 'committed'
+            yield Violation(
+                f'not-run-{done}',
+                (*told, run.place),
+                f'request {request_id} was told not-run and {done} at '
+                f'{run.owner[0]}',
+            )
+
+
+def _check_ran(records, runs_by_id):
+    for place, record in records:
+        if known_outcome(record) != 'ran':
+            continue
+        runs = [
+            run
+            for run in runs_by_id.get(record['id'], ())
+            if run.start_ns <= record['end_ns']
+        ]
+        if record['status'] < SERVER_ERROR:
+            runs = [
+                run
+                for run in runs
+                if run.commit_ns is not None
+                and run.commit_ns <= record['end_ns']
+            ]
+        if not runs:
+            yield Violation(
+                'ran-without-commit',
+                (place,),
+                f'request {record["id"]} was told ran with status '
+                f'{record["status"]} and no server did',
+            )
+        elif record['status'] < SERVER_ERROR:
+            yield from _check_body(place, record, runs)
+
+
+def _check_body(place, record, runs):
+    sizes = {run.body_bytes for run in runs}
+    if record['body_bytes'] in sizes:
+        expected = bodies.body_hash(record['id'], record['body_bytes'])
+        if record['body_hash'] == expected:
+            return
+    yield Violation(
+        'wrong-body',
+        (place, *(run.place for run in runs)),
+        f'request {record["id"]} got a complete body of '
+        f'{record["body_bytes"]} bytes that is not the one sent',
+    )
+
+
+def main(
+    *, log: list[str], records: list[str] = (), unkeyed: list[str] = ()
+) -> int:
+    """Print all violations; the status is 1 when there are any.
+
+    :param log: Run log of a server; may be repeated.
+    :param records: Records of a load generator; may be repeated.
+    :param unkeyed: Service whose ranges do not follow keys; may be repeated.
+    """
+    evidence = Evidence(
+        read_runs(log), read_records(records), frozenset(unkeyed)
+    )
+    violations = check(evidence)
+    for violation in violations:
+        print(violation)
+    print(
+        f'{len(violations)} violations in {len(evidence.runs)} runs and '
+        f'{len(evidence.records)} records'
+    )
+    return 1 if violations else 0
+
+
+if __name__ == '__main__':
+    sys.exit(arguments.run(main, '--log', '--records', '--unkeyed'))
--- a/packages/radishferry-testing/src/radishferry_testing/http_client.py
+++ b/packages/radishferry-testing/src/radishferry_testing/http_client.py
@@ -10,6 +10,10 @@
 from radishferry_testing import http_io
 
 
+class ConnectError(ConnectionError):
+    """Report that no connection was made, so that nothing was sent."""
+
+
 class ResponseLostError(ConnectionError):
     """Report a request that may have been sent and got no response head."""
 
@@ -125,7 +129,7 @@
         :param headers: Pairs of name and value.
         :param body: Bytes, or an asynchronous iterator of them.
         :param length: Bytes of an iterated body; None for a chunked one.
-        :raises OSError: No connection could be made; nothing was sent.
+        :raises ConnectError: No connection was made; nothing was sent.
         :raises ResponseLostError: No response came.
         """
         whole = isinstance(body, bytes)
@@ -176,9 +180,12 @@
                 return connection
         self._open = {c for c in self._open if c.is_open}
         loop = asyncio.get_running_loop()
-        _, connection = await loop.create_connection(
-            lambda: ClientConnection(self._idle), self._host, self._port
-        )
+        try:
+            _, connection = await loop.create_connection(
+                lambda: ClientConnection(self._idle), self._host, self._port
+            )
+        except OSError as exc:
+            raise ConnectError(str(exc)) from exc
         self._open.add(connection)
         return connection
 
--- a/packages/radishferry-testing/src/radishferry_testing/server.py
+++ b/packages/radishferry-testing/src/radishferry_testing/server.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import dataclasses
+import itertools
 import random
 import time
-import uuid
 
 import orjson
 
@@ -28,17 +28,17 @@
     """Answer lease requests and work.
 
     :param slots: Requests that run at once.
-    :param log_path: Run log, see :mod:`radishferry_testing.run_log`.
+    :param log: :class:`radishferry_testing.run_log.RunLog`.
     :param kinds: List of :class:`server_work.WorkKind`; the longest matching
         prefix wins.
     :param checks_term: Whether work under a lower term is refused.
     """
 
-    def __init__(self, name, slots, log_path, kinds, *, checks_term=True):
+    def __init__(self, slots, log, kinds, *, checks_term=True):
         self._slots = slots
         self._kinds = sorted(kinds, key=lambda k: -len(k.prefix))
         self._checks_term = checks_term
-        self._boot_id = uuid.uuid4().hex
+        self._boot_id = log.boot_id
         self._clock_offset_ms = random.uniform(0, MAX_CLOCK_OFFSET_MS)
         self._lease = server_lease.ServerLease()
         self._free = asyncio.Semaphore(slots)
@@ -46,10 +46,8 @@
         self._busy = 0
         self._draining = False
         self._controls = server_work.Controls()
-        self._log = run_log.RunLog(
-            log_path, server=name, boot_id=self._boot_id
-        )
-        self._log.write(time_ns=time.monotonic_ns(), event='boot')
+        self._run_numbers = itertools.count()
+        self._log = log
 
     async def handle(self, request):
         """Answer one request."""
@@ -123,18 +121,19 @@
             await self._refuse(work, reason, now_ns)
             return
         session = self._lease.begin(work.range_id)
+        number = next(self._run_numbers)
         self._busy += 1
-        self._write(work, 'start', now_ns)
+        self._write(work, 'start', now_ns, run=number)
         execution = server_work.Execution(
-            work, self._controls, lambda: self._commit(work, session)
+            work, self._controls, lambda: self._commit(work, session, number)
         )
         try:
-            await self._run(work, execution)
+            await self._run(work, execution, number)
         finally:
             self._busy -= 1
             self._lease.finish(work.range_id)
 
-    async def _run(self, work, execution):
+    async def _run(self, work, execution, number):
         status, reason = 500, ''
         try:
             reason = await execution.run()
@@ -142,14 +141,14 @@
             status, reason = 504, 'deadline'
         except (ConnectionError, asyncio.CancelledError):
             if not execution.committed:
-                self._write(work, 'abort', reason='cancelled')
+                self._write(work, 'abort', run=number, reason='cancelled')
             raise
         if reason:
             if not execution.committed:
-                self._write(work, 'abort', reason=reason)
+                self._write(work, 'abort', run=number, reason=reason)
             await server_work.fail(work, status, reason)
 
-    def _commit(self, work, session):
+    def _commit(self, work, session, number):
         """Commit if the lease covered the work up to now.
 
         One reading of the clock serves the check and the log, so a freeze
@@ -159,7 +158,8 @@
         now_ms = self._clock_ms(now_ns)
         if not self._lease.may_commit(now_ms, work.range_id, session):
             return False
-        self._write(work, 'commit', now_ns, body_bytes=work.kind.body_bytes)
+        size = work.kind.body_bytes
+        self._write(work, 'commit', now_ns, run=number, body_bytes=size)
         return True
 
     def _refusal(self, work, now_ns):
@@ -199,6 +199,7 @@
     name: str,
     port: int,
     slots: int = 6,
+    service: str = '',
     log: str = '',
     kind: list[str] = (),
     no_check_term: bool = False,
@@ -208,6 +209,7 @@
     :param name: Name in the run log.
     :param port: Port to listen on.
     :param slots: Requests that run at once.
+    :param service: Service in the run log; range ids and keys belong to it.
     :param log: Run log to append to.
     :param kind: PREFIX:MEAN_MS[:BYTES[:FLAG,...]] with the flags long, fixed
         and exponential; may be repeated.
@@ -216,7 +218,8 @@
     kinds = [server_work.parse_kind(text) for text in kind]
 
     async def run():
-        server = Server(name, slots, log, kinds, checks_term=not no_check_term)
+        events = run_log.RunLog(log, server=name, service=service)
+        server = Server(slots, events, kinds, checks_term=not no_check_term)
         await http_io.serve(server.handle, port)
 
     asyncio.run(run())
