--- /dev/null
+++ b/features/testing_platform.feature
@@ -0,0 +1,87 @@
+Feature: The platform stand-in behaves like the platform
+
+  Scenario: One of two competing writes wins
+    Guards against two operators who are both told that they won.
+
+    Given a platform stand-in
+    When write "w1" sets row "manifest/current" from version 0
+    And write "w2" sets row "manifest/current" from version 0
+    Then the platform applied the writes "w1"
+    And row "manifest/current" has the write id "w1"
+
+  Scenario: A transaction applies all writes or none
+    Guards against half-written assignments.
+
+    Given a platform stand-in
+    When write "w1" sets row "ranges/a/0" from version 0
+    And write "w2" sets row "ranges/a/1" on the condition that "ranges/a/0" has version 0
+    Then the platform applied the writes "w1"
+    And row "ranges/a/1" does not exist
+
+  Scenario: A recreated row has a new version
+    Guards against a late conditional write that fits a row it never saw.
+
+    Given a platform stand-in
+    When write "w1" sets row "r/1" from version 0
+    And the version of row "r/1" is noted
+    And write "w2" deletes row "r/1"
+    And write "w3" sets row "r/1" from version 0
+    Then the version of row "r/1" is above the noted one
+
+  Scenario: A write takes effect though its answer is lost
+    Guards against tests that only ever see a lost write.
+
+    Given a platform stand-in
+    When the fault "drop_answers" is 1
+    And write "w1" sets row "r/1" from version 0
+    And write "w2" sets row "r/2" from version 0
+    Then write "w1" got no answer
+    And the platform applied the writes "w2"
+    And row "r/1" has the write id "w1"
+
+  Scenario Outline: A table that is <mode> applies nothing
+    Guards against an outage in which writes still take effect.
+
+    Given a platform stand-in
+    When the fault "table" is "<mode>"
+    And write "w1" sets row "r/1" from version 0
+    And the fault "table" is "up"
+    Then write "w1" got no answer
+    And row "r/1" does not exist
+
+    Examples:
+      | mode |
+      | down |
+      | hang |
+
+  Scenario: Only the named host is cut off
+    Guards against a cut that also isolates the control of the test.
+
+    Given a platform stand-in
+    When the fault "refuse_from" is ["h1"]
+    And the host list is set to host "h1"
+    Then host "h1" cannot read the host list
+    And host "h2" reads the host list with host "h1"
+
+  Scenario: The host list lags
+    Guards against a router that is only tested with a current list.
+
+    Given a platform stand-in
+    When the host list is set to host "h1"
+    And the fault "host_list_lag_s" is 3600
+    Then host "h2" reads an empty host list
+
+  Scenario: Objects come back byte by byte
+    Guards against an object store that changes its objects.
+
+    Given a platform stand-in
+    Then an object of all byte values is read back unchanged
+
+  Scenario: Accesses are counted by row prefix
+    Guards against load figures that mix tables of different size.
+
+    Given a platform stand-in
+    When write "w1" sets row "ranges/a/0" from version 0
+    And write "w2" sets row "ranges/a/1" from version 0
+    And write "w3" sets row "manifest/1" from version 0
+    Then the platform counted 2 writes to "ranges" and 1 to "manifest"
--- a/packages/radishferry-testing/src/radishferry_testing/checker.py
+++ b/packages/radishferry-testing/src/radishferry_testing/checker.py
@@ -9,7 +9,7 @@
 
 from radishferry_testing import arguments
 from radishferry_testing import bodies
-from radishferry_testing import run_log
+from radishferry_testing import evidence
 
 #: Responses from this status on may come from work that did not commit.
 SERVER_ERROR = 500
@@ -32,102 +32,21 @@
         return f'{self.rule}: {self.message} ({", ".join(self.places)})'
 
 
-@dataclasses.dataclass
-class Run:
-    """Hold one execution at a server; times are monotonic, in ns.
-
-    :ivar owner: Server and boot id.
-    :ivar commit_ns: None without a commit.
-    """
-
-    place: str
-    owner: tuple[str, str]
-    service: str
-    id: str
-    key: str | None
-    range: str | None
-    epoch: int
-    start_ns: int
-    commit_ns: int | None = None
-    body_bytes: int = 0
-
-
-@dataclasses.dataclass(frozen=True)
-class Evidence:
-    """Hold what is checked.
-
-    :ivar runs: List of :class:`Run`.
-    :ivar records: Pairs of place and fields of
-        :class:`radishferry_testing.load_kinds.Record`.
-    :ivar unkeyed: Services whose ranges do not follow keys.
-    """
-
-    runs: list
-    records: list
-    unkeyed: frozenset = frozenset()
-
-
-def read_runs(paths) -> list[Run]:
-    """Return the executions in run logs.
-
-    :raises ValueError: A log is damaged.
-    """
-    runs = {}
-    for path in paths:
-        for place, line in run_log.read(path):
-            if line['event'] == 'start':
-                run = _run(place, line)
-                runs[run.owner, line['run']] = run
-            elif line['event'] == 'commit':
-                run = runs[(line['server'], line['boot_id']), line['run']]
-                run.commit_ns = line['time_ns']
-                run.body_bytes = line['body_bytes']
-    return list(runs.values())
-
-
-def read_records(paths) -> list:
-    """Return the pairs of place and fields in records of load generators."""
-    return [pair for path in paths for pair in run_log.read(path)]
-
-
-def check(evidence) -> list[Violation]:
+def check(found) -> list[Violation]:
     """Return all violations.
 
-    :param evidence: :class:`Evidence`.
+    :param found: :class:`radishferry_testing.evidence.Evidence`.
     """
-    runs_by_id = _group(evidence.runs, lambda run: run.id)
+    runs_by_id = _group(found.runs, lambda run: run.id)
     return [
-        *_check_ranges(evidence.runs),
-        *_check_keys(evidence.runs, evidence.unkeyed),
-        *_check_once(evidence.records, runs_by_id),
-        *_check_not_run(evidence.records, runs_by_id),
-        *_check_ran(evidence.records, runs_by_id),
+        *_check_ranges(found.runs),
+        *_check_keys(found.runs, found.unkeyed),
+        *_check_once(found.records, runs_by_id),
+        *_check_not_run(found.records, runs_by_id),
+        *_check_ran(found.records, runs_by_id),
     ]
 
 
-def known_outcome(record) -> str:
-    """Return what the caller knows from one answer.
-
-    A broken body or no answer leaves it unknown, whatever the header said.
-    """
-    if record['outcome'] == 'lost' or record['body'] == 'broken':
-        return 'unknown'
-    return record['outcome']
-
-
-def _run(place, line):
-    return Run(
-        place,
-        (line['server'], line['boot_id']),
-        line.get('service', ''),
-        line['id'],
-        line['key'],
-        line['range'],
-        line['epoch'],
-        line['time_ns'],
-    )
-
-
 def _group(values, name):
     groups = collections.defaultdict(list)
     for value in values:
@@ -221,14 +140,14 @@
 def _check_not_run(records, runs_by_id):
     records_by_id = _group(records, lambda pair: pair[1]['id'])
     for request_id, group in records_by_id.items():
-        told = [p for p, r in group if known_outcome(r) == 'not-run']
+        told = [p for p, r in group if evidence.known_outcome(r) == 'not-run']
         if not told:
             continue
         first_ns = min(
             (
                 r['send_ns']
                 for _, r in group
-                if known_outcome(r) not in ('not-run', 'not-sent')
+                if evidence.known_outcome(r) not in ('not-run', 'not-sent')
             ),
             default=math.inf,
         )
@@ -247,7 +166,7 @@
 
 def _check_ran(records, runs_by_id):
     for place, record in records:
-        if known_outcome(record) != 'ran':
+        if evidence.known_outcome(record) != 'ran':
             continue
         runs = [
             run
@@ -295,15 +214,17 @@
     :param records: Records of a load generator; may be repeated.
     :param unkeyed: Service whose ranges do not follow keys; may be repeated.
     """
-    evidence = Evidence(
-        read_runs(log), read_records(records), frozenset(unkeyed)
+    found = evidence.Evidence(
+        evidence.read_runs(log),
+        evidence.read_records(records),
+        frozenset(unkeyed),
     )
-    violations = check(evidence)
+    violations = check(found)
     for violation in violations:
         print(violation)
     print(
-        f'{len(violations)} violations in {len(evidence.runs)} runs and '
-        f'{len(evidence.records)} records'
+        f'{len(violations)} violations in {len(found.runs)} runs and '
+        f'{len(found.records)} records'
     )
     return 1 if violations else 0
 
--- a/packages/radishferry-testing/src/radishferry_testing/http_client.py
+++ b/packages/radishferry-testing/src/radishferry_testing/http_client.py
@@ -7,7 +7,7 @@
 
 import httptools
 
-from radishferry_testing import http_io
+from radishferry_testing import http_message
 
 
 class ConnectError(ConnectionError):
@@ -23,8 +23,7 @@
 
     :ivar status: Status code.
     :ivar headers: Mapping of lower-case names to values.
-    :ivar body: :class:`radishferry_testing.http_io.Body`; once it is read to
-        its end the connection serves the next request.
+    :ivar body: :class:`radishferry_testing.http_message.Body`.
     """
 
     def __init__(self, connection, status, headers, body):
@@ -46,7 +45,7 @@
             self._connection.transport.abort()
 
 
-class ClientConnection(http_io.HttpProtocol):
+class ClientConnection(http_message.HttpProtocol):
     """Send one request at a time.
 
     :param idle: Deque that takes the connection when it is free.
@@ -198,6 +197,6 @@
                 await connection.send(chunk)
             if length is None:
                 await connection.send(b'0\r\n\r\n')
-        except http_io.BodyAbortedError as exc:
+        except http_message.BodyAbortedError as exc:
             raise ResponseLostError('connection closed in request') from exc
         connection.note_sent()
--- /dev/null
+++ b/packages/radishferry-testing/src/radishferry_testing/processes.py
@@ -0,0 +1,246 @@
+"""Start plain processes for a test and end exactly these."""
+
+from __future__ import annotations
+
+import configparser
+import contextlib
+import dataclasses
+import http.client
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import time
+
+from radishferry_testing import http_io
+from radishferry_testing import process_specs
+
+#: Time that a process has to become ready, in seconds. Long, because tests
+#: must not depend on the speed of the machine.
+READY_S = 60.0
+
+#: Time that a process has to end after SIGTERM, in seconds.
+STOP_S = 10.0
+
+_POLL_S = 0.02
+_PROBE_TIMEOUT_S = 2.0
+
+
+class NotReadyError(Exception):
+    """Report a process that ended or did not become ready in time."""
+
+
+@dataclasses.dataclass
+class _Process:
+    """Hold a started process and its ports."""
+
+    spec: process_specs.ProcessSpec
+    ports: dict[str, int]
+    popen: subprocess.Popen | None = None
+
+
+class Processes:
+    """Hold the processes of a test by name.
+
+    :param directory: Directory for settings and outputs.
+    """
+
+    def __init__(self, directory):
+        self._directory = pathlib.Path(directory)
+        self._processes = {}
+
+    def add(self, *specs):
+        """Allot the ports of processes without starting them.
+
+        All ports can so be known before any settings are written.
+        """
+        wanted = [(spec, port) for spec in specs for port in spec.ports]
+        numbers = process_specs.free_ports(len(wanted))
+        for spec in specs:
+            self._processes[spec.name] = _Process(spec, {})
+        for (spec, port), number in zip(wanted, numbers, strict=True):
+            self._processes[spec.name].ports[port] = number
+
+    def port(self, name, port='port') -> int:
+        """Return an allotted port."""
+        return self._processes[name].ports[port]
+
+    def address(self, name, port='port') -> str:
+        """Return an allotted address as ``ip:port``."""
+        return f'{http_io.LOOPBACK}:{self.port(name, port)}'
+
+    def pid(self, name) -> int:
+        """Return the process id of a started process."""
+        return self._processes[name].popen.pid
+
+    def output(self, name) -> str:
+        """Return what a process has written to its outputs."""
+        path = self._directory / f'{name}.out'
+        return path.read_text(errors='replace') if path.exists() else ''
+
+    def is_running(self, name) -> bool:
+        """Tell whether a process was started and has not ended."""
+        popen = self._processes[name].popen
+        return popen is not None and popen.poll() is None
+
+    def start(self, *names, settings=None):
+        """Start processes, or start them again on the same ports.
+
+        :param settings: New INI sections for all of them, or None.
+        """
+        for name in names:
+            process = self._processes[name]
+            if self.is_running(name):
+                raise RuntimeError(f'process {name} is already running')
+            if settings is not None:
+                process.spec = dataclasses.replace(
+                    process.spec, settings=settings
+                )
+            self._spawn(process)
+
+    def wait_ready(self, *names, limit_s=READY_S):
+        """Wait until processes are ready.
+
+        :raises NotReadyError: One ended or was not ready within the limit.
+        """
+        end = time.monotonic() + limit_s
+        for name in names:
+            while not self._is_ready(self._processes[name]):
+                if not self.is_running(name) or time.monotonic() > end:
+                    raise NotReadyError(
+                        f'process {name} is not ready; output:\n'
+                        f'{self.output(name)}'
+                    )
+                time.sleep(_POLL_S)
+
+    def kill(self, name):
+        """Kill a process and wait until it is gone."""
+        popen = self._processes[name].popen
+        popen.kill()
+        popen.wait()
+
+    def stop(self, name, limit_s=STOP_S) -> int:
+        """End a process with SIGTERM, at the limit with SIGKILL.
+
+        :returns: Its status; negative for a signal.
+        """
+        popen = self._processes[name].popen
+        popen.send_signal(signal.SIGCONT)
+        popen.terminate()
+        try:
+            return popen.wait(limit_s)
+        except subprocess.TimeoutExpired:
+            popen.kill()
+            return popen.wait()
+
+    def pause(self, name):
+        """Freeze a process with SIGSTOP."""
+        self._processes[name].popen.send_signal(signal.SIGSTOP)
+
+    def resume(self, name):
+        """Let a frozen process go on."""
+        self._processes[name].popen.send_signal(signal.SIGCONT)
+
+    def restart(self, name):
+        """Kill a process, start it on the same ports and wait for it."""
+        if self.is_running(name):
+            self.kill(name)
+        self.start(name)
+        self.wait_ready(name)
+
+    def close(self):
+        """End all processes."""
+        running = [name for name in self._processes if self.is_running(name)]
+        for name in running:
+            popen = self._processes[name].popen
+            popen.send_signal(signal.SIGCONT)
+            popen.terminate()
+        end = time.monotonic() + STOP_S
+        for name in running:
+            self.stop(name, max(0.0, end - time.monotonic()))
+
+    def _spawn(self, process):
+        spec = process.spec
+        words = {
+            f'{name}.{key}': str(port)
+            for name, other in self._processes.items()
+            for key, port in other.ports.items()
+        }
+        words.update((key, str(port)) for key, port in process.ports.items())
+        if spec.settings is not None:
+            path = self._directory / f'{spec.name}.ini'
+            _write_settings(path, spec.settings, words)
+            words['settings'] = str(path)
+        if spec.config is not None:
+            path = self._directory / f'{spec.name}.json'
+            path.write_text(_fill(json.dumps(spec.config), words))
+            words['config'] = str(path)
+        command = [_fill(argument, words) for argument in spec.command]
+        with open(self._directory / f'{spec.name}.out', 'ab') as out:
+            process.popen = subprocess.Popen(
+                command,
+                stdin=subprocess.DEVNULL,
+                stdout=out,
+                stderr=subprocess.STDOUT,
+            )
+
+    def _is_ready(self, process):
+        port, _, path = process.spec.ready.partition('/')
+        number = process.ports[port]
+        try:
+            if path:
+                return _get_status(number, f'/{path}') == 200
+            address = (http_io.LOOPBACK, number)
+            socket.create_connection(address, _PROBE_TIMEOUT_S).close()
+        except (OSError, http.client.HTTPException):
+            return False
+        return True
+
+
+@contextlib.contextmanager
+def running(directory, specs):
+    """Run processes, wait until they are ready and end them at the exit.
+
+    :param directory: Directory for settings and outputs.
+    :param specs: List of :class:`process_specs.ProcessSpec`, in the order in
+        which they are started.
+    :raises NotReadyError: One did not become ready.
+    """
+    processes = Processes(directory)
+    processes.add(*specs)
+    try:
+        for spec in specs:
+            processes.start(spec.name)
+        processes.wait_ready(*(spec.name for spec in specs))
+        yield processes
+    finally:
+        processes.close()
+
+
+def _fill(text, words):
+    for name, value in words.items():
+        text = text.replace('{' + name + '}', value)
+    return text
+
+
+def _write_settings(path, settings, words):
+    parser = configparser.ConfigParser(interpolation=None)
+    for section, options in settings.items():
+        parser[section] = {
+            option: _fill(str(value), words)
+            for option, value in options.items()
+        }
+    with open(path, 'w', encoding='utf-8') as file:
+        parser.write(file)
+
+
+def _get_status(port, path):
+    connection = http.client.HTTPConnection(
+        http_io.LOOPBACK, port, timeout=_PROBE_TIMEOUT_S
+    )
+    try:
+        connection.request('GET', path)
+        return connection.getresponse().status
+    finally:
+        connection.close()
