--- a/packages/radishferry-testing/src/radishferry_testing/http_client.py
+++ b/packages/radishferry-testing/src/radishferry_testing/http_client.py
@@ -7,7 +7,11 @@
 
 import httptools
 
-from radishferry_testing import http_io
+from radishferry_testing import http_message
+
+
+class ConnectError(ConnectionError):
+    """Report that no connection was made, so that nothing was sent."""
 
 
 class ResponseLostError(ConnectionError):
@@ -19,8 +23,7 @@
 
     :ivar status: Status code.
     :ivar headers: Mapping of lower-case names to values.
-    :ivar body: :class:`radishferry_testing.http_io.Body`; once it is read to
-        its end the connection serves the next request.
+    :ivar body: :class:`radishferry_testing.http_message.Body`.
     """
 
     def __init__(self, connection, status, headers, body):
@@ -42,7 +45,7 @@
             self._connection.transport.abort()
 
 
-class ClientConnection(http_io.HttpProtocol):
+class ClientConnection(http_message.HttpProtocol):
     """Send one request at a time.
 
     :param idle: Deque that takes the connection when it is free.
@@ -125,7 +128,7 @@
         :param headers: Pairs of name and value.
         :param body: Bytes, or an asynchronous iterator of them.
         :param length: Bytes of an iterated body; None for a chunked one.
-        :raises OSError: No connection could be made; nothing was sent.
+        :raises ConnectError: No connection was made; nothing was sent.
         :raises ResponseLostError: No response came.
         """
         whole = isinstance(body, bytes)
@@ -176,9 +179,12 @@
                 return connection
         self._open = {c for c in self._open if c.is_open}
         loop = asyncio.get_running_loop()
-        _, connection = await loop.create_connection(
-            lambda: ClientConnection(self._idle), self._host, self._port
-        )
+        try:
+            _, connection = await loop.create_connection(
+                lambda: ClientConnection(self._idle), self._host, self._port
+            )
+        except OSError as exc:
+            raise ConnectError(str(exc)) from exc
         self._open.add(connection)
         return connection
 
@@ -191,6 +197,6 @@
                 await connection.send(chunk)
             if length is None:
                 await connection.send(b'0\r\n\r\n')
-        except http_io.BodyAbortedError as exc:
+        except http_message.BodyAbortedError as exc:
             raise ResponseLostError('connection closed in request') from exc
         connection.note_sent()
