--- /dev/null
+++ b/packages/radishferry-testing/src/radishferry_testing/topology.py
@@ -0,0 +1,293 @@
+"""Describe deployments of entry hosts, servers and the platform."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import json
+import pathlib
+import urllib.request
+
+from radishferry_testing import process_specs
+
+#: Shared key and token of test deployments.
+SHARED_KEY = 'only-for-tests-on-loopback'
+TOKEN = 'token-for-tests-on-loopback'
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceSpec:
+    """Describe one service of a deployment.
+
+    :ivar servers: Number of servers, spread over the data centres.
+    :ivar kinds: Values for ``kinds`` of the manifest.
+    :ivar work: Arguments ``--kind`` of the servers.
+    :ivar options: Further values of the service in the manifest.
+    """
+
+    name: str
+    servers: int
+    kinds: tuple[dict, ...]
+    work: tuple[str, ...]
+    keyed: bool = False
+    slots: int = 6
+    options: dict = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True)
+class Topology:
+    """Describe a deployment.
+
+    :ivar data_centres: Names of the data centres.
+    :ivar hosts_per_data_centre: Entry hosts in each.
+    :ivar services: The services.
+    """
+
+    data_centres: tuple[str, ...]
+    hosts_per_data_centre: int
+    services: tuple[ServiceSpec, ...]
+
+    @property
+    def hosts(self) -> dict[str, str]:
+        """Return entry host name to data centre."""
+        return {
+            f'{data_centre}-host{number}': data_centre
+            for data_centre in self.data_centres
+            for number in range(1, self.hosts_per_data_centre + 1)
+        }
+
+    @property
+    def servers(self) -> dict[str, tuple[ServiceSpec, str]]:
+        """Return server name to service and data centre."""
+        return {
+            f'{service.name}{number:02d}': (service, data_centre)
+            for service in self.services
+            for number, data_centre in zip(
+                range(1, service.servers + 1),
+                itertools.cycle(self.data_centres),
+            )
+        }
+
+
+def _kind(name, method, path, idempotent, **more):
+    return {
+        'name': name,
+        'method': method,
+        'path': path,
+        'idempotent': idempotent,
+        **more,
+    }
+
+
+LOOKUP = _kind('lookup', 'GET', '/inventory/lots/{key}', True)
+RESERVE = _kind('reserve', 'POST', '/inventory/lots/{key}/reserve', False)
+LEDGER = _kind('record', 'POST', '/ledger/reservations', False)
+PAY = _kind('pay', 'POST', '/treasury/fees', False)
+DOWNLOAD = _kind(
+    'download',
+    'GET',
+    '/certificates/{name}',
+    True,
+    long=True,
+    deadline_ms=20000,
+)
+
+#: Two data centres with two entry hosts each, four servers, two services.
+DEMO = Topology(
+    ('santiago', 'concepcion'),
+    2,
+    (
+        ServiceSpec(
+            'inventory',
+            2,
+            (LOOKUP, RESERVE),
+            ('/inventory:5',),
+            keyed=True,
+            options={'ranges': 64},
+        ),
+        ServiceSpec(
+            'treasury',
+            2,
+            (
+                PAY,
+                {**DOWNLOAD, 'path': '/treasury/certificates/{name}'},
+            ),
+            ('/treasury/fees:8', '/treasury/certificates:40:200000:long'),
+            options={'ranges': 64},
+        ),
+    ),
+)
+
+#: The deployment of the Offcut Registry Gateway.
+CHILE = Topology(
+    ('santiago', 'concepcion', 'antofagasta'),
+    4,
+    (
+        ServiceSpec(
+            'inventory', 22, (LOOKUP, RESERVE), ('/inventory:5',), keyed=True
+        ),
+        ServiceSpec('treasury', 10, (PAY,), ('/treasury:8',)),
+        ServiceSpec(
+            'certificates',
+            6,
+            (DOWNLOAD,),
+            ('/certificates:40:200000:long',),
+        ),
+        ServiceSpec('ledger', 6, (LEDGER,), ('/ledger:8',)),
+    ),
+)
+
+
+class Deployment:
+    """Offer the processes of a topology with its addresses."""
+
+    def __init__(self, topology, directory):
+        """Declare the processes.
+
+        :param topology: A :class:`Topology`.
+        :param directory: Where settings, outputs and logs go.
+        """
+        self.topology = topology
+        self.directory = pathlib.Path(directory)
+        self.processes = None
+
+    def specs(self) -> list[process_specs.ProcessSpec]:
+        """Return the platform and the servers, which start first."""
+        return [
+            process_specs.platform(),
+            *(
+                process_specs.server(
+                    name,
+                    self.log_path(name),
+                    '--service',
+                    service.name,
+                    '--slots',
+                    str(service.slots),
+                    *(f'--kind={work}' for work in service.work),
+                )
+                for name, (service, _) in self.topology.servers.items()
+            ),
+        ]
+
+    def host_specs(self) -> list[process_specs.ProcessSpec]:
+        """Return the entry hosts."""
+        return [
+            process_specs.entry_host(name, _settings(name, data_centre))
+            for name, data_centre in self.topology.hosts.items()
+        ]
+
+    def log_path(self, server) -> pathlib.Path:
+        """Return the path of a server's run log."""
+        return self.directory / f'{server}.log'
+
+    def caller_addresses(self) -> list[str]:
+        """Return the caller addresses of the entry hosts."""
+        return [self.caller_address(name) for name in self.topology.hosts]
+
+    def caller_address(self, host) -> str:
+        """Return the caller address of an entry host."""
+        return self.processes.address(host, 'caller')
+
+    def admin_address(self, host) -> str:
+        """Return the administration address of an entry host."""
+        return self.processes.address(host, 'admin')
+
+    def set_host_list(self, leaving=()):
+        """Tell the platform stand-in which hosts there are."""
+        listed = [
+            {
+                'name': name,
+                'data_centre': data_centre,
+                'address': self.peer_address(name),
+                'state': 'leaving' if name in leaving else 'live',
+            }
+            for name, data_centre in self.topology.hosts.items()
+        ]
+        self.platform('PUT', '/hosts', {'hosts': listed})
+
+    def peer_address(self, host) -> str:
+        """Return the address under which other hosts find one."""
+        return self.processes.address(host, 'peer')
+
+    def platform(self, method, path, value=None):
+        """Send a request to the platform stand-in.
+
+        :returns: The decoded answer.
+        """
+        address = self.processes.address('platform')
+        return request(method, f'http://{address}{path}', value)
+
+    def status(self, host):
+        """Return the status of an entry host."""
+        url = f'http://{self.admin_address(host)}/v1/status'
+        return request('GET', url, token=TOKEN)
+
+    def manifest(self, version, changes=None) -> dict:
+        """Return the manifest of the topology.
+
+        :param changes: Server name to values that differ, None leaves the
+            server out.
+        """
+        changes = changes or {}
+        return {
+            'version': version,
+            'services': [
+                {
+                    'name': service.name,
+                    'keyed': service.keyed,
+                    'slots': service.slots,
+                    'kinds': list(service.kinds),
+                    **service.options,
+                    'servers': [
+                        {
+                            'name': name,
+                            'address': self.processes.address(name),
+                            'data_centre': data_centre,
+                            **changes.get(name, {}),
+                        }
+                        for name, (found, data_centre) in (
+                            self.topology.servers.items()
+                        )
+                        if found == service
+                        and changes.get(name, {}) is not None
+                    ],
+                }
+                for service in self.topology.services
+            ],
+        }
+
+    def write_manifest(self, version, changes=None) -> pathlib.Path:
+        """Write the manifest to a file and return its path."""
+        path = self.directory / f'manifest-{version}.json'
+        text = json.dumps(self.manifest(version, changes), indent=2)
+        path.write_text(text)
+        return path
+
+
+def request(method, url, value=None, token='', timeout_s=5.0):
+    """Send a JSON request and return the decoded answer.
+
+    :raises OSError: The request failed or the status is an error.
+    """
+    data = None if value is None else json.dumps(value).encode()
+    headers = {'Content-Type': 'application/json'}
+    if token:
+        headers['Authorization'] = f'Bearer {token}'
+    prepared = urllib.request.Request(url, data, headers, method=method)
+    with urllib.request.urlopen(prepared, timeout=timeout_s) as response:
+        body = response.read()
+    return json.loads(body) if body else None
+
+
+def _settings(name, data_centre):
+    return {
+        'host': {'name': name, 'data_centre': data_centre},
+        'listen': {
+            'callers': '127.0.0.1:{caller}',
+            'peers': '127.0.0.1:{peer}',
+            'admin': '127.0.0.1:{admin}',
+        },
+        'platform': {'address': '127.0.0.1:{platform.port}'},
+        'peers': {'shared_key': SHARED_KEY},
+        'admin': {'token': TOKEN},
+    }
