--- a/packages/radishferry/src/radishferry/placement.py
+++ b/packages/radishferry/src/radishferry/placement.py
@@ -216,14 +216,14 @@
         self._weights[home] = max(self._weights[home] - rate, 0.0)
         self._renewed.add(home)
         self._pinned.add(range_id)
-        LOG.info('placement: key %016x gets range %d', key_hash, range_id)
+        LOG.debug('placement: key %016x gets range %d', key_hash, range_id)
 
     def _merge(self, range_id, retired):
         home = retired.key_hash % self._service.ranges
         self._weights[home] += self._weights.pop(range_id)
         self._rows[range_id] = retired
         del self._owners[range_id]
-        LOG.info('placement: range %d is merged back', range_id)
+        LOG.debug('placement: range %d is merged back', range_id)
 
     def _heir(self, range_id, balance):
         old = self._rows.get(range_id)
--- a/packages/radishferry/src/radishferry/routing.py
+++ b/packages/radishferry/src/radishferry/routing.py
@@ -223,18 +223,18 @@
     """
     if first.epoch != second.epoch:
         return max(first, second, key=lambda a: a.epoch)
-    low, high = sorted((first, second), key=_merge_order)
-    return dataclasses.replace(
-        high,
-        previous=tuple(s for s in high.previous if s in low.previous),
-    )
+    previous = first.previous
+    if previous != second.previous:
+        previous = tuple(sorted({*previous} & {*second.previous}))
+    newer = max(first, second, key=_merge_order)
+    return dataclasses.replace(newer, previous=previous)
 
 
 def _merge_order(found):
     # A total order, so that even rows that contradict each other merge alike
     # on every host.
     key_hash = -1 if found.key_hash is None else found.key_hash
-    return found.owner, found.standby, key_hash, found.previous
+    return found.owner, found.standby, key_hash
 
 
 def _hot_keys(assignments):
