--- a/packages/radishferry-testing/src/radishferry_testing/demo.py
+++ b/packages/radishferry-testing/src/radishferry_testing/demo.py
@@ -99,7 +99,8 @@
             with contextlib.suppress(OSError):
                 deployment.status(host)
                 break
-            if time.monotonic() > end:
+            ended = not deployment.processes.is_running(host)
+            if ended or time.monotonic() > end:
                 raise TimeoutError(deployment.processes.output(host))
             time.sleep(0.05)
 
