--- /dev/null
+++ b/packages/radishferry-testing/src/radishferry_testing/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Measure deployments while faults are injected."""
