Hand servers over without a gap and keep unknown outcomes unknown

Cause: a coordinator that was moved behind another host adopted a term above that host's, so the hand-over was refused, the planner put it back first, and both repeated (term 499 after 60 s); and a retry that was refused reported not-run although the first attempt may have run. Ruled out: load, since idle hosts used little CPU. Now the old coordinator keeps its lower term until it is refused.

--- a/packages/radishferry/src/radishferry/coordinator.py
+++ b/packages/radishferry/src/radishferry/coordinator.py
@@ -103,6 +103,7 @@
         self._promotions = {}
         self._query_id = 0
         self._query_waits_for = set()
+        self._handed_to = set()
         self._query_sent_at = float('-inf')
         self._next_repeat_at = 0.0
 
@@ -190,12 +191,21 @@
         return []
 
     def _adopt(self, assignment, now):
-        self._term = assignment.term_of(self._host)
+        first = assignment.hosts[0]
+        if first == self._host:
+            return self.confirm_term(now)
+        # The present term is below that of the first host, which can thus
+        # take over.
+        return [actions.HandOver(first)]
+
+    def confirm_term(self, now):
+        """Go on acting under the term of the newest assignment."""
+        term = self._assignment.term_of(self._host)
+        if self.state == 'waiting' or term is None or term <= self._term:
+            return []
+        self._term = term
         self._next_send_at = now
-        result = [actions.AnnounceCoordinator(self._term)]
-        if assignment.hosts[0] != self._host:
-            result.append(actions.HandOver(assignment.hosts[0]))
-        return result
+        return [actions.AnnounceCoordinator(term)]
 
     def take_over(self, now, *, is_handover=False):
         """Become the coordinator under the reserved term.
@@ -214,8 +224,17 @@
         self._next_send_at = now
         return [actions.ReadBaseline(), *self.tick(now)]
 
-    def hand_over(self):
-        """Stop acting so that a successor can take over."""
+    def hand_over(self, host):
+        """Note that a host was asked to take over.
+
+        This host acts until the server refuses its term; a hand-over that
+        gets lost so leaves nobody without a coordinator.  The other host is
+        asked about its fence before the server is declared lost.
+        """
+        self._handed_to.add(host)
+
+    def stand_down(self):
+        """Stop acting."""
         return self._stand_down()
 
     # Answers of the server.
@@ -607,9 +626,9 @@
         later = itertools.dropwhile(
             lambda host: host != self._host, self._assignment.hosts
         )
-        successors = tuple(later)[1:]
+        successors = {*tuple(later)[1:], *self._handed_to}
         if self._query_sent_at == float('-inf'):
-            self._query_waits_for = set(successors)
+            self._query_waits_for = successors
         self._query_sent_at = now
         if not self._query_waits_for:
             return self._confirm_loss(now)
@@ -675,3 +694,4 @@
         self._releases = {}
         self._promotions = {}
         self._query_waits_for = set()
+        self._handed_to = set()
--- a/packages/radishferryd/src/radishferryd/app.py
+++ b/packages/radishferryd/src/radishferryd/app.py
@@ -729,6 +729,7 @@
             if connection.is_idle:
                 connection.close()
         is_idle = not self.gateway.open_requests and self.ownership.is_idle
+        is_idle = is_idle and not self.ownership.is_acting
         is_idle = is_idle and not self.gateway.connections
         if is_idle or now > self._stop_at + STOP_LIMIT_S:
             LOG.info('app: Stopped.')
--- a/packages/radishferryd/src/radishferryd/entry.py
+++ b/packages/radishferryd/src/radishferryd/entry.py
@@ -103,6 +103,7 @@
         self._body_done = not request.has_body
         self._can_replay = True
         self._has_head = False
+        self._may_have_run = False
         self._is_done = False
         self._timer = None
         self.started_at = scheduler.now()
@@ -190,6 +191,8 @@
     def attempt_refused(self, refusal):
         """Try again, or pass the refusal on."""
         self._source = None
+        if refusal.outcome is not outcomes.Outcome.NOT_RUN:
+            self._may_have_run = True
         if self._has_head or not self._may_retry(refusal):
             self._finish(refusal)
             return
@@ -248,6 +251,11 @@
         if self._is_done:
             return
         self._done()
+        if self._may_have_run:
+            # A refusal of the last attempt says nothing of earlier ones.
+            refusal = dataclasses.replace(
+                refusal, outcome=outcomes.Outcome.UNKNOWN
+            )
         self._answer.on_refused(refusal)
 
     def _done(self):
--- a/packages/radishferryd/src/radishferryd/ownership.py
+++ b/packages/radishferryd/src/radishferryd/ownership.py
@@ -30,6 +30,8 @@
 #: Seconds without a turn of the loop after which the host takes itself for
 #: paused and confirms its terms before it sends work.
 PAUSE_S = 0.25
+#: Seconds between repeated requests to a host to take a server over.
+HAND_OVER_INTERVAL_S = 0.5
 
 
 @dataclasses.dataclass
@@ -42,6 +44,7 @@
     dispatcher: dispatch.ServerDispatcher
     client: http_client.JsonClient
     hand_over_to: str = ''
+    handed_over_at: float = float('-inf')
 
 
 class Ownership:
@@ -147,10 +150,13 @@
             if not owned.coordinator.term:
                 continue
             hosts = owned.coordinator.hosts
-            successor = self._live_successor(hosts)
-            if successor:
-                owned.hand_over_to = successor
-                self._complete_hand_over(name, owned)
+            owned.hand_over_to = self._live_successor(hosts)
+            self._hand_over_again(name, owned)
+
+    @property
+    def is_acting(self) -> bool:
+        """Tell whether this host still coordinates a server."""
+        return any(o.coordinator.term for o in self._owned.values())
 
     @property
     def is_idle(self) -> bool:
@@ -280,7 +286,7 @@
 
     def _remove(self, name):
         owned = self._owned.pop(name)
-        self._run(owned, owned.coordinator.hand_over())
+        self._run(owned, owned.coordinator.stand_down())
         owned.client.close()
         owned.dispatcher.pool.close()
 
@@ -299,8 +305,7 @@
                     self._app.metrics.takeovers.inc(owned.service.name)
                     self._run(owned, coordinator.take_over(now))
                 continue
-            if owned.hand_over_to:
-                self._complete_hand_over(name, owned)
+            self._hand_over_again(name, owned)
             self._run(owned, coordinator.tick(now))
 
     def _is_other_live(self, name):
@@ -332,13 +337,21 @@
             (h for h in later if self._app.membership.is_live(h, now)), ''
         )
 
-    def _complete_hand_over(self, name, owned):
-        host, owned.hand_over_to = owned.hand_over_to, ''
+    def _hand_over_again(self, name, owned):
+        host = owned.hand_over_to
+        now = self._now()
+        if not host or now < owned.handed_over_at + HAND_OVER_INTERVAL_S:
+            return
+        if not self._app.membership.is_live(host, now):
+            owned.hand_over_to = ''
+            self._run(owned, owned.coordinator.confirm_term(now))
+            return
         message = ttypes.TakeOver(owned.service.name, [name])
         if not self._app.links.send(host, 'take_over', message):
             return
         LOG.info('ownership: Handing %s over to %s.', name, host)
-        self._run(owned, owned.coordinator.hand_over())
+        owned.handed_over_at = now
+        owned.coordinator.hand_over(host)
 
     def _run(self, owned, todo):
         for action in todo:
@@ -490,6 +503,7 @@
             owned.coordinator.state,
         )
         if action.give_up:
+            owned.hand_over_to = ''
             owned.dispatcher.give_up()
 
     def _start_work(self, owned, action):
--- a/packages/radishferryd/src/radishferryd/planner.py
+++ b/packages/radishferryd/src/radishferryd/planner.py
@@ -210,7 +210,7 @@
             acting = app.routes.coordinator_of(server)
             if (
                 acting is not None
-                and acting[1] >= found.base_term
+                and acting[1] > found.base_term
                 and acting[0] in found.hosts[1:]
                 and app.membership.is_live(acting[0], now)
             ):
