--- /dev/null
+++ b/features/hotkeys.feature
@@ -0,0 +1,23 @@
+Feature: The keys and ranges with the most requests are measured
+
+  Scenario: Rates of hot keys are right among many others
+    Guards against hot keys that are missed, rare ones taken for hot when the
+    sketch is full, and memory that grows with the number of keys.
+    Given a sketch that saw 30 s of 100000 Zipf keys at 2000 requests per s
+    Then the first 10 keys have their rates within 2 percent, none has more
+    And the loads of the ranges sum to 2000 requests per s
+    And the sketch holds at most 1024 keys
+
+  Scenario: Rates are right after the start and fade
+    Guards against a new host whose servers seem idle, and against keys that
+    stay split out after they turned cold.
+    Given a sketch that saw 1 s of 1 Zipf keys at 2000 requests per s
+    Then the first 1 keys have their rates within 2 percent, none has more
+    When the sketch sees nothing for 40 s
+    Then the first 1 keys have their rates within 2 percent, none has more
+    When the sketch sees nothing for 200 s
+    Then the sketch holds at most 0 keys
+
+  Scenario: Reports of coordinators add up
+    Guards against a key that moved and is counted at one server only.
+    Then merged reports add the rates of a key and keep the highest
--- /dev/null
+++ b/features/membership.feature
@@ -0,0 +1,36 @@
+Feature: Hosts agree on who is live and who relays
+
+  Scenario Outline: A host judges others by heartbeats
+    Guards against a dead coordinator that keeps its servers, a live one that
+    loses them, a lagging list that overrules heartbeats, and a coordinator
+    that is relied on after it restarted and lost its state.
+    Given host a1 that hears a2 in each 0.1 s until second 2
+    When it meets "<events>"
+    Then it found "<changes>"
+
+    Examples:
+      | events                                     | changes                |
+      | 2.29 look                                  |                        |
+      | 2.31 look, 3 heard a2 1, 3 look            | 2.31 -a2, 3 +a2        |
+      | 2 broken a2, 2.05 heard a2 1, 2.1 look     | 2.1 -a2                |
+      | 2 broken a2, 2 look, 2.1 opened a2, 2.1 look, 2.2 heard a2 1, 2.2 look | 2 -a2, 2.2 +a2 |
+      | 2.1 heard a2 2, 2.2 heard a2 1, 2.3 look   | 2.3 -a2, 2.3 +a2       |
+      | 2.1 list a1, 2.2 look, 2.31 look           | 2.31 -a2               |
+      | 2.31 look, 2.4 list a1, 2.5 list a1 a2, 2.5 look | 2.31 -a2         |
+      | 2 list a1 a2 a3, 2 look, 2.2 heard a2 1, 2.4 heard a2 1, 2.6 heard a2 1, 2.8 heard a2 1, 2.9 look, 3.01 look | 2 +a3, 3.01 -a3 |
+
+  Scenario Outline: Live hosts agree on the relays
+    Guards against relays that take each other for down, also after another
+    host was relay, and against heartbeats between all hosts.
+    Given <hosts> hosts in each of 3 data centres that exchange heartbeats
+    When the first <dead> hosts of each relay order freeze for 3 s
+    Then live hosts agree on their relay and relays on all relays
+    And hosts that are not relay candidates have at most <most> neighbours
+    When the first 0 hosts of each relay order freeze for 3 s
+    Then live hosts agree on their relay and relays on all relays
+
+    Examples:
+      | hosts | dead | most |
+      | 4     | 1    | 3    |
+      | 4     | 2    | 3    |
+      | 20    | 2    | 7    |
--- /dev/null
+++ b/features/steps/hotkeys_steps.py
@@ -0,0 +1,76 @@
+"""Steps for the measurement of hot keys."""
+
+from __future__ import annotations
+
+import collections
+import math
+
+import behave
+import numpy
+
+from radishferry import hotkeys
+
+RANGES = 64
+
+
+@behave.given(
+    'a sketch that saw {span:d} s of {keys:d} Zipf keys at {rate:d} requests '
+    'per s'
+)
+def given_sketch(context, span, keys, rate):
+    ranks = numpy.arange(1, keys + 1)
+    shares = 1 / ranks / (1 / ranks).sum()
+    source = numpy.random.default_rng(1)
+    context.sketch = hotkeys.HotKeySketch(0.0)
+    context.seconds = []
+    for _ in range(span):
+        _second(context, source.choice(ranks, rate, p=shares).tolist())
+
+
+@behave.when('the sketch sees nothing for {span:d} s')
+def nothing(context, span):
+    for _ in range(span):
+        _second(context, [])
+
+
+@behave.then(
+    'the first {count:d} keys have their rates within {percent:d} percent, '
+    'none has more'
+)
+def rates_within(context, count, percent):
+    found = dict(context.top)
+    weights = [math.exp(age / 10) for age in range(len(context.seconds))]
+    exact = collections.Counter()
+    for weight, second in zip(weights, context.seconds):
+        for key, requests in second.items():
+            exact[key] += requests * weight / sum(weights)
+    for key in range(1, count + 1):
+        assert found[key] >= exact[key] * (1 - percent / 100), key
+    for key, rate in found.items():
+        assert rate <= exact[key] * 1.000001, (key, rate, exact[key])
+
+
+@behave.then('the loads of the ranges sum to {rate:d} requests per s')
+def loads_sum(context, rate):
+    loads = context.sketch.range_loads(len(context.seconds))
+    assert len(loads) == RANGES
+    assert abs(sum(loads.values()) / rate - 1) <= 0.001, loads
+
+
+@behave.then('the sketch holds at most {count:d} keys')
+def holds_at_most(context, count):
+    assert len(context.top) <= count, len(context.top)
+
+
+@behave.then('merged reports add the rates of a key and keep the highest')
+def merged(context):
+    reports = [[(1, 5.0), (2, 3.0)], [(3, 4.0), (1, 2.0)]]
+    assert hotkeys.merge_top(reports, 2) == {1: 7.0, 3: 4.0}
+    assert hotkeys.merge_loads([{0: 1.0, 1: 2.0}, {1: 2.5}]) == {0: 1, 1: 4.5}
+
+
+def _second(context, keys):
+    for key in keys:
+        context.sketch.record(key % RANGES, key)
+    context.seconds.append(collections.Counter(keys))
+    context.top = context.sketch.top(float(len(context.seconds)), 10**6)
--- a/packages/radishferry/src/radishferry/membership.py
+++ b/packages/radishferry/src/radishferry/membership.py
@@ -97,6 +97,7 @@
         record.down = False
         record.incarnation = incarnation
         record.heard_at = now
+        record.last_at = now
 
     def link_lost(self, name, now):
         """Take the news that the link to a host broke."""
@@ -104,6 +105,8 @@
         record = self._record(name)
         record.broken = True
         record.down = True
+        record.heard_at = -math.inf
+        record.last_at = now
 
     def link_opened(self, name, now):
         """Take the news that an authenticated link to a host opened.
@@ -148,8 +151,9 @@
             return True
         if name not in self._required:
             return name in self._listed and not record.down
-        unheard = record.heard_at < record.expected_at
-        return unheard and now - record.expected_at < GRACE_S
+        if record.down or record.heard_at >= record.expected_at:
+            return False
+        return now - record.expected_at < GRACE_S
 
     def relay(self, data_centre, now):
         """Return the relay of a data centre, None when no host is live."""
@@ -200,10 +204,10 @@
         was_live, old = self._reported.get(name, (False, None))
         restarted = old is not None and incarnation not in (None, old)
         if was_live and (not live or restarted):
-            LOG.info('membership: host %s is down', name)
+            LOG.debug('membership: host %s is down', name)
             yield HostDown(name, old)
         if live and (not was_live or restarted):
-            LOG.info('membership: host %s is up', name)
+            LOG.debug('membership: host %s is up', name)
             yield HostUp(name, incarnation)
         if live or name in self._infos:
             self._reported[name] = (live, incarnation)
@@ -216,7 +220,7 @@
             relay = self.relay(data_centre, now)
             if relay != self._reported_relays.get(data_centre):
                 self._reported_relays[data_centre] = relay
-                LOG.info('membership: relay of %s is %s', data_centre, relay)
+                LOG.debug('membership: relay of %s is %s', data_centre, relay)
                 yield RelayChanged(data_centre, relay)
 
     def _record(self, name):
@@ -257,6 +261,7 @@
         required.discard(self._self)
         for name in required - self._required:
             record = self._record(name)
+            record.last_at = now
             if not record.down:
                 record.expected_at = now
         self._required = frozenset(required)
@@ -274,7 +279,14 @@
 class _Record:
     """Hold what was heard of one host."""
 
-    __slots__ = ('broken', 'down', 'expected_at', 'heard_at', 'incarnation')
+    __slots__ = (
+        'broken',
+        'down',
+        'expected_at',
+        'heard_at',
+        'incarnation',
+        'last_at',
+    )
 
     def __init__(self):
         self.broken = False
@@ -282,7 +294,4 @@
         self.expected_at = -math.inf
         self.heard_at = -math.inf
         self.incarnation = None
-
-    @property
-    def last_at(self):
-        return max(self.expected_at, self.heard_at)
+        self.last_at = -math.inf
