Check more rules of placement and membership

The first run of 52 variants with one rule removed each left 7 unnoticed: the standby of a silent owner, the hysteresis of coordinators, inherited counts in the sketch, the memory of silent hosts and of hosts that left the list, unwatched hosts, and a check that was redundant and is removed.

--- a/features/hotkeys.feature
+++ b/features/hotkeys.feature
@@ -4,8 +4,9 @@
     Guards against hot keys that are missed, rare ones taken for hot when the
     sketch is full, and memory that grows with the number of keys.
     Given a sketch that saw 30 s of 100000 Zipf keys at 2000 requests per s
+    When key 99999 has 100 requests per s more for 10 s
     Then the first 10 keys have their rates within 2 percent, none has more
-    And the loads of the ranges sum to 2000 requests per s
+    And the loads of the ranges sum to those of all keys
     And the sketch holds at most 1024 keys
 
   Scenario: Rates are right after the start and fade
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -15,8 +15,9 @@
       | 2 broken a2, 2.05 heard a2 1, 2.1 look     | 2.1 -a2                |
       | 2 broken a2, 2 look, 2.1 opened a2, 2.1 look, 2.2 heard a2 1, 2.2 look | 2 -a2, 2.2 +a2 |
       | 2.1 heard a2 2, 2.2 heard a2 1, 2.3 look   | 2.3 -a2, 2.3 +a2       |
-      | 2.1 list a1, 2.2 look, 2.31 look           | 2.31 -a2               |
-      | 2.31 look, 2.4 list a1, 2.5 list a1 a2, 2.5 look | 2.31 -a2         |
+      | 2.1 list a1, 2.2 look, 2.2 sends, 2.31 look | 2.2 to a2, 2.31 -a2   |
+      | 2.31 look, 2.4 list a1, 2.5 list a1, 2.6 list a1 a2, 2.6 look | 2.31 -a2 |
+      | 2.31 list a1 a2 b1, 2.31 look, 2.4 heard b1 1, 2.5 heard a2 1, 2.5 look, 2.75 look | 2.31 -a2, 2.31 +b1, 2.5 +a2 |
       | 2 list a1 a2 a3, 2 look, 2.2 heard a2 1, 2.4 heard a2 1, 2.6 heard a2 1, 2.8 heard a2 1, 2.9 look, 3.01 look | 2 +a3, 3.01 -a3 |
 
   Scenario Outline: Live hosts agree on the relays
--- a/features/placement.feature
+++ b/features/placement.feature
@@ -63,9 +63,10 @@
     Guards against a host that coordinates too many servers, and against
     lists that change, or shrink and grow, with each restart of a host.
     Given a placement over <servers> servers in 1 data centres
-    Then each of <hosts> hosts can go and come back with at most 2 changes
+    Then each of <hosts> hosts can go and come back with at most <most> changes
 
     Examples:
-      | servers | hosts |
-      | 22      | 11    |
-      | 7       | 3     |
+      | servers | hosts | most |
+      | 22      | 11    | 2    |
+      | 11      | 11    | 0    |
+      | 7       | 3     | 2    |
--- a/features/steps/hotkeys_steps.py
+++ b/features/steps/hotkeys_steps.py
@@ -23,8 +23,15 @@
     source = numpy.random.default_rng(1)
     context.sketch = hotkeys.HotKeySketch(0.0)
     context.seconds = []
+    context.draw = lambda: source.choice(ranks, rate, p=shares).tolist()
     for _ in range(span):
-        _second(context, source.choice(ranks, rate, p=shares).tolist())
+        _second(context, context.draw())
+
+
+@behave.when('key {key:d} has {rate:d} requests per s more for {span:d} s')
+def turns_hot(context, key, rate, span):
+    for _ in range(span):
+        _second(context, [*context.draw(), *[key] * rate])
 
 
 @behave.when('the sketch sees nothing for {span:d} s')
@@ -39,22 +46,19 @@
 )
 def rates_within(context, count, percent):
     found = dict(context.top)
-    weights = [math.exp(age / 10) for age in range(len(context.seconds))]
-    exact = collections.Counter()
-    for weight, second in zip(weights, context.seconds):
-        for key, requests in second.items():
-            exact[key] += requests * weight / sum(weights)
-    for key in range(1, count + 1):
-        assert found[key] >= exact[key] * (1 - percent / 100), key
+    exact = _exact(context)
+    for key, rate in exact.most_common(count):
+        assert found[key] >= rate * (1 - percent / 100), (key, rate)
     for key, rate in found.items():
         assert rate <= exact[key] * 1.000001, (key, rate, exact[key])
 
 
-@behave.then('the loads of the ranges sum to {rate:d} requests per s')
-def loads_sum(context, rate):
+@behave.then('the loads of the ranges sum to those of all keys')
+def loads_sum(context):
     loads = context.sketch.range_loads(len(context.seconds))
+    total = sum(_exact(context).values())
     assert len(loads) == RANGES
-    assert abs(sum(loads.values()) / rate - 1) <= 0.001, loads
+    assert abs(sum(loads.values()) / total - 1) <= 0.000001, loads
 
 
 @behave.then('the sketch holds at most {count:d} keys')
@@ -69,6 +73,15 @@
     assert hotkeys.merge_loads([{0: 1.0, 1: 2.0}, {1: 2.5}]) == {0: 1, 1: 4.5}
 
 
+def _exact(context):
+    weights = [math.exp(age / 10) for age in range(len(context.seconds))]
+    exact = collections.Counter()
+    for weight, second in zip(weights, context.seconds):
+        for key, requests in second.items():
+            exact[key] += requests * weight / sum(weights)
+    return exact
+
+
 def _second(context, keys):
     for key in keys:
         context.sketch.record(key % RANGES, key)
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -34,6 +34,8 @@
             member.link_opened(names[0], float(now))
         elif kind == 'list':
             member.hosts_listed(_infos(*names), float(now))
+        elif kind == 'sends':
+            context.found += [f'{now} to {n}' for n in member.neighbours()]
         else:
             context.found += [
                 f'{now} {sign}{change.name}'
--- a/features/steps/placement_world.py
+++ b/features/steps/placement_world.py
@@ -131,6 +131,10 @@
         if new.owner and new.owner != old_owner:
             assert new.owner in live - silent, (old, new)
             assert old_owner not in live & silent, (old, new)
+        if new.owner == old_owner and old_owner in silent:
+            # The standby may be active; another one must not replace it.
+            lost = self.servers.get(old.standby) == 'lost'
+            assert new.standby == old.standby or lost, (old, new)
         if new.standby:
             assert new.standby != new.owner, new
             assert _centre(new.standby) == _centre(new.owner), new
--- a/packages/radishferry/src/radishferry/membership.py
+++ b/packages/radishferry/src/radishferry/membership.py
@@ -145,8 +145,6 @@
         record = self._records.get(name)
         if record is None:
             return name in self._listed
-        if record.broken:
-            return False
         if now - record.heard_at < SILENT_S:
             return True
         if name not in self._required:
@@ -228,9 +226,7 @@
 
     def _heard_recently(self, name, now):
         record = self._records.get(name)
-        if record is None or record.broken:
-            return False
-        return now - record.heard_at < SILENT_S
+        return record is not None and now - record.heard_at < SILENT_S
 
     def _relay_orders(self):
         names_by_centre = {self._data_centre: {self._self}}
