Test manifests, paths and settings

Generated documents showed that a list in place of a text was kept as a value and then raised TypeError in the checks between fields; only list fields keep their elements now.

--- a/packages/radishferry/src/radishferry/manifest_parser.py
+++ b/packages/radishferry/src/radishferry/manifest_parser.py
@@ -144,7 +144,8 @@
             return given
         self._find(_at(place, field.name), f'{problem}, found {_shown(given)}')
         # Elements are read even when their number is wrong.
-        return given if isinstance(given, list) else None
+        is_list = field.type_name == 'list' and isinstance(given, list)
+        return given if is_list else None
 
     def _find(self, place, message):
         self.findings.append(findings.Finding(place or 'manifest', message))
--- a/packages/radishferryd/src/radishferryd/settings.py
+++ b/packages/radishferryd/src/radishferryd/settings.py
@@ -209,7 +209,7 @@
     except OSError as exc:
         raise _error(path, f'cannot be read: {exc.strerror}') from exc
     except UnicodeDecodeError as exc:
-        raise _error(path, f'byte {exc.start} is not UTF-8') from exc
+        raise _error(f'{path}: byte {exc.start}', 'expected UTF-8') from exc
     except configparser.DuplicateOptionError as exc:
         place = f'{path}: [{exc.section}] {exc.option}'
         raise _error(place, f'given again in line {exc.lineno}') from exc
