--- /dev/null
+++ b/features/poller.feature
@@ -0,0 +1,20 @@
+Feature: One poller serves callbacks and circuits components
+
+  Guards against connections of one kind that starve, break or keep those of
+  the other kind on the same loop.
+
+  Scenario: Both kinds of connections echo at the same time
+    Given a loop with a callback echo server and a component echo server
+    When 3 MB are sent to both at the same time
+    Then both return what was sent
+
+  Scenario: Connections that end leave nothing in the poller
+    Given a loop with a callback echo server and a component echo server
+    When connections to both are opened and reset
+    Then both servers still echo
+    And the poller polls only the listening sockets
+
+  Scenario: A component that uses a closed socket does not break the poller
+    Given a loop with a callback echo server and a component echo server
+    When a component polls a socket that is closed
+    Then both servers still echo
--- /dev/null
+++ b/features/steps/admin_fixtures.py
@@ -0,0 +1,168 @@
+"""Run an administration listener on a loop of its own."""
+
+from __future__ import annotations
+
+import contextlib
+import http.client
+import socket
+import threading
+import time
+
+from circuits.core import BaseComponent
+from circuits.core import Event
+from circuits.core import Manager
+from circuits.core.handlers import handler
+
+from radishferryd import admin
+from radishferryd import exception_log
+from radishferryd import poller
+
+TOKEN = 'token_of_16_characters'
+#: Seconds that a step waits for something that must happen; far above what
+#: a slow machine needs.
+PATIENCE_S = 30
+
+
+class call(Event):  # noqa: N801
+    """Call a function on the loop."""
+
+
+class Caller(BaseComponent):
+    """Call functions on the loop."""
+
+    channel = 'caller'
+
+    @handler('call')
+    def _on_call(self, function):
+        function()
+
+
+class Operations:
+    """Be a stand-in that returns what a scenario sets."""
+
+    def __init__(self):
+        self.ready = True
+        self.result = None
+        self.failure = None
+        self.state = {'host': 'h1', 'manifest_version': 3}
+        self.whole = {}
+        self.document = None
+        self.submitted = []
+        self.done = []
+        self.stops = 0
+
+    def is_ready(self):
+        return self.ready
+
+    def status(self):
+        self._fail()
+        return self.state
+
+    def dump(self):
+        self._fail()
+        return self.whole
+
+    def metrics(self):
+        self._fail()
+        return b'radishferry_up 1\n'
+
+    def poison(self):
+        return self.whole.get('poison', [])
+
+    def manifest(self):
+        return self.document
+
+    def submit_manifest(self, text, done):
+        self._fail()
+        self.submitted.append(text)
+        self.done.append(done)
+        if self.result is not None:
+            done(self.result)
+
+    def stop(self):
+        self.stops += 1
+
+    def _fail(self):
+        if self.failure:
+            raise self.failure
+
+
+class World:
+    """Hold the loop, the listener and its operations."""
+
+    def __init__(self):
+        self.manager = Manager()
+        self.poller = poller.SocketPoller().register(self.manager)
+        exception_log.ExceptionLog().register(self.manager)
+        self.caller = Caller().register(self.manager)
+        self.operations = Operations()
+        self.admin = admin.Admin(
+            ('127.0.0.1', 0), TOKEN, self.operations
+        ).register(self.manager)
+        self.address = self.admin.address
+        self._thread = threading.Thread(target=self.manager.run, daemon=True)
+        self._thread.start()
+
+    def stop(self):
+        self.manager.stop()
+        self._thread.join(PATIENCE_S)
+        assert not self._thread.is_alive()
+
+    def call(self, function):
+        """Call a function on the loop and wait for it."""
+        called = threading.Event()
+
+        def run():
+            function()
+            called.set()
+
+        self.caller.fire(call(run))
+        assert called.wait(PATIENCE_S)
+
+    def request(self, method, path, body=None, token=TOKEN):
+        """Return status, headers and body of the response."""
+        connection = http.client.HTTPConnection(
+            *self.address, timeout=PATIENCE_S
+        )
+        headers = {'Authorization': f'Bearer {token}'} if token else {}
+        with contextlib.closing(connection):
+            connection.request(method, path, body, headers)
+            response = connection.getresponse()
+            return response.status, response.headers, response.read()
+
+    def connect(self):
+        return socket.create_connection(self.address, PATIENCE_S)
+
+    @property
+    def held(self):
+        """Return what the listener holds for connections."""
+        server = self.admin._server
+        return [
+            *server.http._exchanges,
+            *server.http._clients,
+            *server.http._buffers,
+            *server._sockets._clients,
+            *server._sockets._buffers,
+            *server._sockets._closeq,
+            *self.admin._waiting,
+            *list(self.poller._components)[1:],
+        ]
+
+
+def wait_until(condition, message):
+    """Wait until a condition holds.
+
+    :raises AssertionError: It did not within :data:`PATIENCE_S`.
+    """
+    deadline = time.monotonic() + PATIENCE_S
+    while not condition():
+        assert time.monotonic() < deadline, message
+        time.sleep(0.01)
+
+
+def read_all(sock):
+    """Return everything up to the end of a connection."""
+    parts = []
+    while part := sock.recv(65536):
+        parts.append(part)
+    return b''.join(parts)
--- /dev/null
+++ b/features/steps/cli_steps.py
@@ -0,0 +1,162 @@
+"""Steps for the command line of operators."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import json
+import os
+import pathlib
+import shlex
+import socket
+import subprocess  # noqa: S404
+import sys
+import tempfile
+import threading
+from unittest import mock
+
+import behave
+
+from features.steps import admin_fixtures
+from radishferryctl import commands
+from radishferryctl import main
+
+
+def _host(context):
+    return '{}:{}'.format(*context.admin.address)
+
+
+def _words(context, command):
+    """Return the arguments with placeholders replaced."""
+    directory = tempfile.TemporaryDirectory()
+    context.add_cleanup(directory.cleanup)
+    file = pathlib.Path(directory.name) / 'manifest.json'
+    file.write_text(json.dumps(context.document))
+    values = {'FILE': str(file), 'HOST': _host(context)}
+    values.update(getattr(context, 'servers', {}))
+    return [values.get(word, word) for word in shlex.split(command)]
+
+
+def _run(context, command, token, host=None):
+    words = _words(context, command)
+    if host:
+        words += ['--host', host]
+    output = io.StringIO()
+    environment = {commands.TOKEN_VARIABLE: token}
+    with (
+        mock.patch.dict(os.environ, environment),
+        contextlib.redirect_stdout(output),
+        contextlib.redirect_stderr(output),
+    ):
+        try:
+            context.code = main.run(words)
+        except SystemExit as exc:
+            context.code = exc.code
+    context.output = output.getvalue()
+
+
+@behave.when('radishferryctl runs "{command}"')
+def run(context, command):
+    _run(context, command, admin_fixtures.TOKEN, _host(context))
+
+
+@behave.when('radishferryctl without a host runs "{command}"')
+def run_without_host(context, command):
+    _run(context, command, admin_fixtures.TOKEN)
+
+
+@behave.when('radishferryctl without a host runs ""')
+def run_nothing(context):
+    _run(context, '', admin_fixtures.TOKEN)
+
+
+@behave.when('radishferryctl with token "{token}" runs "{command}"')
+def run_with_token(context, command, token):
+    _run(context, command, token, _host(context))
+
+
+@behave.when('radishferryctl with token "" runs "{command}"')
+def run_without_token(context, command):
+    _run(context, command, '', _host(context))
+
+
+@behave.when('radishferryctl as a process runs "{command}"')
+def run_process(context, command):
+    found = subprocess.run(  # noqa: S603
+        [sys.executable, '-m', 'radishferryctl.main', *command.split()],
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    context.code, context.output = found.returncode, found.stderr
+
+
+@behave.then('radishferryctl ends with {code:d} and shows "{text}"')
+def ends(context, code, text):
+    assert context.code == code, (context.code, context.output)
+    shows(context, text)
+
+
+@behave.then('radishferryctl shows "{text}"')
+def shows(context, text):
+    text = text.replace('HOST', _host(context))
+    # Help texts are broken into lines by their width.
+    output = ' '.join(context.output.split())
+    assert text in output, context.output
+
+
+@behave.then('radishferryctl ends with {code:d} without an escape character')
+def no_escape(context, code):
+    assert context.code == code, context.output
+    assert '\x1b' not in context.output
+
+
+@behave.given('the manifest document is in force')
+def in_force(context):
+    text = json.dumps(context.document).encode()
+    context.admin.operations.document = text
+
+
+@behave.given('the host has servers, ranges, hot keys and poison requests')
+def host_state(context):
+    context.admin.operations.whole = {
+        'servers': [{'name': 'inventory-1', 'term': 4}],
+        'ranges': {'inventory': [{'range': 255, 'owner': 'inventory-1'}]},
+        'hot_keys': {
+            'inventory': [{'range': 256, 'key_hash': '00000000000000ff'}]
+        },
+        'poison': [{'service': 'inventory', 'kind': 'lookup'}],
+    }
+
+
+@behave.given('the host has a status with an escape character')
+def escape_status(context):
+    context.admin.operations.state = {'host': 'h1\x1b[2J'}
+
+
+@behave.given('a host that takes requests and closes without a response')
+def silent_host(context):
+    _serve_once(context, 'SILENT', b'')
+
+
+@behave.given('a server that answers with a web page')
+def web_page(context):
+    page = b'HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n<html>'
+    _serve_once(context, 'PAGE', page)
+
+
+def _serve_once(context, name, answer):
+    listener = socket.create_server(('127.0.0.1', 0))
+    context.add_cleanup(listener.close)
+    address = '{}:{}'.format(*listener.getsockname())
+    context.servers = {name: address}
+
+    def serve():
+        sock, _ = listener.accept()
+        with contextlib.closing(sock):
+            sock.recv(65536)
+            sock.sendall(answer)
+
+    thread = threading.Thread(target=serve, daemon=True)
+    thread.start()
+    context.add_cleanup(thread.join, admin_fixtures.PATIENCE_S)
--- /dev/null
+++ b/features/steps/poller_steps.py
@@ -0,0 +1,145 @@
+"""Steps for the poller."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import contextlib
+import socket
+import struct
+import threading
+
+import behave
+from circuits.core import Manager
+from circuits.core.handlers import handler
+from circuits.net import events
+from circuits.net import sockets
+
+from features.steps import admin_fixtures
+from radishferryd import net
+from radishferryd import poller
+
+
+class _Echo:
+    """Echo on a callback connection."""
+
+    def connected(self, connection):
+        self._connection = connection
+
+    def received(self, data):
+        self._connection.write(data)
+
+    def pause_producing(self):
+        self._connection.pause_reading()
+
+    def resume_producing(self):
+        self._connection.resume_reading()
+
+    def closed(self, error):
+        pass
+
+
+class _ComponentEcho(sockets.TCPServer):
+    """Echo on connections of a component."""
+
+    channel = 'echo'
+
+    @handler('read')
+    def _on_data(self, sock, data):
+        self.fire(events.write(sock, data))
+
+
+@behave.given('a loop with a callback echo server and a component echo server')
+def echo_loop(context):
+    manager = Manager()
+    context.poller = poller.SocketPoller().register(manager)
+    context.caller = admin_fixtures.Caller().register(manager)
+    context.component = _ComponentEcho(('127.0.0.1', 0)).register(manager)
+    listener = net.Listener(context.poller, ('127.0.0.1', 0), _Echo)
+    context.addresses = [
+        listener.address,
+        (context.component.host, context.component.port),
+    ]
+    thread = threading.Thread(target=manager.run, daemon=True)
+    thread.start()
+    context.add_cleanup(listener.close)
+    context.add_cleanup(thread.join, admin_fixtures.PATIENCE_S)
+    context.add_cleanup(manager.stop)
+
+
+def _echo(address, data):
+    """Send data and return what comes back."""
+    with contextlib.closing(_connect(address)) as sock:
+        writer = threading.Thread(target=sock.sendall, args=(data,))
+        writer.start()
+        received = b''
+        while len(received) < len(data):
+            part = sock.recv(65536)
+            assert part, 'the connection ended early'
+            received += part
+        writer.join()
+        return received
+
+
+def _connect(address):
+    return socket.create_connection(address, admin_fixtures.PATIENCE_S)
+
+
+@behave.when('{count:d} MB are sent to both at the same time')
+def send_both(context, count):
+    context.sent = bytes(range(250)) * (count * 4000)
+    with concurrent.futures.ThreadPoolExecutor(2) as pool:
+        sent = [context.sent] * 2
+        context.echoed = list(pool.map(_echo, context.addresses, sent))
+
+
+@behave.then('both return what was sent')
+def both_return(context):
+    assert context.echoed == [context.sent] * 2
+
+
+@behave.when('connections to both are opened and reset')
+def open_and_reset(context):
+    for address in context.addresses * 20:
+        sock = _connect(address)
+        sock.sendall(b'x' * 1000)
+        reset = struct.pack('ii', 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+        sock.close()
+
+
+@behave.then('the poller polls only the listening sockets')
+def only_listening(context):
+    admin_fixtures.wait_until(
+        lambda: (
+            len(context.poller._callbacks) == 2
+            and len(context.poller._components) == 1
+        ),
+        'sockets are polled for ever',
+    )
+
+
+@behave.then('both servers still echo')
+def still_echo(context):
+    for address in context.addresses:
+        assert _echo(address, b'still here') == b'still here'
+
+
+@behave.when('a component polls a socket that is closed')
+def closed_socket(context):
+    sock = socket.socket()
+    sock.close()
+
+    def use():
+        context.poller.addWriter(context.component, sock)
+        context.poller.removeWriter(sock)
+        context.poller.discard(sock)
+        assert not context.poller.isWriting(sock)
+
+    done = threading.Event()
+
+    def run():
+        use()
+        done.set()
+
+    context.caller.fire(admin_fixtures.call(run))
+    assert done.wait(admin_fixtures.PATIENCE_S)
