--- a/packages/radishferry/src/radishferry/field_checks.py
+++ b/packages/radishferry/src/radishferry/field_checks.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
-import ipaddress
 import re
 
 # Names are parts of row names of the table, so they contain no slash.
 _NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
+_OCTET = r'(?:25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])'
+_IPV4 = re.compile(rf'{_OCTET}(?:\.{_OCTET}){{3}}')
 _CALLER = re.compile(r'[\x21-\x7e]{1,128}')
 
 
@@ -33,9 +34,7 @@
     if not isinstance(value, str):
         return expected
     ip, _, port = value.rpartition(':')
-    try:
-        ipaddress.IPv4Address(ip)
-    except ValueError:
+    if not _IPV4.fullmatch(ip):
         return expected
     is_port = port.isascii() and port.isdigit() and len(port) <= 5
     if not is_port or not 1 <= int(port) <= 65535:
--- a/packages/radishferry/src/radishferry/manifest_parser.py
+++ b/packages/radishferry/src/radishferry/manifest_parser.py
@@ -121,25 +121,20 @@
         if not isinstance(value, dict):
             self._find(place, f'expected an object, found {_shown(value)}')
             return None
-        known = {field.name for field in declared}
-        for name in sorted(set(value) - known):
-            expected = ', '.join(sorted(known))
-            self._find(
-                place,
-                f'unknown field {_shown(name)}; expected one of {expected}',
-            )
         for name in value.repeated:
             self._find(_at(place, name), 'given more than once')
-        return {f.name: self._field(f, value, place) for f in declared}
+        read = {f.name: self._field(f, value, place) for f in declared}
+        if len(value.keys() & read.keys()) != len(value):
+            self._find_unknown(value, place, read)
+        return read
 
     def _field(self, field, value, place):
-        if field.name not in value:
-            if field.default is not manifest_fields.REQUIRED:
-                return field.default
+        given = value.get(field.name, field.default)
+        if given is manifest_fields.REQUIRED:
             self._find(_at(place, field.name), 'missing')
             return None
-        given = value[field.name]
-        problem = field.check(given)
+        # Defaults need not be JSON values, so they are not checked.
+        problem = None if given is field.default else field.check(given)
         if problem is None:
             return given
         self._find(_at(place, field.name), f'{problem}, found {_shown(given)}')
@@ -147,6 +142,14 @@
         is_list = field.type_name == 'list' and isinstance(given, list)
         return given if is_list else None
 
+    def _find_unknown(self, value, place, known):
+        expected = ', '.join(sorted(known))
+        for name in sorted(value.keys() - known.keys()):
+            self._find(
+                place,
+                f'unknown field {_shown(name)}; expected one of {expected}',
+            )
+
     def _find(self, place, message):
         self.findings.append(findings.Finding(place or 'manifest', message))
 
