Shorten the steps of the tests

Steps that differed only in a value are joined, and the operations of the administration listener are specified by their protocol, so that a stand-in cannot have other methods.

--- a/features/manifest_parser.feature
+++ b/features/manifest_parser.feature
@@ -13,7 +13,7 @@
     Given the manifest document of two services
     And the manifest has "<place>" as <value>
     When the manifest is parsed
-    Then the only manifest finding is at "<place>" and says "<message>"
+    Then the only finding is at "<place>" and says "<message>"
 
     Examples:
       | place                               | value                 | message                       |
@@ -68,7 +68,7 @@
     Given the manifest document of two services
     And the manifest <change>
     When the manifest is parsed
-    Then the only manifest finding is at "<finding>" and says "<message>"
+    Then the only finding is at "<finding>" and says "<message>"
 
     Examples:
       | change                                    | finding                         | message       |
@@ -85,12 +85,12 @@
     And the manifest has "services[0].kinds[0].path" as "/lots"
     And the manifest has "services[1].servers[0].name" as "inventory-1"
     When the manifest is parsed
-    Then manifest findings are at "version, services[0].slots, services[0].kinds[0].path, services[1].servers[0].name"
+    Then findings are at "version, services[0].slots, services[0].kinds[0].path, services[1].servers[0].name"
 
   Scenario Outline: A document that is no JSON object is refused
     Given the manifest bytes <bytes>
     When the manifest is parsed
-    Then the only manifest finding is at "<place>" and says "<message>"
+    Then the only finding is at "<place>" and says "<message>"
 
     Examples:
       | bytes                         | place           | message                |
@@ -107,7 +107,7 @@
   Scenario: A name given twice is a finding
     Given the manifest bytes b'{"version": 1, "version": 2, "services": [null]}'
     When the manifest is parsed
-    Then manifest findings are at "version, services[0]"
+    Then findings are at "version, services[0]"
 
   Scenario: The report of a broken document is bounded
     Given the manifest document of two services
--- a/features/metrics.feature
+++ b/features/metrics.feature
@@ -5,9 +5,9 @@
 
   Scenario: Counters, gauges and histograms are rendered
     Given new metrics
-    When metric "requests" counts 2 for "inventory, lookup, ran, none"
-    And metric "unavailable" adds 0.5 for "inventory"
-    And metric "lease_margin" is set to 0.45 for "inventory"
+    When metric "requests" counts "2" for "inventory, lookup, ran, none"
+    And metric "unavailable" adds "0.5" for "inventory"
+    And metric "lease_margin" is set to "0.45" for "inventory"
     And metric "latency" observes "0.001, 0.0011, 0.02, 11" for "inventory, lookup"
     Then the rendered metrics have the lines
       | line                                                                                            |
@@ -28,14 +28,14 @@
 
   Scenario: Rendering twice gives the same text
     Given new metrics
-    When metric "requests" counts 1 for "inventory, lookup, ran, none"
+    When metric "requests" counts "1" for "inventory, lookup, ran, none"
     And metric "latency" observes "0.5" for "inventory, lookup"
     Then the rendered metrics stay the same
 
   Scenario: Sources set gauges before each rendering
     Given new metrics
     And a source that replaces the queue of "inventory" by the one of "ledger"
-    When metric "queue_waiting" is set to 3 for "inventory"
+    When metric "queue_waiting" is set to "3" for "inventory"
     Then the rendered metrics have the lines
       | line                                            |
       | radishferry_queue_waiting{service="ledger"} 1   |
@@ -43,7 +43,7 @@
 
   Scenario: An undeclared label value is counted as other
     Given new metrics
-    When metric "refusals" counts 2 for "no such reason"
+    When metric "refusals" counts "2" for "no such reason"
     Then the rendered metrics have the lines
       | line                                           |
       | radishferry_refusals_total{reason="other"} 2   |
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -15,7 +15,7 @@
     Given a settings file with all required options
     And its setting "<option>" is "<value>"
     When the settings are loaded
-    Then the only settings finding is at "<place>" and says "<message>"
+    Then the only finding is at "<place>" and says "<message>"
 
     Examples:
       | option               | value          | place                  | message                       |
@@ -46,12 +46,12 @@
   Scenario: Every missing option is reported
     Given a settings file with the content ""
     When the settings are loaded
-    Then settings findings are at "[host] name, [host] data_centre, [listen] callers, [listen] peers, [platform] address, [peers] shared_key, [admin] token"
+    Then findings are at "[host] name, [host] data_centre, [listen] callers, [listen] peers, [platform] address, [peers] shared_key, [admin] token"
 
   Scenario Outline: A file that is no INI file is refused
     Given a settings file with the content "<content>"
     When the settings are loaded
-    Then the only settings finding is at "<place>" and says "<message>"
+    Then the only finding is at "<place>" and says "<message>"
 
     Examples:
       | content                        | place       | message              |
@@ -64,7 +64,7 @@
   Scenario: A missing file is refused
     Given a settings file that does not exist
     When the settings are loaded
-    Then a settings finding says "cannot be read: No such file"
+    Then the only settings message is "cannot be read: No such file or directory"
 
   Scenario: Secrets stay out of messages
     Given a settings file with all required options
--- a/features/steps/admin_fixtures.py
+++ b/features/steps/admin_fixtures.py
@@ -7,6 +7,7 @@
 import socket
 import threading
 import time
+from unittest import mock
 
 from circuits.core import BaseComponent
 from circuits.core import Event
@@ -15,6 +16,7 @@
 
 from radishferryd import admin
 from radishferryd import exception_log
+from radishferryd import operations
 from radishferryd import poller
 
 TOKEN = 'token_of_16_characters'
@@ -37,54 +39,24 @@
         function()
 
 
-class Operations:
-    """Be a stand-in that returns what a scenario sets."""
+def make_operations():
+    """Return a stand-in whose results a scenario sets."""
+    made = mock.create_autospec(operations.Operations, instance=True)
+    made.is_ready.return_value = True
+    made.status.return_value = {'host': 'h1', 'manifest_version': 3}
+    made.dump.return_value = {}
+    made.metrics.return_value = b'radishferry_up 1\n'
+    made.poison.return_value = []
+    made.manifest.return_value = None
+    set_result(made, operations.Accepted(3))
+    return made
 
-    def __init__(self):
-        self.ready = True
-        self.result = None
-        self.failure = None
-        self.state = {'host': 'h1', 'manifest_version': 3}
-        self.whole = {}
-        self.document = None
-        self.submitted = []
-        self.done = []
-        self.stops = 0
-
-    def is_ready(self):
-        return self.ready
-
-    def status(self):
-        self._fail()
-        return self.state
-
-    def dump(self):
-        self._fail()
-        return self.whole
-
-    def metrics(self):
-        self._fail()
-        return b'radishferry_up 1\n'
-
-    def poison(self):
-        return self.whole.get('poison', [])
-
-    def manifest(self):
-        return self.document
-
-    def submit_manifest(self, text, done):
-        self._fail()
-        self.submitted.append(text)
-        self.done.append(done)
-        if self.result is not None:
-            done(self.result)
-
-    def stop(self):
-        self.stops += 1
 
-    def _fail(self):
-        if self.failure:
-            raise self.failure
+def set_result(made, result):
+    """Set the result of submissions, None for one that never comes."""
+    made.submit_manifest.side_effect = lambda text, done: (
+        None if result is None else done(result)
+    )
 
 
 class World:
@@ -95,7 +67,7 @@
         self.poller = poller.SocketPoller().register(self.manager)
         exception_log.ExceptionLog().register(self.manager)
         self.caller = Caller().register(self.manager)
-        self.operations = Operations()
+        self.operations = make_operations()
         self.admin = admin.Admin(
             ('127.0.0.1', 0), TOKEN, self.operations
         ).register(self.manager)
--- a/features/steps/admin_steps.py
+++ b/features/steps/admin_steps.py
@@ -6,6 +6,7 @@
 import concurrent.futures
 import contextlib
 import logging
+import re
 import socket
 import struct
 from unittest import mock
@@ -33,27 +34,28 @@
     context.add_cleanup(logger.removeHandler, log)
     context.admin = admin_fixtures.World()
     context.add_cleanup(context.admin.stop)
-    context.admin.operations.result = operations.Accepted(3)
 
 
 @behave.given('the host is not ready')
 def not_ready(context):
-    context.admin.operations.ready = False
+    context.admin.operations.is_ready.return_value = False
 
 
 @behave.given('the document in force is {text}')
 def document(context, text):
-    context.admin.operations.document = text.encode()
+    context.admin.operations.manifest.return_value = text.encode()
 
 
 @behave.given('operations fail with "{message}"')
 def failing(context, message):
-    context.admin.operations.failure = RuntimeError(message)
+    made = context.admin.operations
+    for method in (made.status, made.dump, made.metrics, made.submit_manifest):
+        method.side_effect = RuntimeError(message)
 
 
 @behave.given('submissions give {result}')
 def submissions_give(context, result):
-    context.admin.operations.result = _result(result)
+    admin_fixtures.set_result(context.admin.operations, _result(result))
 
 
 def _result(expression):
@@ -117,7 +119,7 @@
 
 @behave.then('the process was asked to stop {count:d} times')
 def stops(context, count):
-    assert context.admin.operations.stops == count
+    assert context.admin.operations.stop.call_count == count
 
 
 @behave.when('the admin listener receives {expression}')
@@ -133,9 +135,9 @@
 
 @behave.then('the raw admin status is {status:d}')
 def raw_status(context, status):
-    head = f'HTTP/1.1 {status} '.encode()
-    assert context.raw.startswith(head), context.raw
-    assert context.raw.count(b'HTTP/1.1 ') == 1, context.raw
+    assert re.findall(rb'HTTP/1.1 (\d+) ', context.raw) == [b'%d' % status], (
+        context.raw
+    )
 
 
 @behave.then('the admin listener still serves and holds nothing')
@@ -160,7 +162,7 @@
 
 @behave.then('{count:d} manifests were submitted')
 def submitted(context, count):
-    assert len(context.admin.operations.submitted) == count
+    assert context.admin.operations.submit_manifest.call_count == count
 
 
 @behave.when('a body without an end is submitted in chunks')
@@ -196,7 +198,7 @@
 
 @behave.given('the state of the host has {size:d} MB')
 def large_state(context, size):
-    context.admin.operations.whole = {'text': 'x' * size * 10**6}
+    context.admin.operations.dump.return_value = {'text': 'x' * size * 10**6}
 
 
 @behave.when('a client asks for the state, reads nothing and resets')
@@ -281,7 +283,7 @@
 
 @behave.when('a manifest is submitted and waits')
 def submit_and_wait(context):
-    context.admin.operations.result = None
+    admin_fixtures.set_result(context.admin.operations, None)
     pool = concurrent.futures.ThreadPoolExecutor(1)
     context.add_cleanup(pool.shutdown)
     context.pending = pool.submit(
@@ -292,7 +294,7 @@
 
 @behave.when('a client submits a manifest and leaves')
 def submit_and_leave(context):
-    context.admin.operations.result = None
+    admin_fixtures.set_result(context.admin.operations, None)
     with contextlib.closing(context.admin.connect()) as sock:
         head = (
             'POST /v1/manifest HTTP/1.1\r\nContent-Length: 2\r\n'
@@ -308,13 +310,14 @@
 
 def _wait_for_submission(context):
     admin_fixtures.wait_until(
-        lambda: context.admin.operations.done, 'nothing was submitted'
+        lambda: context.admin.operations.submit_manifest.called,
+        'nothing was submitted',
     )
 
 
 @behave.when('its result is {result}')
 def result_comes(context, result):
-    done = context.admin.operations.done[-1]
+    done = context.admin.operations.submit_manifest.call_args[0][1]
     context.admin.call(lambda: done(_result(result)))
 
 
@@ -326,5 +329,4 @@
 
 @behave.then('a late result changes nothing')
 def late_result(context):
-    done = context.admin.operations.done[-1]
-    context.admin.call(lambda: done(operations.Accepted(3)))
+    result_comes(context, 'Accepted(3)')
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -7,7 +7,6 @@
 import json
 import os
 import pathlib
-import shlex
 import socket
 import subprocess  # noqa: S404
 import sys
@@ -34,17 +33,13 @@
     file.write_text(json.dumps(context.document))
     values = {'FILE': str(file), 'HOST': _host(context)}
     values.update(getattr(context, 'servers', {}))
-    return [values.get(word, word) for word in shlex.split(command)]
+    return [values.get(word, word) for word in command.strip('"').split()]
 
 
-def _run(context, command, token, host=None):
-    words = _words(context, command)
-    if host:
-        words += ['--host', host]
+def _run(context, words, token):
     output = io.StringIO()
-    environment = {commands.TOKEN_VARIABLE: token}
     with (
-        mock.patch.dict(os.environ, environment),
+        mock.patch.dict(os.environ, {commands.TOKEN_VARIABLE: token}),
         contextlib.redirect_stdout(output),
         contextlib.redirect_stderr(output),
     ):
@@ -55,29 +50,21 @@
     context.output = output.getvalue()
 
 
-@behave.when('radishferryctl runs "{command}"')
+@behave.when('radishferryctl runs {command}')
 def run(context, command):
-    _run(context, command, admin_fixtures.TOKEN, _host(context))
+    words = [*_words(context, command), '--host', _host(context)]
+    _run(context, words, admin_fixtures.TOKEN)
 
 
-@behave.when('radishferryctl without a host runs "{command}"')
+@behave.when('radishferryctl without a host runs {command}')
 def run_without_host(context, command):
-    _run(context, command, admin_fixtures.TOKEN)
+    _run(context, _words(context, command), admin_fixtures.TOKEN)
 
 
-@behave.when('radishferryctl without a host runs ""')
-def run_nothing(context):
-    _run(context, '', admin_fixtures.TOKEN)
-
-
-@behave.when('radishferryctl with token "{token}" runs "{command}"')
-def run_with_token(context, command, token):
-    _run(context, command, token, _host(context))
-
-
-@behave.when('radishferryctl with token "" runs "{command}"')
-def run_without_token(context, command):
-    _run(context, command, '', _host(context))
+@behave.when('radishferryctl with token {token} runs {command}')
+def run_with_token(context, token, command):
+    words = [*_words(context, command), '--host', _host(context)]
+    _run(context, words, token.strip('"'))
 
 
 @behave.when('radishferryctl as a process runs "{command}"')
@@ -114,24 +101,24 @@
 @behave.given('the manifest document is in force')
 def in_force(context):
     text = json.dumps(context.document).encode()
-    context.admin.operations.document = text
+    context.admin.operations.manifest.return_value = text
 
 
 @behave.given('the host has servers, ranges, hot keys and poison requests')
 def host_state(context):
-    context.admin.operations.whole = {
+    context.admin.operations.poison.return_value = [{'kind': 'lookup'}]
+    context.admin.operations.dump.return_value = {
         'servers': [{'name': 'inventory-1', 'term': 4}],
         'ranges': {'inventory': [{'range': 255, 'owner': 'inventory-1'}]},
         'hot_keys': {
             'inventory': [{'range': 256, 'key_hash': '00000000000000ff'}]
         },
-        'poison': [{'service': 'inventory', 'kind': 'lookup'}],
     }
 
 
 @behave.given('the host has a status with an escape character')
 def escape_status(context):
-    context.admin.operations.state = {'host': 'h1\x1b[2J'}
+    context.admin.operations.status.return_value = {'host': 'h1\x1b[2J'}
 
 
 @behave.given('a host that takes requests and closes without a response')
--- a/features/steps/manifest_fixtures.py
+++ b/features/steps/manifest_fixtures.py
@@ -2,92 +2,59 @@
 
 from __future__ import annotations
 
-import copy
+import json
 import re
 
-_DOCUMENT = {
-    'version': 3,
-    'services': [
-        {
-            'name': 'inventory',
-            'keyed': True,
-            'servers': [
-                {
-                    'name': 'inventory-1',
-                    'address': '127.0.0.1:9001',
-                    'data_centre': 'a',
-                },
-                {
-                    'name': 'inventory-2',
-                    'address': '127.0.0.1:9002',
-                    'data_centre': 'b',
-                },
-            ],
-            'kinds': [
-                {
-                    'name': 'lookup',
-                    'method': 'GET',
-                    'path': '/lots/{key}',
-                    'idempotent': True,
-                },
-                {
-                    'name': 'reserve',
-                    'method': 'POST',
-                    'path': '/lots/{key}/reservations/{id}',
-                    'idempotent': False,
-                },
-            ],
-            'reservations': [
-                {'caller': 'web', 'share': 0.5},
-                {'caller': 'batch', 'share': 0.2},
-            ],
-        },
-        {
-            'name': 'certificates',
-            'keyed': False,
-            'servers': [
-                {
-                    'name': 'certificates-1',
-                    'address': '127.0.0.1:9003',
-                    'data_centre': 'a',
-                }
-            ],
-            'kinds': [
-                {
-                    'name': 'download',
-                    'method': 'GET',
-                    'path': '/certificates/{rest...}',
-                    'idempotent': True,
-                    'long': True,
-                }
-            ],
-        },
-    ],
-}
+_DOCUMENT = """
+{"version": 3, "services": [
+  {"name": "inventory", "keyed": true,
+   "servers": [
+     {"name": "inventory-1", "address": "127.0.0.1:9001", "data_centre": "a"},
+     {"name": "inventory-2", "address": "127.0.0.1:9002", "data_centre": "b"}
+   ],
+   "kinds": [
+     {"name": "lookup", "method": "GET", "path": "/lots/{key}",
+      "idempotent": true},
+     {"name": "reserve", "method": "POST",
+      "path": "/lots/{key}/reservations/{id}", "idempotent": false}
+   ],
+   "reservations": [
+     {"caller": "web", "share": 0.5}, {"caller": "batch", "share": 0.2}
+   ]},
+  {"name": "certificates", "keyed": false,
+   "servers": [
+     {"name": "certificates-1", "address": "127.0.0.1:9003",
+      "data_centre": "a"}
+   ],
+   "kinds": [
+     {"name": "download", "method": "GET", "path": "/certificates/{rest...}",
+      "idempotent": true, "long": true}
+   ]}
+]}
+"""
 
 
 def document():
     """Return a valid document."""
-    return copy.deepcopy(_DOCUMENT)
+    return json.loads(_DOCUMENT)
 
 
-def steps_of(place):
-    """Return the names and indexes of a place."""
+def parent_of(target, place):
+    """Return the container that holds a place, and the name or index there."""
     found = re.findall(r'([^.\[\]]+)|\[(\d+)\]', place)
-    return [name or int(index) for name, index in found]
+    *parents, last = [name or int(index) for name, index in found]
+    for step in parents:
+        target = target[step]
+    return target, last
 
 
 def set_at(target, place, value):
     """Replace the value at a place."""
-    *parents, last = steps_of(place)
-    for step in parents:
-        target = target[step]
-    target[last] = value
+    parent, last = parent_of(target, place)
+    parent[last] = value
 
 
 def remove_at(target, place):
     """Remove the value at a place."""
-    *parents, last = steps_of(place)
-    for step in parents:
-        target = target[step]
-    del target[last]
+    parent, last = parent_of(target, place)
+    del parent[last]
--- a/features/steps/manifest_parser_steps.py
+++ b/features/steps/manifest_parser_steps.py
@@ -51,19 +51,19 @@
 
 @behave.when('the manifest is parsed')
 def parse(context):
-    context.manifest, context.findings = None, ()
+    context.manifest, context.found = None, ()
     text = context.manifest_bytes
     if text is None:
         text = json.dumps(context.document).encode()
     try:
         context.manifest = manifest_parser.parse(text)
     except findings.FindingsError as exc:
-        context.findings = exc.findings
+        context.found = exc.findings
 
 
 @behave.then('the parsed manifest has version {version:d} and {n:d} services')
 def parsed(context, version, n):
-    assert context.manifest is not None, context.findings
+    assert context.manifest is not None, context.found
     assert context.manifest.version == version
     assert len(context.manifest.services) == n
 
@@ -75,26 +75,24 @@
     assert service.kind(kind).deadline_ms == manifest.DEFAULT_DEADLINE_MS
 
 
-@behave.then('the only manifest finding is at "{place}" and says "{message}"')
+@behave.then('the only finding is at "{place}" and says "{message}"')
 def only_finding(context, place, message):
-    shown = [str(finding) for finding in context.findings]
-    assert len(context.findings) == 1, shown
-    assert context.findings[0].place == place, shown
-    assert message in context.findings[0].message, shown
+    findings_at(context, place)
+    assert message in context.found[0].message, context.found
 
 
-@behave.then('manifest findings are at "{places}"')
+@behave.then('findings are at "{places}"')
 def findings_at(context, places):
-    found = [finding.place for finding in context.findings]
-    assert sorted(found) == sorted(places.split(', ')), found
+    found = [finding.place for finding in context.found]
+    assert sorted(found) == sorted(places.split(', ')), context.found
 
 
 @behave.then(
     '{count:d} manifest findings are reported, the last for {more:d} more'
 )
 def bounded(context, count, more):
-    assert len(context.findings) == count
-    assert str(more) in context.findings[-1].message
+    assert len(context.found) == count
+    assert str(more) in context.found[-1].message
 
 
 @behave.then('every JSON value is either parsed or refused with findings')
--- a/features/steps/metrics_steps.py
+++ b/features/steps/metrics_steps.py
@@ -22,6 +22,7 @@
 from radishferryd import reference
 from radishferryd import state_dump
 
+_ACTIONS = {'adds': 'add', 'is set to': 'set', 'observes': 'observe'}
 _ROOT = pathlib.Path(__file__).parents[2]
 
 
@@ -47,27 +48,15 @@
     context.metrics.add_source(replace)
 
 
-@behave.when('metric "{name}" counts {count:d} for "{labels}"')
-def counts(context, name, count, labels):
-    for _ in range(count):
-        getattr(context.metrics, name).inc(*_labels(labels))
-
-
-@behave.when('metric "{name}" adds {amount:g} for "{labels}"')
-def adds(context, name, amount, labels):
-    getattr(context.metrics, name).add(amount, *_labels(labels))
-
-
-@behave.when('metric "{name}" is set to {value:g} for "{labels}"')
-def is_set(context, name, value, labels):
-    getattr(context.metrics, name).set(value, *_labels(labels))
-
-
-@behave.when('metric "{name}" observes "{values}" for "{labels}"')
-def observes(context, name, values, labels):
-    for value in values.split(','):
-        recorder = getattr(context.metrics, name)
-        recorder.observe(float(value), *_labels(labels))
+@behave.when('metric "{name}" {action} "{values}" for "{labels}"')
+def record(context, name, action, values, labels):
+    recorder, labels = getattr(context.metrics, name), _labels(labels)
+    for value in map(float, values.split(',')):
+        if action == 'counts':
+            for _ in range(int(value)):
+                recorder.inc(*labels)
+        else:
+            getattr(recorder, _ACTIONS[action])(value, *labels)
 
 
 @behave.when('metric "{name}" counts 1 for each of {count:d} services')
@@ -159,14 +148,21 @@
         'broken': '\ud800',
         'large': 2**100,
     }
-    found = json.loads(state_dump.to_json(state))
-    assert found['nodes'][0]['state'] == 'live'
-    assert found['nodes'][0]['ranges'] == {'inventory:3': [1, 'inf']}
-    assert found['terms'] == [4]
-    assert found['raw'] == '3 bytes'
-    assert found['other'] == '<SimpleNamespace>'
-    assert found['broken'] == '?'
-    assert found['large'] == str(2**100)
+    assert json.loads(state_dump.to_json(state)) == {
+        'nodes': [
+            {
+                'name': 'h1',
+                'state': 'live',
+                'ranges': {'inventory:3': [1, 'inf']},
+                'token': '(secret)',
+            }
+        ],
+        'terms': [4],
+        'raw': '3 bytes',
+        'other': '<SimpleNamespace>',
+        'broken': '?',
+        'large': str(2**100),
+    }
 
 
 @behave.then('the dump of a state with cycles and a million values is bounded')
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -55,16 +55,10 @@
     _write_options(context)
 
 
-@behave.given('a settings file with the content ""')
-def empty_file(context):
-    _write(context, b'')
-
-
-@behave.given('a settings file with the content "{content}"')
+@behave.given('a settings file with the content {content}')
 def file_content(context, content):
-    _write(
-        context, content.encode().decode('unicode_escape').encode('latin-1')
-    )
+    content = content.strip('"').encode().decode('unicode_escape')
+    _write(context, content.encode('latin-1'))
 
 
 @behave.given('a settings file that does not exist')
@@ -79,11 +73,12 @@
     try:
         context.settings = settings.load(context.path)
     except findings.FindingsError as exc:
+        prefix = f'{context.path}: '
+        assert all(f'{f}'.startswith(prefix) for f in exc.findings)
         context.found = [
-            (f.place.removeprefix(f'{context.path}: '), f.message)
+            findings.Finding(f.place.removeprefix(prefix), f.message)
             for f in exc.findings
         ]
-        assert all(str(context.path) in f.place for f in exc.findings)
 
 
 @behave.then('setting "{name}" is {value}')
@@ -95,26 +90,15 @@
     assert found == expected, found
 
 
-@behave.then('the only settings finding is at "{place}" and says "{message}"')
-def only_finding(context, place, message):
-    assert [p for p, _ in context.found] == [place], context.found
-    assert message in context.found[0][1], context.found
-
-
-@behave.then('settings findings are at "{places}"')
-def findings_at(context, places):
-    assert [p for p, _ in context.found] == places.split(', '), context.found
-
-
-@behave.then('a settings finding says "{message}"')
-def finding_says(context, message):
-    assert any(message in m for _, m in context.found), context.found
+@behave.then('the only settings message is "{message}"')
+def only_message(context, message):
+    assert [f.message for f in context.found] == [message], context.found
 
 
 @behave.then('no settings finding contains "{text}"')
 def no_finding_contains(context, text):
     assert context.found
-    assert not any(text in m for _, m in context.found), context.found
+    assert not any(text in f.message for f in context.found), context.found
 
 
 @behave.then('the representation of the settings has no secret')
@@ -124,17 +108,8 @@
     assert _COMPLETE['peers']['shared_key'] not in shown
 
 
-@behave.when('radishferryd runs with "{option}"')
-def run_program(context, option):
-    _run(context, [option])
-
-
-@behave.when('radishferryd runs with ""')
-def run_program_plain(context):
-    _run(context, [])
-
-
-def _run(context, options):
+@behave.when('radishferryd runs with {options}')
+def run_program(context, options):
     context.run = subprocess.run(  # noqa: S603
         [
             sys.executable,
@@ -142,7 +117,7 @@
             'radishferryd.main',
             '--settings',
             str(context.path),
-            *options,
+            *options.strip('"').split(),
         ],
         capture_output=True,
         text=True,
