--- a/packages/radishferry-testing/src/radishferry_testing/processes.py
+++ b/packages/radishferry-testing/src/radishferry_testing/processes.py
@@ -114,6 +114,13 @@
                     )
                 time.sleep(_POLL_S)
 
+    def wait_ended(self, name, limit_s=READY_S) -> int:
+        """Wait until a process ends by itself and return its status.
+
+        :raises subprocess.TimeoutExpired: It still runs at the limit.
+        """
+        return self._processes[name].popen.wait(limit_s)
+
     def kill(self, name):
         """Kill a process and wait until it is gone."""
         popen = self._processes[name].popen
