--- /dev/null
+++ b/features/testing_load.feature
@@ -0,0 +1,89 @@
+Feature: The load generator measures what a caller sees
+
+  Scenario Outline: Zipf keys have their shares
+    Guards against a load that is less skewed than it says.
+
+    When 20000 ranks of Zipf(1.0) over <count> keys are drawn with seed 1
+    Then rank 1 has a share within 0.01 of <share>
+    And all ranks lie between 1 and <count>
+
+    Examples:
+      | count     | share  |
+      | 1000      | 0.1336 |
+      | 100000000 | 0.0526 |
+
+  Scenario: The hottest keys change
+    Guards against tests of new hot keys in which nothing changes.
+
+    Then the 370 hottest of 100000000 keys differ after a shift by 1000000
+
+  Scenario Outline: Arrivals follow the schedule
+    Guards against a peak that is never offered.
+
+    When arrivals of "<rate>" over 20 s are drawn with seed 1
+    Then about <first> arrive in the first half and <second> in the second
+
+    Examples:
+      | rate             | first | second |
+      | constant:100     | 1000  | 1000   |
+      | step:100:500:10  | 1000  | 5000   |
+      | ramp:100:300:20  | 1500  | 2500   |
+
+  Scenario: Request ids carry their time of issue
+    Guards against ids that a coordinator takes for too old.
+
+    Then a request id of 1700000000123 ms is a UUIDv7 of that time
+
+  Scenario: The load is open-loop
+    Guards against latencies that leave out the requests not sent.
+
+    Given a caller-side host that answers only when 20 requests wait
+    When a load of 200 requests/s is sent until 20 have arrived
+    Then all requests of the load got "ran"
+    And the load counted latencies from the intended send time
+
+  Scenario: A generator at its limit says so
+    Guards against a slow generator that passes for a slow system.
+
+    Given a caller-side host that never answers
+    When a load of 1000 requests/s is sent with at most 1 open
+    Then the load report says that the generator was the limit
+
+  Scenario: A refused connection moves on to the next host
+    Guards against failures that the balancer would have hidden.
+
+    Given a caller-side host that answers "ran"
+    And a caller-side host that refuses connections
+    When 4 single requests are sent
+    Then all requests of the load got "ran"
+
+  Scenario: No host at all is not a lost request
+    Guards against requests that were never sent counting as unknown.
+
+    Given a caller-side host that refuses connections
+    When 1 single requests are sent
+    Then all requests of the load got "not-sent"
+
+  Scenario: A cut-off body is recorded as broken
+    Guards against truncated responses that pass for whole ones.
+
+    Given a caller-side host that cuts its bodies off
+    When 1 single requests are sent
+    Then all requests of the load got "unknown"
+    And the records of the load show a "broken" body
+
+  Scenario: A caller sends again with the same id through another host
+    Guards against repeats that no duplicate suppression could find.
+
+    Given a caller-side host that closes without an answer
+    And a caller-side host that answers "ran"
+    When 1 single requests are sent with 1 repeats
+    Then the records of the load show one id at two hosts
+    And all requests of the load got "ran"
+
+  Scenario: Large bodies pass both ways
+    Guards against an HTTP layer that loses bytes under backpressure.
+
+    Given a caller-side host that echoes bodies
+    When a body of 3000000 bytes is sent in chunks
+    Then the same body comes back
--- a/packages/radishferry-testing/src/radishferry_testing/http_io.py
+++ b/packages/radishferry-testing/src/radishferry_testing/http_io.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import contextlib
 import http
 import logging
 import signal
@@ -18,6 +19,9 @@
 #: Address that every stand-in listens on.
 LOOPBACK = '127.0.0.1'
 
+#: Connections that wait to be accepted.
+BACKLOG = 1024
+
 
 class Request:
     """Hold one request at a server and take its response.
@@ -78,6 +82,10 @@
         """Close the connection without completing the response."""
         self._connection.transport.abort()
 
+    def close(self):
+        """Close the connection after what is written."""
+        self._connection.transport.close()
+
     def _start(self, status, headers, length):
         self.started = True
         lines = [f'HTTP/1.1 {status} {http.HTTPStatus(status).phrase}']
@@ -155,25 +163,39 @@
         self._next()
 
 
-async def serve(handler, port, *, host=LOOPBACK, stop_after_s=2.0):
-    """Serve until SIGTERM or SIGINT, then let open requests end.
+@contextlib.asynccontextmanager
+async def listening(handler, port, *, stop_after_s=0.0):
+    """Serve on a loopback port; at the exit let open requests end.
 
     :param handler: See :class:`ServerProtocol`.
-    :param port: Port to listen on.
     :param stop_after_s: Longest wait for open requests, in seconds.
     """
-    loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
     connections = set()
-    server = await loop.create_server(
-        lambda: ServerProtocol(handler, connections), host, port, backlog=1024
+    server = await asyncio.get_running_loop().create_server(
+        lambda: ServerProtocol(handler, connections),
+        LOOPBACK,
+        port,
+        backlog=BACKLOG,
     )
-    await stop.wait()
-    server.close()
-    tasks = [c.task for c in connections if c.task is not None]
-    if tasks:
-        await asyncio.wait(tasks, timeout=stop_after_s)
-    for connection in list(connections):
-        connection.transport.abort()
+    try:
+        yield
+    finally:
+        server.close()
+        tasks = [c.task for c in connections if c.task is not None]
+        if tasks:
+            await asyncio.wait(tasks, timeout=stop_after_s)
+        for connection in list(connections):
+            connection.transport.abort()
+
+
+async def serve(handler, port, *, stop_after_s=2.0):
+    """Serve on a loopback port until SIGTERM or SIGINT.
+
+    :param handler: See :class:`ServerProtocol`.
+    :param stop_after_s: Longest wait for open requests, in seconds.
+    """
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+    async with listening(handler, port, stop_after_s=stop_after_s):
+        await stop.wait()
