--- a/packages/radishferry-testing/src/radishferry_testing/links.py
+++ b/packages/radishferry-testing/src/radishferry_testing/links.py
@@ -31,11 +31,13 @@
     :ivar mode: ``open``; ``drop`` swallows bytes and keeps connections;
         ``reset`` ends connections and refuses new ones.
     :ivar delay_ms: One-way delay of bytes, in ms.
+    :ivar swallowed_bytes: Bytes that were dropped so far.
     """
 
     name: str
     mode: str = 'open'
     delay_ms: float = 0.0
+    swallowed_bytes: int = 0
     pipes: set = dataclasses.field(default_factory=set)
 
 
@@ -112,6 +114,7 @@
             await asyncio.sleep(max(0.0, due - loop.time()))
             if self._link.mode == 'drop':
                 self.has_gap = True
+                self._link.swallowed_bytes += len(data)
                 continue
             if not data:
                 writer.write_eof()
@@ -156,6 +159,7 @@
                 'name': link.name,
                 'mode': link.mode,
                 'delay_ms': link.delay_ms,
+                'swallowed_bytes': link.swallowed_bytes,
                 'connections': len(link.pipes),
             }
             for link in self._links.values()
@@ -203,8 +207,8 @@
     pipe.has_gap = True
     link.pipes.add(pipe)
     try:
-        while await reader.read(READ_BYTES):
-            pass
+        while data := await reader.read(READ_BYTES):
+            link.swallowed_bytes += len(data)
     except OSError:
         LOG.debug('links: connection over %s reset', link.name)
     finally:
--- a/packages/radishferry-testing/src/radishferry_testing/platform.py
+++ b/packages/radishferry-testing/src/radishferry_testing/platform.py
@@ -191,17 +191,17 @@
             await request.respond(404)
 
     async def _read(self, request):
-        await asyncio.sleep(self._faults.delay_ms / 1000)
         if not await _is_up(request, self._faults.table):
             return
+        await asyncio.sleep(self._faults.delay_ms / 1000)
         prefix = request.query.get('prefix', '')
         self._counts.add(time.monotonic(), 'reads', prefix)
         await _reply(request, {'rows': self._table.rows(prefix)})
 
     async def _write(self, request, values):
-        await asyncio.sleep(self._faults.delay_ms / 1000)
         if not await _is_up(request, self._faults.table):
             return
+        await asyncio.sleep(self._faults.delay_ms / 1000)
         for write in values['writes']:
             self._counts.add(time.monotonic(), 'writes', write['row'])
         versions, conflicts = self._table.transact(
--- a/packages/radishferry-testing/src/radishferry_testing/server_work.py
+++ b/packages/radishferry-testing/src/radishferry_testing/server_work.py
@@ -56,7 +56,12 @@
 
     :raises ValueError: A number or flag is not valid.
     """
-    prefix, mean_ms, *rest = text.split(':')
+    prefix, *rest = text.split(':')
+    if not 1 <= len(rest) <= 3:
+        raise ValueError(
+            f'kind {text!r} is not PREFIX:MEAN_MS[:BYTES[:FLAG,...]]'
+        )
+    mean_ms, *rest = rest
     size = int(rest[0]) if rest and rest[0] else WorkKind.body_bytes
     flags = set(rest[1].split(',')) if len(rest) > 1 else set()
     if flags - {'long', 'fixed', 'exponential'}:
