--- a/features/admin.feature
+++ b/features/admin.feature
@@ -63,6 +63,7 @@
       | b'GET /ready HTTP/1.1\r\nHost: a:b\r\n\r\n'                            | 200    |
       | b'GET /ready HTTP/1.1\r\nX: \\x\r\n\r\n'                               | 200    |
       | b'GET /ready HTTP/1.1\r\nCookie: =;=\r\n\r\n'                          | 200    |
+      | b'HEAD /ready HTTP/1.1\r\n\r\n'                                        | 405    |
       | b'GET //[ HTTP/1.1\r\n\r\n'                                            | 404    |
       | b'GET /\xff HTTP/1.1\r\n\r\n'                                          | 400    |
       | b'GET /v1/status HTTP/1.1\r\nAuthorization: Bearer \xff\r\n\r\n'       | 401    |
--- a/packages/radishferryd/src/radishferryd/operations.py
+++ b/packages/radishferryd/src/radishferryd/operations.py
@@ -63,16 +63,25 @@
         """Tell whether the host can route requests."""
 
     def status(self) -> dict:
-        """Return a summary, ready for JSON."""
+        """Return a summary, ready for JSON.
+
+        ``radishferryctl follow`` reads ``manifest_version``, an integer or
+        None.
+        """
 
     def dump(self) -> dict:
-        """Return the whole state, bounded and ready for JSON."""
+        """Return the whole state, bounded and ready for JSON.
+
+        ``radishferryctl`` reads ``servers``, a list of objects, and
+        ``ranges`` and ``hot_keys``, which map the name of each service to a
+        list of objects. It prints their fields as columns.
+        """
 
     def metrics(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
 
     def poison(self) -> list:
-        """Return the poison fingerprints, ready for JSON."""
+        """Return the poison fingerprints as a list of objects for JSON."""
 
     def manifest(self) -> bytes | None:
         """Return the document in force, None when there is none."""
@@ -82,7 +91,10 @@
     ) -> None:
         """Store a manifest.
 
-        :param text: The document.
+        An answer that comes after 15 s is dropped: the operator has been
+        told that the result is not known.
+
+        :param text: The document, not yet checked.
         :param done: Called once from the loop, now or later.
         """
 
