--- a/packages/radishferry-testing/src/radishferry_testing/checker.py
+++ b/packages/radishferry-testing/src/radishferry_testing/checker.py
@@ -187,7 +187,7 @@
                 f'request {record["id"]} was told ran with status '
                 f'{record["status"]} and no server did',
             )
-        elif record['status'] < SERVER_ERROR and not record['reason']:
+        elif record['status'] < SERVER_ERROR and not record.get('reason'):
             # With a reason the answer is the router's own.
             yield from _check_body(place, record, runs)
 
