--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/control_messages.py
@@ -0,0 +1,93 @@
+"""Take the control messages of other hosts."""
+
+from __future__ import annotations
+
+import orjson
+
+from radishferryd import platform
+from radishferryd import spread as spread_module
+
+
+class ControlMessages:
+    """Call the part of the process that a message is for."""
+
+    def __init__(self, app):
+        """Begin.
+
+        :param app: Offers the parts of the process.
+        """
+        self._app = app
+        ownership = app.ownership
+        self._handlers = {
+            'heartbeat': app.directory.heartbeat_received,
+            'route_delta': self._route_delta,
+            'assignment_push': self._assignment_push,
+            'manifest_push': self._manifest_push,
+            'load_report': self._load_report,
+            'demand_report': self._demand_report,
+            'host_list_push': self._host_list_push,
+            'poison_push': self._poison_push,
+            'snapshot_request': self._snapshot_request,
+            'release_request': _by_host(ownership.release_request),
+            'released': _by_host(ownership.released),
+            'promote': _by_host(ownership.promote),
+            'loss_query': _by_host(ownership.loss_query),
+            'loss_reply': _by_host(ownership.loss_reply),
+            'take_over': _by_host(ownership.take_over),
+        }
+
+    def take(self, link, name, message):
+        """Take a message.
+
+        :param link: The link that it arrived on.
+        :param name: Field of ``Frame``.
+        """
+        handler = self._handlers.get(name)
+        if handler is not None:
+            handler(link, message)
+
+    def _route_delta(self, link, message):
+        self._app.state.take_route_delta(message)
+        self._app.spread.forward('route_delta', message)
+
+    def _assignment_push(self, link, message):
+        self._app.state.take_rows(
+            [
+                platform.Row(
+                    row.name, row.version, '', orjson.loads(row.value)
+                )
+                for row in message.rows
+            ]
+        )
+        self._app.spread.forward('assignment_push', message)
+
+    def _manifest_push(self, link, message):
+        self._app.manifests.offer(message.version, message.document)
+        self._app.spread.forward('manifest_push', message)
+
+    def _load_report(self, link, message):
+        self._app.reports.take_loads(message)
+        self._app.spread.forward('load_report', message)
+
+    def _demand_report(self, link, message):
+        self._app.policy.demand_reported(message)
+        self._app.spread.forward('demand_report', message)
+
+    def _host_list_push(self, link, message):
+        self._app.directory.take(orjson.loads(message.hosts))
+        self._app.spread.forward('host_list_push', message)
+
+    def _poison_push(self, link, message):
+        self._app.policy.poison_reported(message)
+        self._app.spread.forward('poison_push', message)
+
+    def _snapshot_request(self, link, message):
+        app = self._app
+        app.state.send_to(link, spread_module.FINAL)
+        if message.manifest_version < app.manifests.version:
+            push = app.manifests.push(spread_module.FINAL)
+            link.send('manifest_push', push)
+
+
+def _by_host(handler):
+    return lambda link, message: handler(link.host, message)
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/host_directory.py
@@ -0,0 +1,202 @@
+"""Keep the list of hosts and exchange heartbeats with them."""
+
+from __future__ import annotations
+
+import itertools
+import logging
+
+import orjson
+
+from radishferry import hosts as hosts_module
+from radishferry import membership as membership_module
+from radishferryd import events
+from radishferryd import platform
+from radishferryd.gen import ttypes
+
+LOG = logging.getLogger(__name__)
+
+#: Seconds without an answer to heartbeats after which a link is closed.
+LINK_SILENT_S = 0.3
+#: Seconds between readings of the host list by a relay and by others.
+HOSTS_RELAY_S = 1.0
+HOSTS_OTHER_S = 10.0
+#: Seconds between checks whether the list is to be read.
+HOSTS_CHECK_S = 0.2
+
+
+class HostDirectory:
+    """Know the hosts, which of them are live and how to reach them."""
+
+    def __init__(self, app):
+        """Begin without hosts.
+
+        :param app: Offers ``links``, ``membership``, ``scheduler``,
+            ``table``, ``spread``, ``state``, ``manifests`` and ``fire``.
+        """
+        self._app = app
+        self._host_infos = {}
+        self._answered_at = {}
+        self._sequence = itertools.count(1)
+        self._hosts_due_at = 0.0
+
+    @property
+    def infos(self):
+        """Return the hosts of the platform's list."""
+        return list(self._host_infos.values())
+
+    def start(self):
+        """Begin to read the list and to send heartbeats."""
+        scheduler = self._app.scheduler
+        scheduler.call_every(membership_module.HEARTBEAT_S, self._heartbeat)
+        scheduler.call_every(HOSTS_CHECK_S, self._read_hosts_if_due)
+
+    def link_opened(self, link):
+        """Note a link that is ready."""
+        now = self._app.scheduler.now()
+        self._app.membership.link_opened(link.host, now)
+        self._answered_at[link] = now
+
+    def link_closed(self, link):
+        """Note the end of a link."""
+        self._answered_at.pop(link, None)
+        host = link.target or link.host
+        if host:
+            now = self._app.scheduler.now()
+            self._app.membership.link_lost(host, now)
+
+    def heartbeat_received(self, link, message):
+        """Take a ``Heartbeat`` and answer it."""
+        app = self._app
+        now = app.scheduler.now()
+        self._answered_at[link] = now
+        app.membership.heartbeat(link.host, message.incarnation, now)
+        if message.answered_sequence == 0:
+            link.send('heartbeat', self._own_heartbeat(message.sequence))
+        if message.manifest_version > app.manifests.version:
+            link.send(
+                'snapshot_request',
+                ttypes.SnapshotRequest(app.manifests.version),
+            )
+
+    def take(self, listed):
+        """Take a host list of the platform.
+
+        :param listed: List of dicts with ``name``, ``data_centre``,
+            ``address`` and ``state``.
+        :returns: Whether it differs from the one known.
+        """
+        infos = {
+            h['name']: hosts_module.HostInfo(
+                h['name'], h['data_centre'], h['address'], h['state']
+            )
+            for h in listed
+        }
+        if infos == self._host_infos:
+            return False
+        self._host_infos = infos
+        self._app.links.set_addresses(
+            {
+                name: _address(info.address)
+                for name, info in infos.items()
+                if name != self._app.host_name
+            }
+        )
+        self._app.membership.hosts_listed(
+            list(infos.values()), self._app.scheduler.now()
+        )
+        self._app.fire(events.hosts_changed([]))
+        return True
+
+    def _own_heartbeat(self, answered=0):
+        return ttypes.Heartbeat(
+            next(self._sequence),
+            answered,
+            self._app.incarnation,
+            'leaving' if self._app.is_stopping else 'live',
+            self._app.manifests.version,
+        )
+
+    def _heartbeat(self):
+        now = self._app.scheduler.now()
+        heartbeat = self._own_heartbeat()
+        self._app.membership.set_shared_hosts(
+            {
+                host
+                for owned in self._app.ownership.owned.values()
+                for host in owned.coordinator.hosts
+            }
+        )
+        for host in self._linked_hosts():
+            link = self._app.links.link(host)
+            if link is None or not link.is_ready:
+                continue
+            if now - self._answered_at.get(link, now) > LINK_SILENT_S:
+                LOG.warning('peer: %s does not answer.', host)
+                self._app.links.drop(host)
+                continue
+            link.send('heartbeat', heartbeat)
+        changes = self._app.membership.changes(now)
+        if changes:
+            self._on_host_changes(changes)
+
+    def _linked_hosts(self):
+        hosts = set(self._app.membership.neighbours())
+        # Links to coordinators stay open, so that no request has to wait
+        # for one.
+        for service in (
+            self._app.manifest.services if self._app.manifest else ()
+        ):
+            for server in service.servers:
+                known = self._app.routes.coordinator_of(server.name)
+                if known is not None:
+                    hosts.add(known[0])
+        hosts.discard(self._app.host_name)
+        return sorted(hosts)
+
+    def _on_host_changes(self, changes):
+        for change in changes:
+            LOG.info('membership: %s.', change)
+            if isinstance(change, hosts_module.HostDown):
+                self._app.links.drop(change.name)
+            elif isinstance(change, hosts_module.RelayChanged):
+                self._on_relay_changed(change)
+        self._app.fire(events.hosts_changed(changes))
+
+    def _on_relay_changed(self, change):
+        if change.name != self._app.host_name:
+            return
+        # The former relay may have left messages undelivered.
+        self._hosts_due_at = 0.0
+        for host in self._linked_hosts():
+            link = self._app.links.link(host)
+            if link is not None and link.is_ready:
+                link.send(
+                    'snapshot_request',
+                    ttypes.SnapshotRequest(self._app.manifests.version),
+                )
+                self._app.state.send_to(link, self._app.spread.hops_for(host))
+
+    def _read_hosts_if_due(self):
+        now = self._app.scheduler.now()
+        if now < self._hosts_due_at:
+            return
+        is_relay = self._app.membership.is_relay(now)
+        known = bool(self._host_infos)
+        self._hosts_due_at = now + (
+            HOSTS_RELAY_S if is_relay or not known else HOSTS_OTHER_S
+        )
+
+        def done(result):
+            if isinstance(result, platform.Unavailable):
+                self._hosts_due_at = self._app.scheduler.now() + HOSTS_RELAY_S
+                return
+            if self.take(result) and is_relay:
+                push = ttypes.HostListPush(orjson.dumps(result))
+                self._app.spread.send('host_list_push', push)
+
+        self._app.table.read_hosts(done)
+
+
+def _address(text):
+    ip, _, port = text.rpartition(':')
+    return ip, int(port)
--- a/packages/radishferryd/src/radishferryd/manifests.py
+++ b/packages/radishferryd/src/radishferryd/manifests.py
@@ -6,6 +6,7 @@
 import logging
 
 from radishferry import findings
+from radishferry import manifest_diff
 from radishferry import manifest_parser
 from radishferryd import operations
 from radishferryd import platform
@@ -39,6 +40,7 @@
         self._app = app
         self._apply = apply
         self._document = None
+        self._manifest = None
 
     @property
     def document(self) -> Document | None:
@@ -82,6 +84,7 @@
             LOG.error('manifest: Version %d is not valid: %s.', version, exc)
             return False
         self._document = Document(version, text)
+        self._manifest = manifest
         LOG.info('manifest: Version %d is in force.', version)
         self._apply(manifest)
         return True
@@ -109,6 +112,10 @@
             if manifest.version <= in_force:
                 done(operations.Conflict(in_force))
                 return
+            found = manifest_diff.transition_findings(self._manifest, manifest)
+            if found:
+                done(operations.Rejected(tuple(found)))
+                return
             self._write(manifest, text, row.version if row else 0, done)
 
         self._app.table.read(CURRENT_ROW, read)
--- a/packages/radishferryd/src/radishferryd/ownership.py
+++ b/packages/radishferryd/src/radishferryd/ownership.py
@@ -154,9 +154,11 @@
             self._hand_over_again(name, owned)
 
     @property
-    def is_acting(self) -> bool:
-        """Tell whether this host still coordinates a server."""
-        return any(o.coordinator.term for o in self._owned.values())
+    def is_handing_over(self) -> bool:
+        """Tell whether a server is being handed to another host."""
+        return any(
+            o.hand_over_to and o.coordinator.term for o in self._owned.values()
+        )
 
     @property
     def is_idle(self) -> bool:
@@ -408,7 +410,7 @@
                     1.0, lambda: self._retry_baseline(owned, action, term)
                 )
                 return
-            rows = self._app.take_rows(result)
+            rows = self._app.state.take_rows(result)
             self._run(
                 owned,
                 owned.coordinator.baseline_read(
--- a/packages/radishferryd/src/radishferryd/planner.py
+++ b/packages/radishferryd/src/radishferryd/planner.py
@@ -135,7 +135,7 @@
                 self._is_busy = True
                 self._app.scheduler.call_later(1.0, self._not_busy)
                 return
-            self._app.take_rows(result)
+            self._app.state.take_rows(result)
             if prefixes:
                 self._is_busy = True
                 self._app.table.read(prefixes.pop(), done)
@@ -150,7 +150,7 @@
 
     def _write(self, writes):
         app = self._app
-        conditions = {row: app.row_version(row) for row in writes}
+        conditions = {row: app.state.row_version(row) for row in writes}
         self._is_busy = True
 
         def done(result):
@@ -161,8 +161,8 @@
                     for row, value in writes.items()
                     if row in result.versions
                 ]
-                app.take_rows(rows)
-                app.push_rows(rows)
+                app.state.take_rows(rows)
+                app.state.push_rows(rows)
                 self._is_dirty = True
                 return
             if isinstance(result, platform.Unavailable):
@@ -176,7 +176,9 @@
         writes = {}
         for service in app.manifest.services:
             row = assignment.coordinators_row(service.name, app.data_centre)
-            current = assignment.unpack_coordinators(app.row_value(row) or {})
+            current = assignment.unpack_coordinators(
+                app.state.row_value(row) or {}
+            )
             hosts = self._usable_hosts(now)
             adjusted = self._acting_first(current, now)
             changed = placement.plan_coordinators(
@@ -190,7 +192,7 @@
     def _usable_hosts(self, now):
         app = self._app
         usable = []
-        for info in app.host_infos:
+        for info in app.directory.infos:
             if info.data_centre != app.data_centre or info.state != 'live':
                 continue
             if app.membership.is_live(info.name, now):
@@ -231,7 +233,7 @@
             current = self._app.routes.assignments(service.name)
             rows = self._recorded(service, current)
             rows = self._adopted(service, rows, now)
-            demand = self._app.demand(service.name)
+            demand = self._app.policy.demand(service.name)
             changed = placement.plan_ranges(
                 service,
                 rows,
--- a/packages/radishferryd/src/radishferryd/spread.py
+++ b/packages/radishferryd/src/radishferryd/spread.py
@@ -23,15 +23,15 @@
         """Begin.
 
         :param app: Offers ``links``, ``membership``, ``scheduler``,
-            ``host_name``, ``data_centre``, ``host_infos`` and
-            ``take_route_delta``.
+            ``host_name``, ``data_centre``, ``directory`` and
+            ``state``.
         """
         self._app = app
 
     def routes(self, routes, coordinators, orphans):
         """Announce what became active or orphaned at this host."""
         delta = ttypes.RouteDelta(routes, coordinators, orphans, FINAL)
-        self._app.take_route_delta(delta)
+        self._app.state.take_route_delta(delta)
         self.send('route_delta', delta)
 
     def send(self, name, message):
@@ -79,7 +79,7 @@
         app = self._app
         return [
             info.name
-            for info in app.host_infos
+            for info in app.directory.infos
             if info.data_centre == app.data_centre
             and info.name != app.host_name
         ]
