--- a/features/hotkeys.feature
+++ b/features/hotkeys.feature
@@ -9,6 +9,12 @@
     And the loads of the ranges sum to those of all keys
     And the sketch holds at most 1024 keys
 
+  Scenario: A key that turns hot is found beside keys that were hot
+    Guards against counts of former hot keys that keep a new one out.
+    Given 10 s of 512 even keys at 2000 per s in a sketch
+    When key 99999 has 40 of 2000 requests per s for 5 s
+    Then the rates of 1 keys are at most 20 percent low, none is high
+
   Scenario: Rates are right after the start and fade
     Guards against a new host whose servers seem idle, and against keys that
     stay split out after they turned cold.
--- a/features/steps/hotkeys_steps.py
+++ b/features/steps/hotkeys_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 import math
 
 import behave
@@ -13,10 +14,13 @@
 RANGES = 64
 
 
-@behave.given('{span:d} s of {keys:d} Zipf keys at {rate:d} per s in a sketch')
-def given_sketch(context, span, keys, rate):
+@behave.given(
+    '{span:d} s of {keys:d} {kind} keys at {rate:d} per s in a sketch'
+)
+def given_sketch(context, span, keys, kind, rate):
     ranks = numpy.arange(1, keys + 1)
-    shares = 1 / ranks / (1 / ranks).sum()
+    weights = 1 / ranks if kind == 'Zipf' else numpy.ones(keys)
+    shares = weights / weights.sum()
     source = numpy.random.default_rng(1)
     context.sketch = hotkeys.HotKeySketch(0.0)
     context.seconds = []
@@ -31,6 +35,17 @@
         _second(context, [*context.draw(), *[key] * rate])
 
 
+@behave.when(
+    'key {key:d} has {part:d} of {rate:d} requests per s for {span:d} s'
+)
+def among_fresh(context, key, part, rate, span):
+    fresh = itertools.count(10**6)
+    for _ in range(span):
+        others = itertools.islice(fresh, rate)
+        every = rate // part
+        _second(context, [o if o % every else key for o in others])
+
+
 @behave.when('the sketch sees nothing for {span:d} s')
 def nothing(context, span):
     for _ in range(span):
--- a/packages/radishferry/src/radishferry/placement.py
+++ b/packages/radishferry/src/radishferry/placement.py
@@ -34,6 +34,13 @@
 Only then is the id given to another key; until then the same key gets it back
 with everyone still listed.  Epochs of an id go on from its retired row.
 
+**Recording.**  When a coordinator announces that a server is active, the
+writer stores ``record_active`` (or ``record_promotion``) before it plans
+again; otherwise ``previous`` only grows and every later move waits for more
+servers.  A server that was removed from the manifest stays in ``previous``
+until it is released, so operators remove a server after it was ``leaving``
+and is empty, or declare it ``lost`` first.
+
 ``unavailable`` names servers that are silent.  That is no proof, so nothing
 moves away from them because of it, and nothing that can wait is planned for
 ranges that need their release.
