Close gaps that changed copies of the code showed

Three faults planted in a scratch copy went unnoticed: a handler that is not cancelled, a fault inside the load generator that is dropped, and a Zipf sampler without rejection. A fourth, a reset that crosses a dropping link, is now provoked by killing a server with unread bytes.

Answers in checker_steps.py carry the field reason, as records do.

--- a/features/steps/checker_steps.py
+++ b/features/steps/checker_steps.py
@@ -134,6 +134,7 @@
         'send_ns': int(start),
         'end_ns': int(end),
         'status': 500 if special == 'status-500' else 200,
+        'reason': '',
         'body': 'broken' if special == 'broken' else 'complete',
         'body_bytes': size,
         'body_hash': bodies.body_hash(writer, size),
--- a/features/steps/testing_links_steps.py
+++ b/features/steps/testing_links_steps.py
@@ -74,6 +74,16 @@
     context.processes.kill('far')
 
 
+@behave.when('a request is held in the socket of the frozen server')
+def hold_request(context):
+    # A process that is killed with unread bytes resets its connection. The
+    # request gets there in this time or is swallowed, which only makes the
+    # kill send an end of stream instead.
+    context.processes.pause('far')
+    context.connection.request('GET', '/health')
+    assert _is_silent(context)
+
+
 @behave.when('the server behind the link is frozen')
 def freeze_far(context):
     context.pids = [context.processes.pid(n) for n in ('far', 'links')]
@@ -106,7 +116,6 @@
 
 @behave.then('the used connection stays open without an answer')
 def used_is_silent(context):
-    context.connection.request('GET', '/health')
     assert _is_silent(context)
 
 
--- a/features/steps/testing_load_steps.py
+++ b/features/steps/testing_load_steps.py
@@ -43,6 +43,19 @@
     assert abs(found - share) < tolerance, found
 
 
+@behave.then(
+    'each of {count:d} ranks has its share within four standard deviations'
+)
+def ranks_have_shares(context, count):
+    total = sum(1 / rank for rank in range(1, count + 1))
+    for rank in range(1, count + 1):
+        share = 1 / rank / total
+        expected = len(context.ranks) * share
+        deviation = (expected * (1 - share)) ** 0.5
+        found = context.ranks.count(rank)
+        assert abs(found - expected) < 4 * deviation, (rank, found)
+
+
 @behave.then('all ranks lie between 1 and {count:d}')
 def ranks_in_bounds(context, count):
     assert min(context.ranks) == 1
@@ -176,6 +189,31 @@
     _run_load(context, run, max_open=limit, timeout_s=LIMITED_S)
 
 
+@behave.when('a load is sent whose records cannot be written')
+def send_without_records(context):
+    async def run(hosts, _):
+        file = io.BytesIO()
+        file.close()
+        generator = load.LoadGenerator(
+            hosts, [KIND], arrivals.Keys(100), records=file, seed=1
+        )
+        schedule = arrivals.parse_schedule('constant:100')
+        try:
+            await generator.run(schedule, LIMITED_S)
+        except ValueError as exc:
+            return exc
+        finally:
+            generator.close()
+        return None
+
+    context.failure = asyncio.run(_with_hosts(context, run))
+
+
+@behave.then('the load ends with the error of the records')
+def load_ends_with_error(context):
+    assert 'closed file' in str(context.failure), context.failure
+
+
 @behave.when('{count:d} single requests are sent')
 def send_single(context, count):
     send_with_repeats(context, count, 0)
--- a/features/steps/testing_server_steps.py
+++ b/features/steps/testing_server_steps.py
@@ -117,7 +117,8 @@
 
 @behave.given('a server stand-in with {slots:d} slots')
 def server_stand_in(context, slots):
-    _start_server(context, '--slots', str(slots), '--kind', '/lots/:0')
+    kinds = ('--kind', '/lots/:0', '--kind', '/slow/:3600000:64:fixed')
+    _start_server(context, '--slots', str(slots), *kinds)
 
 
 @behave.given(
@@ -151,6 +152,13 @@
     _wait_event(context, 'start')
 
 
+@behave.when('a request that takes an hour has started')
+def start_slow(context):
+    context.socket = _open_request(context, (), '/slow/1')
+    context.socket.sendall(BODY)
+    _wait_event(context, 'start')
+
+
 @behave.when('a request with a deadline of {deadline:d} ms waits for its body')
 def start_with_deadline(context, deadline):
     context.socket = _open_request(
@@ -307,12 +315,12 @@
     ]
 
 
-def _open_request(context, headers):
+def _open_request(context, headers, path='/lots/1'):
     """Send a request without its body and return the socket."""
     host, port = context.server.split(':')
     sock = socket.create_connection((host, int(port)), calls.TIMEOUT_S)
     context.add_cleanup(sock.close)
-    lines = ['POST /lots/1 HTTP/1.1', f'Content-Length: {len(BODY)}']
+    lines = [f'POST {path} HTTP/1.1', f'Content-Length: {len(BODY)}']
     lines.extend(f'{name}: {value}' for name, value in headers)
     sock.sendall(('\r\n'.join(lines) + '\r\n\r\n').encode())
     return sock
--- a/features/testing_links.feature
+++ b/features/testing_links.feature
@@ -12,6 +12,7 @@
     Guards against a cut that the router learns of by a closed connection.
 
     When a connection over the link has been used
+    And a request is held in the socket of the frozen server
     And the link "a>b" is set to "drop"
     And the server behind the link is killed
     Then the used connection stays open without an answer
--- a/features/testing_load.feature
+++ b/features/testing_load.feature
@@ -12,6 +12,12 @@
       | 1000      | 0.1336 |
       | 100000000 | 0.0526 |
 
+  Scenario: Every rank of a Zipf distribution has its share
+    Guards against a sampler that skips the rejection of candidates.
+
+    When 100000 ranks of Zipf(1.0) over 5 keys are drawn with seed 1
+    Then each of 5 ranks has its share within four standard deviations
+
   Scenario: The hottest keys change
     Guards against tests of new hot keys in which nothing changes.
 
@@ -49,6 +55,13 @@
     When a load of 1000 requests/s is sent with at most 1 open
     Then the load report says that the generator was the limit
 
+  Scenario: A fault inside the generator ends the run
+    Guards against requests that vanish from the report.
+
+    Given a caller-side host that answers "ran"
+    When a load is sent whose records cannot be written
+    Then the load ends with the error of the records
+
   Scenario: A refused connection moves on to the next host
     Guards against failures that the balancer would have hidden.
 
--- a/features/testing_server.feature
+++ b/features/testing_server.feature
@@ -103,6 +103,15 @@
     Then another request to the stand-in gets status 200
     And the run log has "abort" because of "cancelled"
 
+  Scenario: Work of a caller that has left is cancelled
+    Guards against slots taken for an hour by work that nobody waits for.
+
+    Given a server stand-in with 1 slots
+    When a request that takes an hour has started
+    And the caller closes the connection
+    Then another request to the stand-in gets status 200
+    And the run log has "abort" because of "cancelled"
+
   Scenario: A request is not worked on after its deadline
     Guards against late work that nobody waits for.
 
