--- a/features/steps/testing_load_steps.py
+++ b/features/steps/testing_load_steps.py
@@ -100,7 +100,7 @@
 
 
 @behave.given(
-    'a caller-side host that answers only when {count:d} requests wait'
+    'a caller-side host for {count:d} requests that wait for each other'
 )
 def host_waits(context, count):
     context.arrived = itertools.count(1)
@@ -116,55 +116,45 @@
     _add_host(context, handle)
 
 
-@behave.given('a caller-side host that never answers')
-def host_is_silent(context):
-    async def handle(request):
-        await asyncio.get_running_loop().create_future()
+async def _never_answer(request):
+    await asyncio.get_running_loop().create_future()
 
-    _add_host(context, handle)
 
+async def _answer(request):
+    await request.respond(200, await request.body.read(), RAN)
 
-@behave.given('a caller-side host that answers "ran"')
-def host_answers(context):
-    async def handle(request):
-        await request.respond(200, await request.body.read(), RAN)
 
-    _add_host(context, handle)
+async def _cut_off(request):
+    await request.start(200, RAN, 100)
+    await request.write(b'x' * 10)
+    await request.end()
+    request.close()
 
 
-@behave.given('a caller-side host that cuts its bodies off')
-def host_cuts_off(context):
-    async def handle(request):
-        await request.start(200, RAN, 100)
-        await request.write(b'x' * 10)
-        await request.end()
-        request.close()
+async def _close(request):
+    request.abort()
 
-    _add_host(context, handle)
 
+async def _echo(request):
+    await request.start(200, RAN)
+    async for chunk in request.body.chunks():
+        await request.write(chunk)
+    await request.end()
 
-@behave.given('a caller-side host that closes without an answer')
-def host_closes(context):
-    async def handle(request):
-        request.abort()
 
-    _add_host(context, handle)
-
-
-@behave.given('a caller-side host that refuses connections')
-def host_refuses(context):
-    _add_host(context, None)
+HANDLERS = {
+    'never answers': _never_answer,
+    'answers "ran"': _answer,
+    'cuts its bodies off': _cut_off,
+    'closes without an answer': _close,
+    'echoes bodies': _echo,
+    'refuses connections': None,
+}
 
 
-@behave.given('a caller-side host that echoes bodies')
-def host_echoes(context):
-    async def handle(request):
-        await request.start(200, RAN)
-        async for chunk in request.body.chunks():
-            await request.write(chunk)
-        await request.end()
-
-    _add_host(context, handle)
+@behave.given('a caller-side host that {behaviour}')
+def host_with_behaviour(context, behaviour):
+    _add_host(context, HANDLERS[behaviour])
 
 
 @behave.when(
--- a/features/testing_load.feature
+++ b/features/testing_load.feature
@@ -43,7 +43,7 @@
   Scenario: The load is open-loop
     Guards against latencies that leave out the requests not sent.
 
-    Given a caller-side host that answers only when 20 requests wait
+    Given a caller-side host for 20 requests that wait for each other
     When a load of 200 requests/s is sent until 20 have arrived
     Then all requests of the load got "ran"
     And the load counted latencies from the intended send time
--- a/features/testing_server.feature
+++ b/features/testing_server.feature
@@ -136,7 +136,7 @@
 
     Examples:
       | option          | status |
-      |                 | 409    |
+      | --slots=1       | 409    |
       | --no-check-term | 200    |
 
   Scenario: Health can mislead
