--- a/features/steps/testing_load_steps.py
+++ b/features/steps/testing_load_steps.py
@@ -43,6 +43,19 @@
     assert abs(found - share) < tolerance, found
 
 
+@behave.then(
+    'each of {count:d} ranks has its share within four standard deviations'
+)
+def ranks_have_shares(context, count):
+    total = sum(1 / rank for rank in range(1, count + 1))
+    for rank in range(1, count + 1):
+        share = 1 / rank / total
+        expected = len(context.ranks) * share
+        deviation = (expected * (1 - share)) ** 0.5
+        found = context.ranks.count(rank)
+        assert abs(found - expected) < 4 * deviation, (rank, found)
+
+
 @behave.then('all ranks lie between 1 and {count:d}')
 def ranks_in_bounds(context, count):
     assert min(context.ranks) == 1
@@ -87,7 +100,7 @@
 
 
 @behave.given(
-    'a caller-side host that answers only when {count:d} requests wait'
+    'a caller-side host for {count:d} requests that wait for each other'
 )
 def host_waits(context, count):
     context.arrived = itertools.count(1)
@@ -103,55 +116,45 @@
     _add_host(context, handle)
 
 
-@behave.given('a caller-side host that never answers')
-def host_is_silent(context):
-    async def handle(request):
-        await asyncio.get_running_loop().create_future()
-
-    _add_host(context, handle)
-
-
-@behave.given('a caller-side host that answers "ran"')
-def host_answers(context):
-    async def handle(request):
-        await request.respond(200, await request.body.read(), RAN)
+async def _never_answer(request):
+    await asyncio.get_running_loop().create_future()
 
-    _add_host(context, handle)
 
+async def _answer(request):
+    await request.respond(200, await request.body.read(), RAN)
 
-@behave.given('a caller-side host that cuts its bodies off')
-def host_cuts_off(context):
-    async def handle(request):
-        await request.start(200, RAN, 100)
-        await request.write(b'x' * 10)
-        await request.end()
-        request.close()
 
-    _add_host(context, handle)
+async def _cut_off(request):
+    await request.start(200, RAN, 100)
+    await request.write(b'x' * 10)
+    await request.end()
+    request.close()
 
 
-@behave.given('a caller-side host that closes without an answer')
-def host_closes(context):
-    async def handle(request):
-        request.abort()
+async def _close(request):
+    request.abort()
 
-    _add_host(context, handle)
 
+async def _echo(request):
+    await request.start(200, RAN)
+    async for chunk in request.body.chunks():
+        await request.write(chunk)
+    await request.end()
 
-@behave.given('a caller-side host that refuses connections')
-def host_refuses(context):
-    _add_host(context, None)
 
+HANDLERS = {
+    'never answers': _never_answer,
+    'answers "ran"': _answer,
+    'cuts its bodies off': _cut_off,
+    'closes without an answer': _close,
+    'echoes bodies': _echo,
+    'refuses connections': None,
+}
 
-@behave.given('a caller-side host that echoes bodies')
-def host_echoes(context):
-    async def handle(request):
-        await request.start(200, RAN)
-        async for chunk in request.body.chunks():
-            await request.write(chunk)
-        await request.end()
 
-    _add_host(context, handle)
+@behave.given('a caller-side host that {behaviour}')
+def host_with_behaviour(context, behaviour):
+    _add_host(context, HANDLERS[behaviour])
 
 
 @behave.when(
@@ -176,6 +179,31 @@
     _run_load(context, run, max_open=limit, timeout_s=LIMITED_S)
 
 
+@behave.when('a load is sent whose records cannot be written')
+def send_without_records(context):
+    async def run(hosts, _):
+        file = io.BytesIO()
+        file.close()
+        generator = load.LoadGenerator(
+            hosts, [KIND], arrivals.Keys(100), records=file, seed=1
+        )
+        schedule = arrivals.parse_schedule('constant:100')
+        try:
+            await generator.run(schedule, LIMITED_S)
+        except ValueError as exc:
+            return exc
+        finally:
+            generator.close()
+        return None
+
+    context.failure = asyncio.run(_with_hosts(context, run))
+
+
+@behave.then('the load ends with the error of the records')
+def load_ends_with_error(context):
+    assert 'closed file' in str(context.failure), context.failure
+
+
 @behave.when('{count:d} single requests are sent')
 def send_single(context, count):
     send_with_repeats(context, count, 0)
