End requests at a lost server when its lease has lapsed

Cause: a frozen server keeps its connections, so requests sent to it waited for their deadline of 2 s. Ruled out: the promotion itself, which the state dump showed after 0.65 s.

--- a/packages/radishferry-testing/src/radishferry_testing/demo.py
+++ b/packages/radishferry-testing/src/radishferry_testing/demo.py
@@ -44,13 +44,13 @@
 
 
 @contextlib.contextmanager
-def deployed(shape, directory):
+def deployed(shape, directory, *, has_links=False):
     """Run a deployment with its manifest in force and end it at the exit.
 
     :param shape: A :class:`~radishferry_testing.topology.Topology`.
     :param directory: Where settings, outputs and logs go.
     """
-    deployment = topology.Deployment(shape, directory)
+    deployment = topology.Deployment(shape, directory, has_links=has_links)
     processes = processes_module.Processes(directory)
     deployment.processes = processes
     first = deployment.specs()
--- a/packages/radishferry-testing/src/radishferry_testing/experiments/harness.py
+++ b/packages/radishferry-testing/src/radishferry_testing/experiments/harness.py
@@ -197,9 +197,11 @@
 
 
 @contextlib.contextmanager
-def harness(shape, directory, *, rate=200, keys=10_000, seed=1):
+def harness(
+    shape, directory, *, rate=200, keys=10_000, seed=1, has_links=False
+):
     """Run a deployment with a :class:`Harness` and check it at the exit."""
-    with demo.deployed(shape, directory) as deployment:
+    with demo.deployed(shape, directory, has_links=has_links) as deployment:
         found = Harness(deployment, rate=rate, keys=keys, seed=seed)
         try:
             yield found
--- a/packages/radishferry-testing/src/radishferry_testing/platform.py
+++ b/packages/radishferry-testing/src/radishferry_testing/platform.py
@@ -132,9 +132,8 @@
     def __init__(self):
         self._table = Table()
         self._objects = {}
-        self._hosts = collections.deque(
-            [(float('-inf'), {'hosts': []})], maxlen=HOST_LISTS_KEPT
-        )
+        self._hosts = self._new_lists()
+        self._hosts_of = {}
         self._counts = Counts()
         self._faults = Faults()
 
@@ -149,12 +148,13 @@
         if route == ('GET', '/stats'):
             return await _reply(request, self._counts.report())
         if route == ('PUT', '/hosts'):
-            self._hosts.append((time.monotonic(), orjson.loads(data)))
+            self._set_hosts(orjson.loads(data))
             return await _reply(request, {})
         if request.headers.get('radishferry-host') in self._faults.refuse_from:
             return request.abort()
         if route == ('GET', '/hosts'):
-            return await _reply(request, self._lagging_hosts())
+            name = request.headers.get('radishferry-host')
+            return await _reply(request, self._lagging_hosts(name))
         if request.path.startswith('/objects/'):
             return await self._object(request, data)
         if route == ('GET', '/table/rows'):
@@ -171,10 +171,29 @@
         self._faults = dataclasses.replace(self._faults, **values)
         await _reply(request, dataclasses.asdict(self._faults))
 
-    def _lagging_hosts(self):
+    def _set_hosts(self, values):
+        """Set the list, or with ``for`` the list that some hosts see."""
+        shown_to = values.pop('for', None)
+        lists = [self._hosts]
+        if shown_to is not None:
+            lists = [
+                self._hosts_of.setdefault(name, self._new_lists())
+                for name in shown_to
+            ]
+        for found in lists:
+            found.append((time.monotonic(), values))
+
+    @staticmethod
+    def _new_lists():
+        return collections.deque(
+            [(float('-inf'), {'hosts': []})], maxlen=HOST_LISTS_KEPT
+        )
+
+    def _lagging_hosts(self, name=None):
         limit = time.monotonic() - self._faults.host_list_lag_s
+        lists = self._hosts_of.get(name, self._hosts)
         return next(
-            (hosts for at, hosts in reversed(self._hosts) if at <= limit),
+            (hosts for at, hosts in reversed(lists) if at <= limit),
             {'hosts': []},
         )
 
--- a/packages/radishferry-testing/src/radishferry_testing/topology.py
+++ b/packages/radishferry-testing/src/radishferry_testing/topology.py
@@ -141,19 +141,24 @@
 class Deployment:
     """Offer the processes of a topology with its addresses."""
 
-    def __init__(self, topology, directory):
+    def __init__(self, topology, directory, *, has_links=False):
         """Declare the processes.
 
         :param topology: A :class:`Topology`.
         :param directory: Where settings, outputs and logs go.
+        :param bool has_links: Whether hosts reach those of other data
+            centres through forwarders that can be cut.
         """
         self.topology = topology
         self.directory = pathlib.Path(directory)
         self.processes = None
+        self._has_links = has_links
 
     def specs(self) -> list[process_specs.ProcessSpec]:
         """Return the platform and the servers, which start first."""
+        links = [self._links_spec()] if self._has_links else []
         return [
+            *links,
             process_specs.platform(),
             *(
                 process_specs.server(
@@ -194,21 +199,66 @@
 
     def set_host_list(self, leaving=()):
         """Tell the platform stand-in which hosts there are."""
-        listed = [
-            {
-                'name': name,
-                'data_centre': data_centre,
-                'address': self.peer_address(name),
-                'state': 'leaving' if name in leaving else 'live',
-            }
-            for name, data_centre in self.topology.hosts.items()
-        ]
-        self.platform('PUT', '/hosts', {'hosts': listed})
-
-    def peer_address(self, host) -> str:
-        """Return the address under which other hosts find one."""
+        for seen_from in self.topology.data_centres:
+            listed = [
+                {
+                    'name': name,
+                    'data_centre': data_centre,
+                    'address': self.peer_address(name, seen_from),
+                    'state': 'leaving' if name in leaving else 'live',
+                }
+                for name, data_centre in self.topology.hosts.items()
+            ]
+            seen_by = [
+                name
+                for name, data_centre in self.topology.hosts.items()
+                if data_centre == seen_from
+            ]
+            self.platform('PUT', '/hosts', {'hosts': listed, 'for': seen_by})
+
+    def peer_address(self, host, seen_from) -> str:
+        """Return the address of a host for those of a data centre."""
+        data_centre = self.topology.hosts[host]
+        if self._has_links and data_centre != seen_from:
+            return self.processes.address('links', f'{seen_from}-{host}')
         return self.processes.address(host, 'peer')
 
+    def set_cut(self, data_centre, is_cut):
+        """Cut a data centre off from the others and the platform."""
+        control = self.processes.address('links', 'control')
+        for other in self.topology.data_centres:
+            if other == data_centre:
+                continue
+            for pair in ((data_centre, other), (other, data_centre)):
+                request(
+                    'POST',
+                    f'http://{control}/links',
+                    {
+                        'name': '>'.join(pair),
+                        'mode': 'drop' if is_cut else 'open',
+                    },
+                )
+        inside = [
+            n for n, d in self.topology.hosts.items() if d == data_centre
+        ]
+        refused = inside if is_cut else []
+        self.platform('POST', '/faults', {'refuse_from': refused})
+
+    def _links_spec(self):
+        return process_specs.links(
+            'links',
+            [
+                (
+                    f'{seen_from}>{data_centre}',
+                    f'{seen_from}-{host}',
+                    '127.0.0.1:{' + host + '.peer}',
+                )
+                for seen_from in self.topology.data_centres
+                for host, data_centre in self.topology.hosts.items()
+                if data_centre != seen_from
+            ],
+        )
+
     def platform(self, method, path, value=None):
         """Send a request to the platform stand-in.
 
--- a/packages/radishferry/src/radishferry/actions.py
+++ b/packages/radishferry/src/radishferry/actions.py
@@ -107,9 +107,12 @@
 
     :ivar give_up: Whether work in the queue is refused as ``not-run``,
         because this host no longer coordinates the server.
+    :ivar is_lost: Whether the server is lost, so that what it runs will not
+        be answered.
     """
 
     give_up: bool
+    is_lost: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/radishferry/src/radishferry/coordinator.py
+++ b/packages/radishferry/src/radishferry/coordinator.py
@@ -653,7 +653,7 @@
         self._chart.fire('loss_confirmed')
         self._timer.forget_clock()
         result = self._lose_ranges()
-        result.append(actions.StopWork(give_up=True))
+        result.append(actions.StopWork(give_up=True, is_lost=True))
         waiting, self._releases = self._releases, {}
         result.extend(
             actions.ReplyReleased(release.host, range_id, release.epoch)
--- a/packages/radishferryd/src/radishferryd/dispatch.py
+++ b/packages/radishferryd/src/radishferryd/dispatch.py
@@ -189,6 +189,15 @@
                 'The server is being moved to another coordinator.',
             )
 
+    def abandon(self):
+        """End what the server runs, because it is lost.
+
+        A frozen server keeps its connections; callers would otherwise wait
+        for their deadlines.
+        """
+        for job in list(self._jobs.values()):
+            job.abandon()
+
     def broken(self, end):
         """Hold a job whose connection broke until the server is probed.
 
@@ -425,6 +434,10 @@
                 f'{self._dispatcher.server.name}: {detail}.',
             )
 
+    def abandon(self):
+        """End the job, because its server is lost."""
+        self._lost('it does not answer and its lease has lapsed')
+
     def _lost(self, detail):
         self._refuse(
             outcomes.Outcome.UNKNOWN,
--- a/packages/radishferryd/src/radishferryd/host_directory.py
+++ b/packages/radishferryd/src/radishferryd/host_directory.py
@@ -192,7 +192,7 @@
                 return
             if self.take(result) and is_relay:
                 push = ttypes.HostListPush(orjson.dumps(result))
-                self._app.spread.send('host_list_push', push)
+                self._app.spread.send_local('host_list_push', push)
 
         self._app.table.read_hosts(done)
 
--- a/packages/radishferryd/src/radishferryd/ownership.py
+++ b/packages/radishferryd/src/radishferryd/ownership.py
@@ -514,6 +514,8 @@
         if action.give_up:
             owned.hand_over_to = ''
             owned.dispatcher.give_up()
+        if action.is_lost:
+            owned.dispatcher.abandon()
 
     def _start_work(self, owned, action):
         LOG.info('ownership: %s takes work.', owned.server.name)
--- a/packages/radishferryd/src/radishferryd/spread.py
+++ b/packages/radishferryd/src/radishferryd/spread.py
@@ -48,6 +48,12 @@
         if relay == app.host_name:
             self._to_relays(name, message)
 
+    def send_local(self, name, message):
+        """Send a message to every host of the data centre."""
+        message.hops = FINAL
+        for host in self._local_hosts():
+            self._app.links.send(host, name, message)
+
     def forward(self, name, message):
         """Pass on a message that arrived, as far as it asks for that."""
         hops = message.hops
