--- a/packages/radishferry-testing/src/radishferry_testing/experiments/harness.py
+++ b/packages/radishferry-testing/src/radishferry_testing/experiments/harness.py
@@ -71,7 +71,7 @@
 class Harness:
     """Drive one deployment."""
 
-    def __init__(self, deployment, *, rate, keys, seed):
+    def __init__(self, deployment, *, rate, keys, seed, zipf=1.0):
         """Begin without load.
 
         :param deployment: A :class:`~radishferry_testing.topology.Deployment`
@@ -89,7 +89,7 @@
         self.generator = load.LoadGenerator(
             deployment.caller_addresses(),
             CHILE_KINDS,
-            arrivals.Keys(keys, 1.0),
+            arrivals.Keys(keys, zipf),
             resend=load_kinds.Resend(1),
             records=self._records,
             seed=seed,
@@ -198,11 +198,18 @@
 
 @contextlib.contextmanager
 def harness(
-    shape, directory, *, rate=200, keys=10_000, seed=1, has_links=False
+    shape,
+    directory,
+    *,
+    rate=200,
+    keys=10_000,
+    seed=1,
+    zipf=1.0,
+    has_links=False,
 ):
     """Run a deployment with a :class:`Harness` and check it at the exit."""
     with demo.deployed(shape, directory, has_links=has_links) as deployment:
-        found = Harness(deployment, rate=rate, keys=keys, seed=seed)
+        found = Harness(deployment, rate=rate, keys=keys, seed=seed, zipf=zipf)
         try:
             yield found
         finally:
