--- a/packages/radishferryd/src/radishferryd/inspection.py
+++ b/packages/radishferryd/src/radishferryd/inspection.py
@@ -35,6 +35,7 @@
             'ready': self.is_ready(),
             'stopping': self._app.is_stopping,
             'manifest_version': self._app.manifests.version,
+            'peer_bytes_sent': self._app.links.sent_bytes,
             'relay': self._app.membership.relay(self._app.data_centre, now),
             'hosts': [
                 {
--- a/packages/radishferryd/src/radishferryd/peer.py
+++ b/packages/radishferryd/src/radishferryd/peer.py
@@ -65,6 +65,7 @@
         self._was_closed = False
         self._started_at = time.monotonic()
         self._is_paused = False
+        self._sent_bytes = 0
 
     @property
     def is_ready(self) -> bool:
@@ -76,6 +77,11 @@
         """Tell whether this side opened the link."""
         return self._is_initiator
 
+    @property
+    def sent_bytes(self) -> int:
+        """Return the bytes of the messages sent."""
+        return self._sent_bytes
+
     @property
     def is_paused(self) -> bool:
         """Tell whether the peer reads too slowly."""
@@ -119,7 +125,9 @@
         :param message: The thrift struct.
         """
         if self._is_ready:
-            self._connection.write(peer_codec.encode(name, message))
+            data = peer_codec.encode(name, message)
+            self._sent_bytes += len(data)
+            self._connection.write(data)
 
     def close(self):
         """Close at once."""
@@ -233,6 +241,7 @@
         self._outbound = {}
         self._inbound = set()
         self._blocked = {}
+        self._closed_bytes = 0
         self._listener = None
         scheduler.call_every(HANDSHAKE_TIMEOUT_S, self._close_overdue)
 
@@ -246,6 +255,12 @@
         """Return the links that peers opened."""
         return self._inbound
 
+    @property
+    def sent_bytes(self) -> int:
+        """Return the bytes of messages sent over all links."""
+        links = [*self._outbound.values(), *self._inbound]
+        return self._closed_bytes + sum(k.sent_bytes for k in links)
+
     def listen(self, address):
         """Accept links.
 
@@ -321,6 +336,7 @@
     def link_closed(self, link):
         """See :class:`LinkOwner`."""
         self._inbound.discard(link)
+        self._closed_bytes += link.sent_bytes
         if link.is_initiator and self._outbound.get(link.target) is link:
             del self._outbound[link.target]
             now = self._scheduler.now()
