--- a/packages/radishferryd/src/radishferryd/entry.py
+++ b/packages/radishferryd/src/radishferryd/entry.py
@@ -22,6 +22,10 @@
 REPLAY_BYTES = 65536
 #: Seconds beyond the deadline that the coordinator has to say how it ended.
 COORDINATOR_GRACE_S = 0.1
+#: Seconds to wait for the route of a server that is being moved, and
+#: between looks at it.
+ROUTE_WAIT_S = 0.1
+ROUTE_CHECK_S = 0.01
 #: Seconds after which a caller may come back when there is no owner.
 NO_OWNER_RETRY_S = 0.5
 
@@ -210,10 +214,31 @@
             self._may_have_run = True
         if refusal.reason is outcomes.Reason.SERVER_LOST:
             self._crashes += 1
-        if self._has_head or not self._may_retry(refusal):
+        if self._has_head:
             self._finish(refusal)
             return
-        self.start()
+        wait_until = self._scheduler.now()
+        if refusal.reason is outcomes.Reason.STALE_ROUTE:
+            wait_until += ROUTE_WAIT_S
+        self._retry_or_finish(refusal, wait_until)
+
+    def _retry_or_finish(self, refusal, wait_until):
+        if self._is_done:
+            return
+        if self._may_retry(refusal):
+            self.start()
+        elif (
+            self._scheduler.now() < wait_until
+            and self._can_replay
+            and not self._has_new_route()
+        ):
+            # The new coordinator announces itself within milliseconds.
+            self._scheduler.call_later(
+                ROUTE_CHECK_S,
+                lambda: self._retry_or_finish(refusal, wait_until),
+            )
+        else:
+            self._finish(refusal)
 
     def attempt_credit(self, size):
         """Read more of the request body."""
@@ -241,7 +266,11 @@
         if route is None:
             return False
         old = self.route
-        return (route.server, route.epoch) != (old.server, old.epoch)
+        return (route.server, route.epoch, route.host) != (
+            old.server,
+            old.epoch,
+            old.host,
+        )
 
     def _body_hash(self):
         if not self._request.has_body or not self._can_replay:
--- a/packages/radishferryd/src/radishferryd/gateway.py
+++ b/packages/radishferryd/src/radishferryd/gateway.py
@@ -129,6 +129,7 @@
             request.caller,
             request.key,
             request.has_body,
+            host=found.host,
         )
 
     def connect(self, request, sink):
--- a/packages/radishferryd/src/radishferryd/streams.py
+++ b/packages/radishferryd/src/radishferryd/streams.py
@@ -34,6 +34,7 @@
         for the first time.
     :ivar body_hash: 64-bit hash of the body; 0 for none or a long one.
     :ivar crashes: Servers lost while they ran this request.
+    :ivar host: Coordinator that the entry host knows; not sent.
     """
 
     service: str
@@ -52,6 +53,7 @@
     is_first: bool = False
     body_hash: int = 0
     crashes: int = 0
+    host: str = ''
 
 
 class Sink(typing.Protocol):
