Test the lease bounds and the coordinator's rules

The decision code had no tests of its own. Each scenario names the failure it guards against. Each was run on a scratch copy with its rule removed:

- sent() extends the upper bound: lease:5 and coordinator:30 fail
- validity counts from the request that carried the clock: lease:11 fails
- the fence bounds the predecessor's lease: lease:18 fails
- a restart forgets the clock: lease:24 fails
- lapsed ranges are dropped, and raise the floor: coordinator:8 fails
- a refused term stands down: coordinator:22 fails
- the same list keeps the ranges: coordinator:16 fails
- another list revokes them: coordinator:142 fails
- a hand-over keeps them: coordinator:148 fails
- loss waits for lapsed_at (in tick): coordinator:30 fails
- loss waits for all replies: coordinator:37, 48, 155 fail
- a fence, or a newer list, stops the loss: coordinator:48, 58 fail
- a release needs a later answer: coordinator:66 fails
- a release needs the range not held: coordinator:75 fails
- a release sets a floor: coordinator:85 fails
- releases come in order: coordinator:94 fails
- a promotion counts under its term: coordinator:116, 117 fail
- baseline epochs are not granted: coordinator:122 fails
- another boot id loses the ranges: coordinator:133 fails
- a hot key needs its hash range and its row: coordinator:167, 174 fail
- the host handed to is asked: coordinator:155 fails

The check of lapsed_at in _confirm_loss repeats the one in tick; removing it alone fails nothing.

--- /dev/null
+++ b/features/steps/coordinator_steps.py
@@ -0,0 +1,318 @@
+"""Steps for the coordinator of one server."""
+
+from __future__ import annotations
+
+import types
+
+import behave
+import ownership_fakes
+
+from radishferry import actions
+from radishferry import assignment
+
+
+def _host(context, name):
+    found = context.hosts.get(name)
+    if found is None:
+        found = ownership_fakes.Host(name, context.server, context.world)
+        context.hosts[name] = found
+    return found
+
+
+def _rows(context, rows):
+    host = context.hosts['h1']
+    host.run(host.coordinator.ranges_assigned(rows, context.world.now))
+
+
+def _begin(context, baseline):
+    context.world = types.SimpleNamespace(now=1.0)
+    context.server = ownership_fakes.FakeServer('a', 7000.0)
+    context.hosts = {}
+    host = _host(context, 'h1')
+    now = context.world.now
+    host.run(host.coordinator.assigned(ownership_fakes.assigned(), now))
+    host.run(host.coordinator.baseline_read(baseline, now))
+
+
+@behave.given(
+    'host h1 coordinates server a with range 3 at epoch 4, standby b'
+)
+def begin(context):
+    _begin(context, {})
+    _rows(context, {3: assignment.RangeAssignment('a', 4, 'b')})
+    host = _host(context, 'h1')
+    host.wait(0.3)
+    assert host.coordinator.active == {3: 4}
+    host.log.clear()
+
+
+@behave.given(
+    'host h1 coordinates server a with range 5 at epoch 7 in its baseline'
+)
+def begin_with_baseline(context):
+    _begin(context, {5: assignment.RangeAssignment('a', 7, 'b')})
+
+
+@behave.given('a request of h1 is under way to server a')
+def request_under_way(context):
+    host = _host(context, 'h1')
+    found = []
+    while not found:
+        context.world.now += ownership_fakes.STEP_S
+        found = host.coordinator.tick(context.world.now)
+    (context.under_way,) = found
+
+
+@behave.given('server a runs work on range 3')
+def run_work(context):
+    context.server.lease.begin(3)
+
+
+@behave.when('the work on range 3 ends at server a')
+def end_work(context):
+    context.server.lease.finish(3)
+
+
+@behave.when('server a is silent to h1 for {seconds:g} s')
+def be_silent(context, seconds):
+    host = _host(context, 'h1')
+    host.is_reachable = False
+    host.wait(seconds)
+
+
+@behave.when('server a is silent to h1 for {seconds:g} s and lapses')
+def be_silent_and_lapse(context, seconds):
+    # The clock of the server alone passes the expiry: the coordinator may
+    # not rely on its own waiting.
+    be_silent(context, seconds)
+    context.server.offset_ms += 600
+
+
+@behave.when('server a answers {name} for {seconds:g} s')
+def answer(context, name, seconds):
+    host = _host(context, name)
+    host.is_reachable = True
+    host.wait(seconds)
+
+
+@behave.when('server a restarts')
+def restart(context):
+    # The new clock is ahead: an expiry on the old one has passed.
+    context.server.restart(9000.0)
+
+
+@behave.when('h2 takes server a over')
+def take_over(context):
+    host = _host(context, 'h2')
+    now = context.world.now
+    host.run(host.coordinator.assigned(ownership_fakes.assigned(), now))
+    host.run(host.coordinator.take_over(now))
+    rows = {3: assignment.RangeAssignment('a', 4, 'b')}
+    host.run(host.coordinator.baseline_read(rows, now))
+
+
+@behave.when('h4 of a newer list takes server a over {how} a hand-over')
+def take_over_newer(context, how):
+    host = _host(context, 'h4')
+    now = context.world.now
+    newer = ownership_fakes.assigned(('h4', 'h1'), 20)
+    host.run(host.coordinator.assigned(newer, now, is_other_live=True))
+    host.run(host.coordinator.take_over(now, is_handover=how == 'by'))
+    host.wait(0.05)
+
+
+@behave.when('h1 hands server a over to h4')
+def hand_over(context):
+    _host(context, 'h1').coordinator.hand_over('h4')
+
+
+@behave.when('h1 is paused for {seconds:g} s and then cut from server a')
+def pause(context, seconds):
+    context.world.now += seconds
+    be_silent(context, 0.1)
+
+
+@behave.when('successor {name} replies that it {what}')
+def reply(context, name, what):
+    host = _host(context, 'h1')
+    asked = host.of('QuerySuccessors')[-1]
+    base_term = ownership_fakes.BASE_TERM
+    if 'knows' in what:
+        base_term = int(what.rsplit(' ', 1)[1])
+    host.run(
+        host.coordinator.successor_replied(
+            name,
+            asked.query_id,
+            what == 'has fenced',
+            base_term,
+            context.world.now,
+        )
+    )
+
+
+@behave.when('h9 asks h1 to release range {range_id:d} below epoch {epoch:d}')
+def ask_release(context, range_id, epoch):
+    host = _host(context, 'h1')
+    host.run(
+        host.coordinator.release_requested(
+            'h9', range_id, epoch, context.world.now
+        )
+    )
+
+
+@behave.when('the request under way is answered')
+def answer_under_way(context):
+    host = _host(context, 'h1')
+    now = context.world.now
+    found = context.server.handle(context.under_way, now)
+    host.is_reachable = False
+    host.run(
+        ownership_fakes.deliver(
+            host.coordinator, context.under_way, found, now, now
+        )
+    )
+
+
+@behave.when('the next request of h1 is answered')
+def answer_next(context):
+    answer(context, 'h1', 0.2)
+
+
+@behave.when(
+    'the table gives range {range_id:d} to a at epoch {epoch:d} '
+    'without previous servers'
+)
+def assign(context, range_id, epoch):
+    _rows(context, {range_id: assignment.RangeAssignment('a', epoch)})
+
+
+@behave.when('the table gives range 5 to a at epoch 7, previously of b and c')
+def assign_with_previous(context):
+    row = assignment.RangeAssignment('a', 7, '', ('b', 'c'))
+    _rows(context, {5: row})
+
+
+@behave.when('the table gives range 5 to b at epoch 7 with standby a')
+def assign_standby(context):
+    _rows(context, {5: assignment.RangeAssignment('b', 7, 'a')})
+
+
+@behave.when(
+    'hot key 8 of range 3 is split out at epoch 1 and range 3 moves to epoch 6'
+)
+def split(context):
+    rows = {
+        3: assignment.RangeAssignment('a', 6, 'b', ('a', 'b')),
+        8: assignment.RangeAssignment('c', 1, '', ('a', 'b'), 11),
+    }
+    _rows(context, rows)
+
+
+@behave.when('{server} releases range 5 at epoch 7 to h1')
+def release(context, server):
+    host = _host(context, 'h1')
+    host.run(host.coordinator.released(server, 5, 7, context.world.now))
+
+
+@behave.when('h1 is asked under term {term:d} to promote range 5 at epoch 8')
+def promote(context, term):
+    host = _host(context, 'h1')
+    host.run(host.coordinator.promoted(term, {5: 8}, context.world.now))
+
+
+@behave.then('coordinator {name} is {state:w}')
+def is_in_state(context, name, state):
+    found = _host(context, name).coordinator.state
+    assert found == state, found
+
+
+@behave.then('h1 may not send work')
+def may_not_work(context):
+    found = _host(context, 'h1').coordinator
+    assert not found.may_work(context.world.now)
+    assert found.active == {}
+
+
+@behave.then('h1 gave its work up')
+def gave_up(context):
+    assert _host(context, 'h1').of('StopWork')[-1].give_up
+
+
+@behave.then('h1 grants range {range_id:d} no more below epoch {epoch:d}')
+def grants_no_more(context, range_id, epoch):
+    # Requests before the last answer may carry it.
+    sent = [a.ranges for a in _host(context, 'h1').sent[-2:]]
+    assert all((r or {}).get(range_id, epoch) >= epoch for r in sent), sent
+    held = context.server.holds(context.world.now)
+    assert held.get(range_id, epoch) >= epoch, held
+
+
+@behave.then('h1 reports range {range_id:d} at epoch {epoch:d} as an orphan')
+def reports_orphan(context, range_id, epoch):
+    found = _host(context, 'h1').of('AnnounceOrphans')
+    assert found and found[-1].epochs == {range_id: epoch}, found
+
+
+@behave.then(
+    'coordinator {name} has range {range_id:d} active at epoch {epoch:d}'
+)
+def is_active(context, name, range_id, epoch):
+    found = _host(context, name).coordinator.active
+    assert found.get(range_id) == epoch, found
+
+
+@behave.then('coordinator h1 has range {range_id:d} not active')
+def is_not_active(context, range_id):
+    assert range_id not in _host(context, 'h1').coordinator.active
+
+
+@behave.then('h1 has asked no successor')
+def asked_nobody(context):
+    assert not _host(context, 'h1').of('QuerySuccessors')
+
+
+@behave.then('h1 has promoted nobody')
+def promoted_nobody(context):
+    assert not _host(context, 'h1').of('PromoteStandby')
+
+
+@behave.then(
+    'h1 has promoted {server} for range {range_id:d} at epoch {epoch:d}'
+)
+def has_promoted(context, server, range_id, epoch):
+    found = _host(context, 'h1').of('PromoteStandby')
+    assert actions.PromoteStandby(server, {range_id: epoch}) in found, found
+
+
+@behave.then('h1 has released nothing')
+def released_nothing(context):
+    assert not _host(context, 'h1').of('ReplyReleased')
+
+
+@behave.then('h1 has released range {range_id:d} below epoch {epoch:d} to h9')
+def has_released(context, range_id, epoch):
+    found = _host(context, 'h1').of('ReplyReleased')
+    assert found == [actions.ReplyReleased('h9', range_id, epoch)], found
+
+
+@behave.then('h1 has asked only b to release range 5')
+def asked_only_b(context):
+    found = {a.server for a in _host(context, 'h1').of('RequestRelease')}
+    assert found == {'b'}, found
+
+
+@behave.then('server a holds nothing')
+def holds_nothing(context):
+    found = context.server.holds(context.world.now)
+    assert found == {}, found
+
+
+@behave.then('server a holds range 3 at epoch 4')
+def holds_range(context):
+    assert context.server.holds(context.world.now) == {3: 4}
+
+
+@behave.then('server a holds no epoch below 6 of range 3')
+def holds_no_lower(context):
+    found = context.server.holds(context.world.now)
+    assert found.get(3, 6) >= 6, found
