--- /dev/null
+++ b/features/steps/ownership_properties_steps.py
@@ -0,0 +1,59 @@
+"""Steps for the properties of ownership under random faults."""
+
+from __future__ import annotations
+
+import logging
+
+import behave
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import ownership_world
+
+#: Seconds until the first assignments are in force.
+START_S = 3.0
+STEPS = 12
+WAITS = st.sampled_from((0.02, 0.1, 0.2, 0.35, 0.7, 1.0, 2.5))
+NUMBERS = st.integers(0, 11)
+
+
+class Faults(stateful.RuleBasedStateMachine):
+    """Start and end faults; the world checks its invariants throughout."""
+
+    @stateful.initialize(seed=st.integers(0, 2**32 - 1))
+    def begin(self, seed):
+        self.world = ownership_world.World(seed)
+        self.world.advance(START_S)
+
+    @stateful.rule(
+        fault=st.sampled_from(ownership_world.FAULTS),
+        number=NUMBERS,
+        wait=WAITS,
+    )
+    def change(self, fault, number, wait):
+        fault(self.world, number)
+        self.world.advance(wait)
+
+    def teardown(self):
+        world = getattr(self, 'world', None)
+        if world is not None and not world.is_broken:
+            world.recover()
+
+
+@behave.then('{count:d} random sequences of faults keep the invariants')
+def random_faults(context, count):
+    logging.getLogger('radishferryd').setLevel(logging.CRITICAL)
+    try:
+        stateful.run_state_machine_as_test(
+            Faults,
+            settings=hypothesis.settings(
+                derandomize=True,
+                database=None,
+                deadline=None,
+                max_examples=count,
+                stateful_step_count=STEPS,
+                suppress_health_check=list(hypothesis.HealthCheck),
+            ),
+        )
+    finally:
+        logging.getLogger('radishferryd').setLevel(logging.NOTSET)
