Name the server process in lease requests

Cause: a renewal asks for an expiry on the server's clock. When the server process had been replaced since the last answer, the new process took that expiry on a clock of its own; with the clock set back it lay far ahead, and the lease, which never gets shorter, outlived lapsed_at.

Ruled out: waiting longer in LeaseTimer (a successor does not know the stale expiry) and a fence after every closed connection (the process can be replaced between two renewals without the coordinator noticing).

--- a/features/coordinator.feature
+++ b/features/coordinator.feature
@@ -137,6 +137,17 @@
     And coordinator h1 has range 3 not active
     And server a holds nothing
 
+  # Guards against a new process that takes the renewal meant for the former
+  # one, with an expiry far ahead on its own clock.
+  Scenario: A renewal for the former process grants the new one nothing
+    When server a restarts with its clock set back
+    And server a answers h1 for 0.5 s
+    And the table gives range 5 to a at epoch 7 without previous servers
+    And server a answers h1 for 0.5 s
+    And server a is silent to h1 for 1.0 s
+    Then coordinator h1 is lapsing
+    And server a holds nothing
+
   # Guards against a promotion by a coordinator of an older list that asks
   # other hosts for their fences.
   Scenario: A coordinator of another list revokes what the server holds
--- a/features/steps/coordinator_steps.py
+++ b/features/steps/coordinator_steps.py
@@ -101,6 +101,11 @@
     context.server.restart(9000.0)
 
 
+@behave.when('server a restarts with its clock set back')
+def restart_behind(context):
+    context.server.restart(0.0)
+
+
 @behave.when('h2 takes server a over')
 def take_over(context):
     host = _host(context, 'h2')
--- a/features/steps/ownership_host.py
+++ b/features/steps/ownership_host.py
@@ -78,7 +78,11 @@
         if ranges is not None:
             ranges = {int(r): e for r, e in ranges.items()}
         action = actions.SendLease(
-            body['term'], body['seq'], body['expires_at_ms'], ranges
+            body['term'],
+            body['seq'],
+            body['expires_at_ms'],
+            ranges,
+            body['boot_id'],
         )
         self._host.world.lease(self._host, self._server, action, done)
 
--- a/packages/radishferry-testing/src/radishferry_testing/server.py
+++ b/packages/radishferry-testing/src/radishferry_testing/server.py
@@ -74,12 +74,12 @@
     async def _grant(self, request, values):
         now_ms = self._clock_ms(time.monotonic_ns())
         previous_term = max(0, self._lease.term)
+        expires_at_ms, ranges = values['expires_at_ms'], values.get('ranges')
+        if values.get('boot_id') not in (None, '', self._boot_id):
+            # The expiry is a time on the clock of a process that ended.
+            expires_at_ms, ranges = 0.0, None
         accepted = self._lease.grant(
-            now_ms,
-            values['term'],
-            values['seq'],
-            values['expires_at_ms'],
-            values.get('ranges'),
+            now_ms, values['term'], values['seq'], expires_at_ms, ranges
         )
         answer = {
             'clock_ms': now_ms,
--- a/packages/radishferry/src/radishferry/actions.py
+++ b/packages/radishferry/src/radishferry/actions.py
@@ -13,12 +13,15 @@
     :ivar seq: Sequence number within the term.
     :ivar expires_at_ms: Expiry on the server's clock, 0 extends nothing.
     :ivar ranges: Range id to epoch of the whole set, None to keep it.
+    :ivar boot_id: Process whose clock the expiry is read from; another
+        process ignores the expiry and the ranges.  Empty in a fence.
     """
 
     term: int
     seq: int
     expires_at_ms: float
     ranges: dict[int, int] | None
+    boot_id: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/radishferry/src/radishferry/coordinator.py
+++ b/packages/radishferry/src/radishferry/coordinator.py
@@ -255,6 +255,8 @@
         result = []
         if self._boot_id not in (None, answer.boot_id):
             result += self._restarted()
+            # The new process ignored them.
+            sent_ranges = None
         self._boot_id = answer.boot_id
         self._timer.answered(answer.reading)
         was_state = self.state
@@ -491,7 +493,13 @@
         self._fenced_term = max(self._fenced_term, self._term)
         self._next_send_at = now + lease.RENEW_INTERVAL_S
         return [
-            actions.SendLease(self._term, self._seq, expires_at_ms, ranges)
+            actions.SendLease(
+                self._term,
+                self._seq,
+                expires_at_ms,
+                ranges,
+                self._boot_id or '',
+            )
         ]
 
     def _fenced(self, answer, now):
--- a/packages/radishferryd/src/radishferryd/ownership.py
+++ b/packages/radishferryd/src/radishferryd/ownership.py
@@ -364,6 +364,7 @@
             'seq': action.seq,
             'expires_at_ms': action.expires_at_ms,
             'ranges': None,
+            'boot_id': action.boot_id,
         }
         if action.ranges is not None:
             body['ranges'] = {str(r): e for r, e in action.ranges.items()}
