Keep successors and terms apart while a new list is adopted

- confirm_term raised the term without an answer of the server.
A host that a successor of the former list had fenced unnoticed then asked the successors of the new list only, under a term above that fence, and declared the server lost while the successor kept it.
The hosts of the list accepted last are now asked too, under the term accepted last.
- Such a host went on with its own set although another host had acted in between.
It now starts again when the answer names a higher previous term, and a term is raised only after the present one was answered.

The previous term was that before the request, so a lost answer to a fence hid that the former coordinator belonged to another list.

--- a/features/steps/ownership_fakes.py
+++ b/features/steps/ownership_fakes.py
@@ -39,7 +39,6 @@
     def handle(self, action, now):
         """Return whether a request is accepted and the body of the answer."""
         clock_ms = self.clock_ms(now)
-        previous = max(0, self.lease.term)
         expires_at_ms, ranges = action.expires_at_ms, action.ranges
         if action.boot_id not in ('', self.boot_id):
             expires_at_ms, ranges = 0.0, None
@@ -47,6 +46,7 @@
             clock_ms, action.term, action.seq, expires_at_ms, ranges
         )
         held = self.lease.held(clock_ms)
+        previous = self.lease.previous_term
         body = (clock_ms, self.boot_id, self.lease.term, previous, held)
         return accepted, body
 
--- a/packages/radishferry-testing/src/radishferry_testing/server.py
+++ b/packages/radishferry-testing/src/radishferry_testing/server.py
@@ -73,7 +73,6 @@
 
     async def _grant(self, request, values):
         now_ms = self._clock_ms(time.monotonic_ns())
-        previous_term = max(0, self._lease.term)
         expires_at_ms, ranges = values['expires_at_ms'], values.get('ranges')
         if values.get('boot_id') not in (None, '', self._boot_id):
             # The expiry is a time on the clock of a process that ended.
@@ -85,7 +84,7 @@
             'clock_ms': now_ms,
             'boot_id': self._boot_id,
             'term': self._lease.term,
-            'previous_term': previous_term,
+            'previous_term': self._lease.previous_term,
             'ranges': self._lease.held(now_ms),
         }
         await _reply(request, answer, 200 if accepted else 409)
--- a/packages/radishferry-testing/src/radishferry_testing/server_lease.py
+++ b/packages/radishferry-testing/src/radishferry_testing/server_lease.py
@@ -20,6 +20,7 @@
         self._lost = {}
         self._running = collections.Counter()
         self.term = -1
+        self.previous_term = 0
         self.session = 0
 
     def grant(self, now_ms, term, seq, expires_at_ms, ranges) -> bool:
@@ -31,6 +32,8 @@
         self._lapse(now_ms)
         if (term, seq) <= (self.term, self._seq):
             return False
+        if term > self.term:
+            self.previous_term = max(0, self.term)
         self.term, self._seq = term, seq
         if self._held or expires_at_ms > now_ms:
             self._expires_at_ms = max(self._expires_at_ms, expires_at_ms)
--- a/packages/radishferry/src/radishferry/actions.py
+++ b/packages/radishferry/src/radishferry/actions.py
@@ -85,6 +85,7 @@
 
     :ivar hosts: Names of the hosts.
     :ivar query_id: Returned in the reply.
+    :ivar term: Term that the server accepted last.
     """
 
     hosts: tuple[str, ...]
--- a/packages/radishferry/src/radishferry/coordinator.py
+++ b/packages/radishferry/src/radishferry/coordinator.py
@@ -27,7 +27,7 @@
     :ivar boot_id: Changes when the server process was restarted.
     :ivar seq: Sequence number of the request that was answered.
     :ivar previous_term: Highest term that the server had seen before the
-        request.
+        first request under the term of this one.
     :ivar ranges: Range id to epoch held, including revoked ranges that
         still run work.
     """
@@ -83,6 +83,9 @@
         self._chart = chart.Chart('coordinator')
         self._assignment = None
         self._term = 0
+        self._list = None
+        self._accepted_term = 0
+        self._successors = set()
         self._refused_term = 0
         self._fenced_term = 0
         self._earlier_fence = 0
@@ -91,6 +94,7 @@
         self._outstanding = None
         self._next_send_at = 0.0
         self._is_handover = False
+        self._is_confirming = False
         self._rows = {}
         self._baseline = None
         self._desired = {}
@@ -208,7 +212,13 @@
         term = self._assignment.term_of(self._host)
         if self.state == 'waiting' or term is None or term <= self._term:
             return []
-        self._term = term
+        if self._term != self._accepted_term:
+            # Only the answer to the first request under a term tells whether
+            # another host acted in between.
+            self._is_confirming = True
+            return []
+        self._is_confirming = False
+        self._set_term(term)
         self._next_send_at = now
         return [actions.AnnounceCoordinator(term)]
 
@@ -222,13 +232,33 @@
         term = self._assignment.term_of(self._host)
         if term is None or term <= self._refused_term:
             return []
-        self._term = term
         self._is_handover = is_handover
         self._forget()
+        self._set_term(term)
         self._chart.fire('take_over')
         self._next_send_at = now
         return [actions.ReadBaseline(), *self.tick(now)]
 
+    def _set_term(self, term):
+        self._term = term
+        self._list = self._assignment
+        # Successors of the list accepted last remain: they may have fenced
+        # the server before this term reached it.
+        self._successors |= self._later_hosts()
+
+    def _later_hosts(self):
+        later = itertools.dropwhile(
+            lambda host: host != self._host, self._list.hosts
+        )
+        return {*tuple(later)[1:]}
+
+    def _accept_term(self, now):
+        if self._accepted_term == self._term:
+            return []
+        self._accepted_term = self._term
+        self._successors = self._later_hosts()
+        return self.confirm_term(now) if self._is_confirming else []
+
     def hand_over(self, host):
         """Note that a host was asked to take over.
 
@@ -252,6 +282,9 @@
         self._outstanding = None
         if sent_term != self._term or self.state == 'waiting':
             return []
+        if 0 < self._accepted_term < min(answer.previous_term, sent_term):
+            # Another host acted since, and this one missed its releases.
+            return self._stand_down('superseded') + self.take_over(now)
         result = []
         if self._boot_id not in (None, answer.boot_id):
             result += self._restarted()
@@ -274,6 +307,7 @@
             result.append(actions.StartWork())
             if was_state == 'fencing':
                 result.append(actions.AnnounceCoordinator(self._term))
+        result += self._accept_term(now)
         result += self._announce()
         result += self._reply_releases(answer.seq)
         return result + self.tick(now)
@@ -506,7 +540,7 @@
         # Only a host of the same list as the last coordinator, or one to
         # which that one handed over, may keep the ranges: a coordinator that
         # finds its server lost asks just these hosts for their fences.
-        same_list = answer.previous_term >= self.base_term
+        same_list = answer.previous_term >= self._list.base_term
         keeps = same_list or self._is_handover
         self._held = dict(answer.ranges)
         self._sent_ranges = dict(answer.ranges)
@@ -643,17 +677,17 @@
     def _query_successors(self, now):
         if now < self._query_sent_at + REPEAT_INTERVAL_S:
             return []
-        later = itertools.dropwhile(
-            lambda host: host != self._host, self._assignment.hosts
-        )
-        successors = {*tuple(later)[1:], *self._handed_to}
         if self._query_sent_at == float('-inf'):
-            self._query_waits_for = successors
+            self._query_waits_for = self._successors | self._handed_to
         self._query_sent_at = now
         if not self._query_waits_for:
             return self._confirm_loss(now)
         waiting = tuple(sorted(self._query_waits_for))
-        return [actions.QuerySuccessors(waiting, self._query_id, self._term)]
+        return [
+            actions.QuerySuccessors(
+                waiting, self._query_id, self._accepted_term
+            )
+        ]
 
     def _confirm_loss(self, now):
         if self._query_waits_for or now < self._timer.lapsed_at:
@@ -702,6 +736,9 @@
 
     def _forget(self):
         self._outstanding = None
+        self._accepted_term = 0
+        self._successors = set()
+        self._is_confirming = False
         self._timer = lease.LeaseTimer()
         self._boot_id = None
         self._baseline = None
