Serve ranges again after successors and restarts in sequence

Used-up terms no longer hold later hosts back; a refusal is announced so that hosts without memory learn the highest term; a list whose terms are all used up is written anew. A fence by a host that is not needed is safe.

Ruled out: loss of row pushes, and planners that stay busy; both were idle in the final states.

--- a/features/steps/ownership_host.py
+++ b/features/steps/ownership_host.py
@@ -102,7 +102,12 @@
             int(host.world.now * 1000),
         )
         self._owned[server.name] = ownership.Owned(
-            service, server, found, Null(), Client(host, server.name)
+            service,
+            server,
+            found,
+            Null(),
+            Client(host, server.name),
+            since=host.world.now,
         )
 
 
@@ -158,6 +163,7 @@
     row_value = app.App.row_value
     _unpacked = app.App._unpacked
     _assign_coordinators = app.App._assign_coordinators
+    _take_incarnation = app.App._take_incarnation
     _own_announcements = app.App._own_announcements
     _all_announcements = app.App._all_announcements
     _on_route_delta = app.App._on_route_delta
@@ -168,6 +174,7 @@
         self.world = host.world
         self.table = self
         self._rows = {}
+        self._incarnations = {}
         self.incarnation = int(self.world.now * 1000)
         self.scheduler = Scheduler(host, process)
         self.links = Links(host)
--- a/features/steps/ownership_world.py
+++ b/features/steps/ownership_world.py
@@ -185,7 +185,11 @@
     def send(self, source, target, connection, name, message):
         message = copy.copy(message)
         host = self.hosts[target]
-        call = lambda: host.app.message(source, name, message)  # noqa: E731
+
+        def call():
+            host.app._take_incarnation(source, connection[0])
+            host.app.message(source, name, message)
+
         self.to_host(source, target, (source, target, connection), call)
 
     def lease(self, host, server_name, action, done):
--- a/packages/radishferry/src/radishferry/coordinator.py
+++ b/packages/radishferry/src/radishferry/coordinator.py
@@ -162,7 +162,7 @@
             range_id: row.epoch
             for range_id, row in self._rows.items()
             if row.owner == self._server
-            and range_id not in self._desired
+            and self._desired.get(range_id, 0) < row.epoch
             and range_id not in self._pending
             and row.epoch <= self._epoch_floor(range_id)
         }
--- a/packages/radishferry/src/radishferry/routing.py
+++ b/packages/radishferry/src/radishferry/routing.py
@@ -99,6 +99,19 @@
             routes.forget_resolved()
         return True
 
+    def host_restarted(self, host):
+        """Note that the process that coordinated servers has ended.
+
+        The terms stay known: they are used up.
+
+        :param str host: Name of the host.
+        """
+        for server, (term, found) in list(self._coordinators.items()):
+            if found == host:
+                self._coordinators[server] = term, ''
+                for routes in self._services.values():
+                    routes.forget_resolved()
+
     def range_of(self, service, key_hash):
         """Return the range id of a key, None for an undeclared service."""
         routes = self._services.get(service)
--- a/packages/radishferryd/src/radishferryd/app.py
+++ b/packages/radishferryd/src/radishferryd/app.py
@@ -109,6 +109,7 @@
         self._outbound = {}
         self._inbound = {}
         self._answered_at = {}
+        self._incarnations = {}
         self._sequence = itertools.count(1)
         self._hosts_due_at = 0.0
         self._callers = None
@@ -285,6 +286,7 @@
         """Exchange state with a host that was just connected."""
         now = self.scheduler.now()
         self.membership.link_opened(link.host, now)
+        self._take_incarnation(link.host, link.incarnation)
         self._answered_at[link] = now
         if not link.is_initiator:
             self._inbound[link] = streams.InboundStreams(link, self)
@@ -295,6 +297,14 @@
             ttypes.SnapshotRequest(self.manifests.version),
         )
 
+    def _take_incarnation(self, host, incarnation):
+        known = self._incarnations.get(host, incarnation)
+        if incarnation < known:
+            return
+        self._incarnations[host] = incarnation
+        if incarnation > known:
+            self.routes.host_restarted(host)
+
     def link_closed(self, link):
         """End the streams of a link."""
         self._answered_at.pop(link, None)
@@ -488,7 +498,7 @@
                 known = self.routes.coordinator_of(server.name)
                 if known is not None:
                     hosts.add(known[0])
-        hosts.discard(self.host_name)
+        hosts -= {self.host_name, ''}
         return sorted(hosts)
 
     def _on_host_changes(self, changes):
--- a/packages/radishferryd/src/radishferryd/ownership.py
+++ b/packages/radishferryd/src/radishferryd/ownership.py
@@ -32,6 +32,11 @@
 PAUSE_S = 0.25
 #: Seconds between repeated requests to a host to take a server over.
 HAND_OVER_INTERVAL_S = 0.5
+#: Seconds without a report on a server after which its first host takes it
+#: over although another host was said to act, and seconds until the next host
+#: does.  What a host knows of a process that has ended can be stale.
+UNREPORTED_S = 3.0
+NEXT_HOST_S = 1.0
 
 
 @dataclasses.dataclass
@@ -45,6 +50,7 @@
     client: http_client.JsonClient
     hand_over_to: str = ''
     handed_over_at: float = float('-inf')
+    since: float = float('-inf')
 
 
 class Ownership:
@@ -279,6 +285,7 @@
             limit=LEASE_CONNECTIONS,
         )
         owned = Owned(service, server, coordinator, dispatcher, client)
+        owned.since = self._now()
         dispatcher.probe = functools.partial(self._probe, owned)
         self._owned[server.name] = owned
 
@@ -322,13 +329,22 @@
             return False
         now = self._now()
         is_live = self._app.membership.is_live
-        known = self._app.routes.coordinator_of(name)
-        if known is not None and known[0] != me:
-            host, term = known
-            my_term = coordinator.base_term + hosts.index(me)
-            if is_live(host, now) or my_term <= term:
-                return False
-        return not any(is_live(h, now) for h in hosts[: hosts.index(me)])
+        host, term = self._app.routes.coordinator_of(name) or ('', 0)
+        my_term = coordinator.base_term + hosts.index(me)
+        if my_term < term:
+            return False
+        reported_at = self._app.planner.reported_at(name)
+        silent_s = now - max(reported_at, self._owned[name].since)
+        if silent_s > UNREPORTED_S + NEXT_HOST_S * hosts.index(me):
+            return True
+        if host not in ('', me) and (is_live(host, now) or my_term == term):
+            return False
+        # Hosts whose terms are used up cannot act although they are live.
+        return not any(
+            is_live(earlier, now)
+            for number, earlier in enumerate(hosts, coordinator.base_term)
+            if term < number < my_term
+        )
 
     def _live_successor(self, hosts):
         now = self._now()
@@ -390,6 +406,7 @@
                     owned.server.name,
                     result.body['term'],
                 )
+                self._announce_refusal(owned, result.body['term'])
         else:
             todo = coordinator.lease_failed(now)
         if boot_id and coordinator.boot_id not in (None, boot_id):
@@ -432,6 +449,14 @@
         )
         self._app.spread.routes([], [found], [])
 
+    def _announce_refusal(self, owned, term):
+        # Hosts that restarted do not know that terms are used up.  The host
+        # that acts under this term, if it still does, takes precedence.
+        found = ttypes.ActiveCoordinator(
+            owned.service.name, owned.server.name, '', term
+        )
+        self._app.spread.routes([], [found], [])
+
     def _announce_routes(self, owned, action):
         found = [
             ttypes.ActiveRoute(
--- a/packages/radishferryd/src/radishferryd/planner.py
+++ b/packages/radishferryd/src/radishferryd/planner.py
@@ -67,6 +67,10 @@
         self._is_dirty = True
         self._is_current = False
 
+    def reported_at(self, server) -> float:
+        """Return when a coordinator last reported on a server."""
+        return self._reports.get(server, ('', float('-inf')))[1]
+
     def server_reported(self, load):
         """Take what a coordinator says about its server.
 
@@ -208,20 +212,26 @@
         adjusted = {}
         for server, found in current.items():
             acting = app.routes.coordinator_of(server)
-            if (
-                acting is not None
-                and acting[1] > found.base_term
-                and acting[0] in found.hosts[1:]
-                and app.membership.is_live(acting[0], now)
-            ):
-                # The first host was superseded; its term is used up.
-                rest = [h for h in found.hosts if h != acting[0]]
-                found = assignment.CoordinatorAssignment(
-                    (acting[0], *rest), found.next_base_term
-                )
+            if acting is not None and acting[1] > found.base_term:
+                found = self._after_takeover(found, *acting, now)
             adjusted[server] = found
         return adjusted
 
+    def _after_takeover(self, found, acting, term, now):
+        base_term = max(found.next_base_term, term + 1)
+        if acting and self._app.membership.is_live(acting, now):
+            if acting not in found.hosts[1:]:
+                return found
+            # The first host was superseded; its term is used up.
+            rest = (h for h in found.hosts if h != acting)
+            hosts = (acting, *rest)
+        elif term + 1 < found.next_base_term:
+            return found
+        else:
+            # Nobody acts and all terms are used up.
+            hosts = found.hosts
+        return assignment.CoordinatorAssignment(hosts, base_term)
+
     def _plan_ranges(self, now):
         writes = {}
         for service in self._app.manifest.services:
