Carry out what a coordinator asks for when its list changes

Cause: coordinators_assigned dropped the actions that ranges_assigned returned. When a renewal was due at that moment the coordinator counted it as under way for ever, renewed no more, declared its running server lost and never took it back.

--- a/packages/radishferryd/src/radishferryd/ownership.py
+++ b/packages/radishferryd/src/radishferryd/ownership.py
@@ -125,8 +125,11 @@
                     continue
                 self._add(service, server)
             owned = self._owned[name]
-            owned.coordinator.ranges_assigned(
-                self._app.routes.assignments(service.name), now
+            self._run(
+                owned,
+                owned.coordinator.ranges_assigned(
+                    self._app.routes.assignments(service.name), now
+                ),
             )
             self._run(
                 owned,
