Take the baseline although the term was raised while it was read

Cause: the answer to the read of the assignments was dropped when the term differed from that at its start. A coordinator that adopted a newer list meanwhile never got a baseline and granted nothing for ever.

--- a/packages/radishferry/src/radishferry/coordinator.py
+++ b/packages/radishferry/src/radishferry/coordinator.py
@@ -84,6 +84,7 @@
         self._assignment = None
         self._term = 0
         self._list = None
+        self._takeovers = 0
         self._accepted_term = 0
         self._successors = set()
         self._refused_term = 0
@@ -121,6 +122,11 @@
         """Return the term under which this host acts, 0 for none."""
         return self._term if self.state != 'waiting' else 0
 
+    @property
+    def takeovers(self) -> int:
+        """Return how often this host took the server over."""
+        return self._takeovers
+
     @property
     def lapsed_at(self) -> float:
         """Return from when the server's lease has surely lapsed."""
@@ -234,6 +240,7 @@
             return []
         self._is_handover = is_handover
         self._forget()
+        self._takeovers += 1
         self._set_term(term)
         self._chart.fire('take_over')
         self._next_send_at = now
--- a/packages/radishferryd/src/radishferryd/ownership.py
+++ b/packages/radishferryd/src/radishferryd/ownership.py
@@ -419,14 +419,15 @@
             owned.dispatcher.pump()
 
     def _read_baseline(self, owned, action):
-        term = owned.coordinator.term
+        # The term may be raised meanwhile.
+        takeovers = owned.coordinator.takeovers
 
         def done(result):
-            if owned.coordinator.term != term or not term:
+            if owned.coordinator.takeovers != takeovers:
                 return
             if not isinstance(result, list):
                 self._app.scheduler.call_later(
-                    1.0, lambda: self._retry_baseline(owned, action, term)
+                    1.0, lambda: self._retry_baseline(owned, action, takeovers)
                 )
                 return
             rows = self._app.take_rows(result)
@@ -439,8 +440,9 @@
 
         self._app.table.read(f'ranges/{owned.service.name}/', done)
 
-    def _retry_baseline(self, owned, action, term):
-        if owned.coordinator.term == term:
+    def _retry_baseline(self, owned, action, takeovers):
+        acts = owned.coordinator.term
+        if acts and owned.coordinator.takeovers == takeovers:
             self._read_baseline(owned, action)
 
     def _announce_coordinator(self, owned, action):
