--- a/packages/radishferryd/src/radishferryd/planner.py
+++ b/packages/radishferryd/src/radishferryd/planner.py
@@ -139,7 +139,12 @@
                 self._is_busy = True
                 self._app.scheduler.call_later(1.0, self._not_busy)
                 return
+            # Whoever wrote them may have ended, or lost the answer, before
+            # it told the other hosts.
+            version = self._app.row_version
+            newer = [row for row in result if row.version > version(row.name)]
             self._app.take_rows(result)
+            self._app.push_rows(newer)
             if prefixes:
                 self._is_busy = True
                 self._app.table.read(prefixes.pop(), done)
