Read the baseline once the server has accepted the fence

Cause: the baseline was read when the takeover began. It is now read after the answer, and an epoch reserved for the server as standby counts as used. Ruled out: the stale expiry after a restart, fixed before.

--- a/packages/radishferry/src/radishferry/coordinator.py
+++ b/packages/radishferry/src/radishferry/coordinator.py
@@ -244,7 +244,7 @@
         self._set_term(term)
         self._chart.fire('take_over')
         self._next_send_at = now
-        return [actions.ReadBaseline(), *self.tick(now)]
+        return self.tick(now)
 
     def _set_term(self, term):
         self._term = term
@@ -314,6 +314,8 @@
             result.append(actions.StartWork())
             if was_state == 'fencing':
                 result.append(actions.AnnounceCoordinator(self._term))
+                # Until now the last coordinator could use further epochs.
+                result.append(actions.ReadBaseline())
         result += self._accept_term(now)
         result += self._announce()
         result += self._reply_releases(answer.seq)
@@ -372,7 +374,13 @@
             :class:`~radishferry.assignment.RangeAssignment`.
         """
         if self._baseline is None:
-            self._baseline = {i: row.epoch for i, row in rows.items()}
+            # The last coordinator may have been asked to promote the server.
+            self._baseline = {
+                range_id: row.standby_epoch
+                if row.standby == self._server
+                else row.epoch
+                for range_id, row in rows.items()
+            }
         return self.ranges_assigned(rows, now)
 
     def ranges_assigned(self, rows, now):
