--- /dev/null
+++ b/features/ownership_properties.feature
@@ -0,0 +1,25 @@
+Feature: Ownership under random faults
+
+  # Guards against two servers that hold one range, against epochs that go
+  # backwards, and against ranges that stay unserved once all faults end.
+  Scenario: Random faults of hosts, servers, network and table
+    Then 300 random sequences of faults keep the invariants
+
+  # Guards against the return of faults that these sequences have found.
+  Scenario Outline: Sequence <seed> of <faults> faults
+    Then sequence <seed> of <faults> faults keeps the invariants
+
+    Examples: Found before
+      | seed | faults  |
+      | 52   | session |
+      | 60   | session |
+      | 12   | session |
+      | 29   | session |
+      | 33   | session |
+      | 206  | session |
+      | 45   | all     |
+      | 73   | all     |
+      | 24   | all     |
+      | 121  | all     |
+      | 253  | all     |
+      | 478  | all     |
--- a/features/steps/ownership_properties_steps.py
+++ b/features/steps/ownership_properties_steps.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
+import random
 
 import behave
 import hypothesis
@@ -13,8 +15,13 @@
 #: Seconds until the first assignments are in force.
 START_S = 3.0
 STEPS = 12
-WAITS = st.sampled_from((0.02, 0.1, 0.2, 0.35, 0.7, 1.0, 2.5))
+WAITS_S = (0.02, 0.1, 0.2, 0.35, 0.7, 1, 2.5)
+WAITS = st.sampled_from(WAITS_S)
 NUMBERS = st.integers(0, 11)
+#: Faults in a sequence that is drawn from a seed.
+SEQUENCE = 14
+#: Faults that need a new server process are left out of ``session``.
+RESTARTS = (ownership_world.kill_server, ownership_world.restart_server)
 
 
 class Faults(stateful.RuleBasedStateMachine):
@@ -40,10 +47,20 @@
             world.recover()
 
 
+@contextlib.contextmanager
+def _quiet():
+    logger = logging.getLogger('radishferryd')
+    level = logger.level
+    logger.setLevel(logging.CRITICAL)
+    try:
+        yield
+    finally:
+        logger.setLevel(level)
+
+
 @behave.then('{count:d} random sequences of faults keep the invariants')
 def random_faults(context, count):
-    logging.getLogger('radishferryd').setLevel(logging.CRITICAL)
-    try:
+    with _quiet():
         stateful.run_state_machine_as_test(
             Faults,
             settings=hypothesis.settings(
@@ -55,5 +72,24 @@
                 suppress_health_check=list(hypothesis.HealthCheck),
             ),
         )
-    finally:
-        logging.getLogger('radishferryd').setLevel(logging.NOTSET)
+
+
+@behave.then('sequence {seed:d} of {faults:w} faults keeps the invariants')
+def seeded_faults(context, seed, faults):
+    chosen = [
+        fault
+        for fault in ownership_world.FAULTS
+        if faults == 'all' or fault not in RESTARTS
+    ]
+    source = random.Random(seed)
+    sequence = [
+        (source.choice(chosen), source.randrange(12), source.choice(WAITS_S))
+        for _ in range(SEQUENCE)
+    ]
+    with _quiet():
+        world = ownership_world.World(seed)
+        world.advance(START_S)
+        for fault, number, wait in sequence:
+            fault(world, number)
+            world.advance(wait)
+        world.recover()
