Take a restarted server over anew

Cause: a new server process has forgotten the highest term, so it accepts a coordinator that was superseded without noticing. After another boot id the baseline is read again, and nothing is granted before.

--- a/features/coordinator.feature
+++ b/features/coordinator.feature
@@ -137,6 +137,19 @@
     And coordinator h1 has range 3 not active
     And server a holds nothing
 
+  # Guards against a superseded coordinator that is accepted by a new process
+  # and grants an epoch that its successor has used and lost.
+  Scenario: Epochs known before a restart are not granted afterwards
+    When the table gives range 5 to a at epoch 7, previously of b and c
+    And server a restarts
+    And server a answers h1 for 0.2 s
+    And host h1 reads its baseline again, with range 5 at epoch 7
+    And b releases range 5 at epoch 7 to h1
+    And c releases range 5 at epoch 7 to h1
+    And server a answers h1 for 0.2 s
+    Then coordinator h1 has range 5 not active
+    And h1 grants range 5 no more below epoch 8
+
   # Guards against a new process that takes the renewal meant for the former
   # one, with an expiry far ahead on its own clock.
   Scenario: A renewal for the former process grants the new one nothing
--- a/features/steps/coordinator_steps.py
+++ b/features/steps/coordinator_steps.py
@@ -53,6 +53,14 @@
     _begin(context, {5: assignment.RangeAssignment('a', 7, 'b')})
 
 
+@behave.when('host h1 reads its baseline again, with range 5 at epoch 7')
+def read_baseline(context):
+    host = _host(context, 'h1')
+    assert host.of('ReadBaseline')
+    row = assignment.RangeAssignment('a', 7, '', ('b', 'c'))
+    host.run(host.coordinator.baseline_read({5: row}, context.world.now))
+
+
 @behave.given('a request of h1 is under way to server a')
 def request_under_way(context):
     host = _host(context, 'h1')
--- a/packages/radishferry/src/radishferry/coordinator.py
+++ b/packages/radishferry/src/radishferry/coordinator.py
@@ -582,8 +582,14 @@
         return []
 
     def _restarted(self):
+        # The new process has forgotten the terms it saw, so that a host that
+        # was superseded unnoticed is accepted again.  Epochs known by now may
+        # have been used by the host that superseded it.
         self._timer.forget_clock()
-        return self._lose_ranges()
+        self._pending = {}
+        self._baseline = None
+        self._takeovers += 1
+        return [*self._lose_ranges(), actions.ReadBaseline()]
 
     def _announce(self, again=()):
         if self.state != 'serving':
