--- a/packages/radishferryd/src/radishferryd/ownership.py
+++ b/packages/radishferryd/src/radishferryd/ownership.py
@@ -401,6 +401,7 @@
             todo = coordinator.lease_failed(now, refused=refused)
         elif result.status == 200 and isinstance(result.body, dict):
             todo = coordinator.lease_answered(_answer(seq, result), now)
+            todo += self._yield_to_higher_term(owned)
         elif result.status == 409 and isinstance(result.body, dict):
             todo = coordinator.lease_refused(seq, result.body['term'], now)
             if not coordinator.term:
@@ -418,6 +419,14 @@
         if coordinator.term:
             owned.dispatcher.pump()
 
+    def _yield_to_higher_term(self, owned):
+        # A restarted server accepts a term that was superseded.  All other
+        # hosts go by the higher one and would send no messages here.
+        known = self._app.routes.coordinator_of(owned.server.name)
+        if known is None or known[1] <= owned.coordinator.term:
+            return []
+        return owned.coordinator.stand_down()
+
     def _read_baseline(self, owned, action):
         # The term may be raised meanwhile.
         takeovers = owned.coordinator.takeovers
