Tell terms of all hosts and keep quiet about a forgotten fence

A new link now carries all coordinators known. Ruled out: the release requests, which were repeated. - A host that restarted denied a fence of its former process, whose renewals may hold for TTL plus margin; it leaves loss queries unanswered for that time. Found by reading; no sequence had shown it.

--- a/features/coordinator.feature
+++ b/features/coordinator.feature
@@ -186,6 +186,26 @@
     Then coordinator h1 is waiting
     And h1 has promoted nobody
 
+  # Guards against a list adopted without an answer of the server: the host
+  # asked the successors of the new list only, under its new term.
+  Scenario: Successors of the list accepted last are asked after a new list
+    When server a is silent to h1 for 0.3 s
+    And h1 adopts a list of h4 and h1 at base term 20
+    And server a is silent to h1 for 1.0 s
+    Then h1 has asked h2, h3 under term 10
+    When successor h2 replies that it has fenced
+    Then coordinator h1 is waiting
+    And h1 has promoted nobody
+
+  # Guards against a host that goes on with its own set of ranges although
+  # another one has acted under a term in between.
+  Scenario: A raised term that follows another host's starts anew
+    When h2 takes server a over
+    And h1 adopts a list of h4 and h1 at base term 20
+    And server a answers h1 for 0.3 s
+    Then coordinator h1 is serving
+    And server a holds nothing
+
   # Guards against a hot key served at its new owner while the former owner
   # still serves it as part of its hash range.
   Scenario: A hot key is released together with its hash range
--- a/features/ownership_properties.feature
+++ b/features/ownership_properties.feature
@@ -23,3 +23,9 @@
       | 121  | all     |
       | 253  | all     |
       | 478  | all     |
+      | 672  | all     |
+      | 860  | all     |
+      | 1293 | all     |
+      | 1581 | all     |
+      | 1823 | all     |
+      | 1973 | all     |
--- a/features/steps/coordinator_steps.py
+++ b/features/steps/coordinator_steps.py
@@ -134,6 +134,22 @@
     host.wait(0.05)
 
 
+@behave.when('h1 adopts a list of h4 and h1 at base term {base_term:d}')
+def adopt(context, base_term):
+    host = _host(context, 'h1')
+    now = context.world.now
+    newer = ownership_fakes.assigned(('h4', 'h1'), base_term)
+    host.run(host.coordinator.assigned(newer, now))
+    host.run(host.coordinator.confirm_term(now))
+
+
+@behave.then('h1 has asked h2, h3 under term {term:d}')
+def has_asked(context, term):
+    found = _host(context, 'h1').of('QuerySuccessors')[-1]
+    assert found.hosts == ('h2', 'h3'), found
+    assert found.term == term, found
+
+
 @behave.when('h1 hands server a over to h4')
 def hand_over(context):
     _host(context, 'h1').coordinator.hand_over('h4')
--- a/packages/radishferry/src/radishferry/routing.py
+++ b/packages/radishferry/src/radishferry/routing.py
@@ -83,6 +83,13 @@
         known = self._coordinators.get(server)
         return known and (known[1], known[0])
 
+    def coordinators(self):
+        """Return server to ``(host, term)`` of all known coordinators."""
+        return {
+            server: (host, term)
+            for server, (term, host) in self._coordinators.items()
+        }
+
     def set_coordinator(self, server, host, term):
         """Merge what is known about the coordinator of a server.
 
--- a/packages/radishferryd/src/radishferryd/app.py
+++ b/packages/radishferryd/src/radishferryd/app.py
@@ -426,8 +426,13 @@
             link.send('route_delta', ttypes.RouteDelta(part, [], [], hops))
 
     def _own_announcements(self):
+        # Terms of other hosts are told as well: those that are used up must
+        # be known everywhere, also when the host that used them has ended.
         routes = []
-        coordinators = []
+        coordinators = [
+            ttypes.ActiveCoordinator('', server, host, term)
+            for server, (host, term) in self.routes.coordinators().items()
+        ]
         for name, owned in self.ownership.owned.items():
             term = owned.coordinator.term
             if not term:
--- a/packages/radishferryd/src/radishferryd/ownership.py
+++ b/packages/radishferryd/src/radishferryd/ownership.py
@@ -32,6 +32,9 @@
 PAUSE_S = 0.25
 #: Seconds between repeated requests to a host to take a server over.
 HAND_OVER_INTERVAL_S = 0.5
+#: Seconds after the start in which a lease that a former process of this
+#: host renewed may not have lapsed.
+FENCE_MEMORY_S = lease.LEASE_TTL_S + lease.LAPSE_MARGIN_S
 #: Seconds without a report on a server after which its first host takes it
 #: over although another host was said to act, and seconds until the next host
 #: does.  What a host knows of a process that has ended can be stale.
@@ -69,6 +72,7 @@
         """
         self._app = app
         self._owned = {}
+        self._started_at = app.scheduler.now()
         self._last_tick = app.scheduler.now()
         app.scheduler.call_every(TICK_S, self._tick)
 
@@ -213,6 +217,10 @@
 
     def loss_query(self, host, message):
         """Answer a ``LossQuery``."""
+        if self._now() < self._started_at + FENCE_MEMORY_S:
+            # A former process of this host may have sent a fence and
+            # renewals that still hold.  The query is repeated.
+            return
         owned = self._owned.get(message.server)
         fenced_term = owned.coordinator.fenced_term if owned else 0
         base_term = owned.coordinator.base_term if owned else 0
