--- a/features/coordinator.feature
+++ b/features/coordinator.feature
@@ -155,9 +155,11 @@
   Scenario: A renewal for the former process grants the new one nothing
     When server a restarts with its clock set back
     And server a answers h1 for 0.5 s
-    And the table gives range 5 to a at epoch 7 without previous servers
+    And host h1 reads its baseline again, with range 5 at epoch 7
+    And the table gives range 5 to a at epoch 9 without previous servers
     And server a answers h1 for 0.5 s
-    And server a is silent to h1 for 1.0 s
+    Then coordinator h1 has range 5 active at epoch 9
+    When server a is silent to h1 for 1.0 s
     Then coordinator h1 is lapsing
     And server a holds nothing
 
@@ -206,6 +208,22 @@
     Then coordinator h1 is serving
     And server a holds nothing
 
+  # Guards against a term raised twice before the server has answered: the
+  # first answer under it would hide a host that acted in between.
+  Scenario: A term is raised only from one that the server accepted
+    When server a is silent to h1 for 0.1 s
+    And h1 adopts a list of h4 and h1 at base term 20
+    And h1 adopts a list of h4 and h1 at base term 30
+    Then h1 acts under term 21
+    When server a answers h1 for 0.2 s
+    Then h1 acts under term 31
+
+  # Guards against a range that is neither announced nor given a new epoch,
+  # because the row was rewritten before the takeover.
+  Scenario: A range held below the epoch of its row is an orphan
+    When h2 takes server a over while the row of range 3 has epoch 6
+    Then h2 reports range 3 at epoch 6 as an orphan
+
   # Guards against a hot key served at its new owner while the former owner
   # still serves it as part of its hash range.
   Scenario: A hot key is released together with its hash range
--- a/features/steps/coordinator_steps.py
+++ b/features/steps/coordinator_steps.py
@@ -114,13 +114,33 @@
     context.server.restart(0.0)
 
 
+@behave.when(
+    'h2 takes server a over while the row of range 3 has epoch {epoch:d}'
+)
+def take_over_rewritten(context, epoch):
+    take_over(context, epoch)
+    _host(context, 'h2').wait(0.2)
+
+
+@behave.then('h2 reports range 3 at epoch 6 as an orphan')
+def h2_reports_orphan(context):
+    found = _host(context, 'h2').of('AnnounceOrphans')
+    assert found and found[-1].epochs == {3: 6}, found
+
+
+@behave.then('h1 acts under term {term:d}')
+def acts_under(context, term):
+    found = _host(context, 'h1').coordinator.term
+    assert found == term, found
+
+
 @behave.when('h2 takes server a over')
-def take_over(context):
+def take_over(context, epoch=4):
     host = _host(context, 'h2')
     now = context.world.now
     host.run(host.coordinator.assigned(ownership_fakes.assigned(), now))
     host.run(host.coordinator.take_over(now))
-    rows = {3: assignment.RangeAssignment('a', 4, 'b')}
+    rows = {3: assignment.RangeAssignment('a', epoch, 'b')}
     host.run(host.coordinator.baseline_read(rows, now))
 
 
