--- a/packages/radishferryd/src/radishferryd/control_state.py
+++ b/packages/radishferryd/src/radishferryd/control_state.py
@@ -125,8 +125,15 @@
             link.send('assignment_push', push)
 
     def _own_announcements(self):
+        # Terms of other hosts are told as well: those that are used up must
+        # be known everywhere, also when the host that used them has ended.
         routes = []
-        coordinators = []
+        coordinators = [
+            ttypes.ActiveCoordinator('', server, host, term)
+            for server, (host, term) in (
+                self._app.routes.coordinators().items()
+            )
+        ]
         for name, owned in self._app.ownership.owned.items():
             term = owned.coordinator.term
             if not term:
--- a/packages/radishferryd/src/radishferryd/host_directory.py
+++ b/packages/radishferryd/src/radishferryd/host_directory.py
@@ -36,6 +36,7 @@
         self._app = app
         self._host_infos = {}
         self._answered_at = {}
+        self._incarnations = {}
         self._sequence = itertools.count(1)
         self._hosts_due_at = 0.0
 
@@ -54,6 +55,7 @@
         """Note a link that is ready."""
         now = self._app.scheduler.now()
         self._app.membership.link_opened(link.host, now)
+        self._take_incarnation(link.host, link.incarnation)
         self._answered_at[link] = now
 
     def link_closed(self, link):
@@ -107,6 +109,14 @@
         self._app.fire(events.hosts_changed([]))
         return True
 
+    def _take_incarnation(self, host, incarnation):
+        known = self._incarnations.get(host, incarnation)
+        if incarnation < known:
+            return
+        self._incarnations[host] = incarnation
+        if incarnation > known:
+            self._app.routes.host_restarted(host)
+
     def _own_heartbeat(self, answered=0):
         return ttypes.Heartbeat(
             next(self._sequence),
@@ -150,7 +160,7 @@
                 known = self._app.routes.coordinator_of(server.name)
                 if known is not None:
                     hosts.add(known[0])
-        hosts.discard(self._app.host_name)
+        hosts -= {self._app.host_name, ''}
         return sorted(hosts)
 
     def _on_host_changes(self, changes):
--- a/packages/radishferryd/src/radishferryd/ownership.py
+++ b/packages/radishferryd/src/radishferryd/ownership.py
@@ -32,6 +32,14 @@
 PAUSE_S = 0.25
 #: Seconds between repeated requests to a host to take a server over.
 HAND_OVER_INTERVAL_S = 0.5
+#: Seconds after the start in which a lease that a former process of this
+#: host renewed may not have lapsed.
+FENCE_MEMORY_S = lease.LEASE_TTL_S + lease.LAPSE_MARGIN_S
+#: Seconds without a report on a server after which its first host takes it
+#: over although another host was said to act, and seconds until the next host
+#: does.  What a host knows of a process that has ended can be stale.
+UNREPORTED_S = 3.0
+NEXT_HOST_S = 1.0
 
 
 @dataclasses.dataclass
@@ -46,6 +54,7 @@
     hand_over_to: str = ''
     is_retiring: bool = False
     handed_over_at: float = float('-inf')
+    since: float = float('-inf')
 
 
 class Ownership:
@@ -64,6 +73,7 @@
         """
         self._app = app
         self._owned = {}
+        self._started_at = app.scheduler.now()
         self._last_tick = app.scheduler.now()
         app.scheduler.call_every(TICK_S, self._tick)
 
@@ -116,8 +126,11 @@
                     continue
                 self._add(service, server)
             owned = self._owned[name]
-            owned.coordinator.ranges_assigned(
-                self._app.routes.assignments(service.name), now
+            self._run(
+                owned,
+                owned.coordinator.ranges_assigned(
+                    self._app.routes.assignments(service.name), now
+                ),
             )
             self._run(
                 owned,
@@ -203,6 +216,10 @@
 
     def loss_query(self, host, message):
         """Answer a ``LossQuery``."""
+        if self._now() < self._started_at + FENCE_MEMORY_S:
+            # A former process of this host may have sent a fence and
+            # renewals that still hold.  The query is repeated.
+            return
         owned = self._owned.get(message.server)
         fenced_term = owned.coordinator.fenced_term if owned else 0
         base_term = owned.coordinator.base_term if owned else 0
@@ -278,6 +295,7 @@
             limit=LEASE_CONNECTIONS,
         )
         owned = Owned(service, server, coordinator, dispatcher, client)
+        owned.since = self._now()
         dispatcher.probe = functools.partial(self._probe, owned)
         self._owned[server.name] = owned
 
@@ -324,13 +342,22 @@
             return False
         now = self._now()
         is_live = self._app.membership.is_live
-        known = self._app.routes.coordinator_of(name)
-        if known is not None and known[0] != me:
-            host, term = known
-            my_term = coordinator.base_term + hosts.index(me)
-            if is_live(host, now) or my_term <= term:
-                return False
-        return not any(is_live(h, now) for h in hosts[: hosts.index(me)])
+        host, term = self._app.routes.coordinator_of(name) or ('', 0)
+        my_term = coordinator.base_term + hosts.index(me)
+        if my_term < term:
+            return False
+        reported_at = self._app.planner.reported_at(name)
+        silent_s = now - max(reported_at, self._owned[name].since)
+        if silent_s > UNREPORTED_S + NEXT_HOST_S * hosts.index(me):
+            return True
+        if host not in ('', me) and (is_live(host, now) or my_term == term):
+            return False
+        # Hosts whose terms are used up cannot act although they are live.
+        return not any(
+            is_live(earlier, now)
+            for number, earlier in enumerate(hosts, coordinator.base_term)
+            if term < number < my_term
+        )
 
     def _live_successor(self, hosts):
         now = self._now()
@@ -366,6 +393,7 @@
             'seq': action.seq,
             'expires_at_ms': action.expires_at_ms,
             'ranges': None,
+            'boot_id': action.boot_id,
         }
         if action.ranges is not None:
             body['ranges'] = {str(r): e for r, e in action.ranges.items()}
@@ -383,6 +411,7 @@
             todo = coordinator.lease_failed(now, refused=refused)
         elif result.status == 200 and isinstance(result.body, dict):
             todo = coordinator.lease_answered(_answer(seq, result), now)
+            todo += self._yield_to_higher_term(owned)
         elif result.status == 409 and isinstance(result.body, dict):
             todo = coordinator.lease_refused(seq, result.body['term'], now)
             if not coordinator.term:
@@ -391,6 +420,7 @@
                     owned.server.name,
                     result.body['term'],
                 )
+                self._announce_refusal(owned, result.body['term'])
         else:
             todo = coordinator.lease_failed(now)
         if boot_id and coordinator.boot_id not in (None, boot_id):
@@ -399,15 +429,24 @@
         if coordinator.term:
             owned.dispatcher.pump()
 
+    def _yield_to_higher_term(self, owned):
+        # A restarted server accepts a term that was superseded.  All other
+        # hosts go by the higher one and would send no messages here.
+        known = self._app.routes.coordinator_of(owned.server.name)
+        if known is None or known[1] <= owned.coordinator.term:
+            return []
+        return owned.coordinator.stand_down()
+
     def _read_baseline(self, owned, action):
-        term = owned.coordinator.term
+        # The term may be raised meanwhile.
+        takeovers = owned.coordinator.takeovers
 
         def done(result):
-            if owned.coordinator.term != term or not term:
+            if owned.coordinator.takeovers != takeovers:
                 return
             if not isinstance(result, list):
                 self._app.scheduler.call_later(
-                    1.0, lambda: self._retry_baseline(owned, action, term)
+                    1.0, lambda: self._retry_baseline(owned, action, takeovers)
                 )
                 return
             rows = self._app.state.take_rows(result)
@@ -420,8 +459,9 @@
 
         self._app.table.read(f'ranges/{owned.service.name}/', done)
 
-    def _retry_baseline(self, owned, action, term):
-        if owned.coordinator.term == term:
+    def _retry_baseline(self, owned, action, takeovers):
+        acts = owned.coordinator.term
+        if acts and owned.coordinator.takeovers == takeovers:
             self._read_baseline(owned, action)
 
     def _announce_coordinator(self, owned, action):
@@ -433,6 +473,14 @@
         )
         self._app.spread.routes([], [found], [])
 
+    def _announce_refusal(self, owned, term):
+        # Hosts that restarted do not know that terms are used up.  The host
+        # that acts under this term, if it still does, takes precedence.
+        found = ttypes.ActiveCoordinator(
+            owned.service.name, owned.server.name, '', term
+        )
+        self._app.spread.routes([], [found], [])
+
     def _announce_routes(self, owned, action):
         found = [
             ttypes.ActiveRoute(
