--- a/features/steps/ownership_host.py
+++ b/features/steps/ownership_host.py
@@ -4,21 +4,25 @@
 
 import itertools
 
+import orjson
+
 from radishferry import actions
 from radishferry import coordinator
 from radishferry import hosts
 from radishferry import membership
 from radishferry import routing
-from radishferryd import app
+from radishferryd import control_state
 from radishferryd import events
+from radishferryd import host_directory
 from radishferryd import ownership
 from radishferryd import planner
+from radishferryd import platform
 from radishferryd import spread
 from radishferryd.gen import ttypes
 
 WORK_INTERVAL_S = 0.03
 #: Silence after which a link is closed, in seconds; see ``radishferryd.app``.
-LINK_SILENT_S = app.LINK_SILENT_S
+LINK_SILENT_S = host_directory.LINK_SILENT_S
 
 
 class Null:
@@ -148,6 +152,24 @@
         self.connections.pop(target, None)
 
 
+class _Link:
+    """Send to one host."""
+
+    def __init__(self, links, target):
+        self._links = links
+        self._target = target
+
+    def send(self, name, message):
+        self._links.send(self._target, name, message)
+
+
+def _rows(message):
+    return [
+        platform.Row(row.name, row.version, '', orjson.loads(row.value))
+        for row in message.rows
+    ]
+
+
 class App:
     """Offer to ``Ownership`` and ``Planner`` what the application does."""
 
@@ -156,24 +178,13 @@
     is_stopping = False
     metrics = Null()
 
-    take_route_delta = app.App.take_route_delta
-    take_rows = app.App.take_rows
-    push_rows = app.App.push_rows
-    row_version = app.App.row_version
-    row_value = app.App.row_value
-    _unpacked = app.App._unpacked
-    _assign_coordinators = app.App._assign_coordinators
-    _take_incarnation = app.App._take_incarnation
-    _own_announcements = app.App._own_announcements
-    _all_announcements = app.App._all_announcements
-    _on_route_delta = app.App._on_route_delta
-    _on_assignment_push = app.App._on_assignment_push
+    _take_incarnation = host_directory.HostDirectory._take_incarnation
 
     def __init__(self, host, process):
         self.host = host
         self.world = host.world
         self.table = self
-        self._rows = {}
+        self._app = self
         self._incarnations = {}
         self.incarnation = int(self.world.now * 1000)
         self.scheduler = Scheduler(host, process)
@@ -182,13 +193,16 @@
         self.manifest = None
         self.routes = routing.RouteTable()
         self.membership = membership.Membership(host.name, 'd0')
+        self.infos = [
+            hosts.HostInfo(name, 'd0', '') for name in self.world.host_names
+        ]
+        self.directory = self
+        self.policy = self
         self.spread = spread.Spread(self)
+        self.state = control_state.ControlState(self)
         self.ownership = Ownership(self)
         self.planner = planner.Planner(self)
-        self.host_infos = [
-            hosts.HostInfo(name, 'd0', '') for name in self.world.host_names
-        ]
-        self.membership.hosts_listed(self.host_infos, self.world.now)
+        self.membership.hosts_listed(self.infos, self.world.now)
         self.apply_manifest()
         self.scheduler.call_every(0.1, self._heartbeat)
         self.scheduler.call_every(0.5, self._report)
@@ -199,9 +213,7 @@
         self.manifest = Manifest(service)
         self.routes.declare(service.name, service.ranges)
         self.ownership.configure(self.manifest)
-        _, found = self._unpacked(self._rows.values())
-        for name, coordinators in found.items():
-            self._assign_coordinators(name, coordinators)
+        self.state.manifest_applied()
         self.planner.manifest_applied(self.manifest)
 
     def demand(self, service_name):
@@ -231,9 +243,11 @@
         elif name == 'snapshot_request':
             self._send_state(source)
         elif name == 'route_delta':
-            self._on_route_delta(None, message)
+            self.state.take_route_delta(message)
+            self.spread.forward(name, message)
         elif name == 'assignment_push':
-            self._on_assignment_push(None, message)
+            self.state.take_rows(_rows(message))
+            self.spread.forward(name, message)
         else:
             getattr(self.ownership, name)(source, message)
 
@@ -243,16 +257,7 @@
         self.links.send(target, 'snapshot_request', 1)
 
     def _send_state(self, target):
-        found = self._own_announcements()
-        if self.membership.is_relay(self.world.now):
-            found = self._all_announcements()
-            for push in app._row_pushes(list(self._rows.values())):
-                self.links.send(target, 'assignment_push', push)
-        self.links.send(
-            target,
-            'route_delta',
-            ttypes.RouteDelta(*found, [], spread.FINAL),
-        )
+        self.state.send_to(_Link(self.links, target), spread.FINAL)
 
     def _heartbeat(self):
         now = self.world.now
