--- a/features/coordinator.feature
+++ b/features/coordinator.feature
@@ -170,6 +170,14 @@
     Then coordinator h4 is serving
     And server a holds nothing
 
+  # Guards against work on a revoked range that outlives the bound of a
+  # coordinator which does not ask this host.
+  Scenario: A coordinator of another list extends no lease over running work
+    Given server a runs work on range 3
+    When h4 of a newer list takes server a over without a hand-over
+    And server a answers h4 for 0.7 s
+    Then server a holds nothing
+
   # Guards against ranges unserved by a planned change of coordinators.
   Scenario: A coordinator of another list keeps the ranges handed over
     When h4 of a newer list takes server a over by a hand-over
--- a/features/ownership_properties.feature
+++ b/features/ownership_properties.feature
@@ -29,3 +29,4 @@
       | 1581 | all     |
       | 1823 | all     |
       | 1973 | all     |
+      | 7423 | all     |
--- a/packages/radishferry/src/radishferry/coordinator.py
+++ b/packages/radishferry/src/radishferry/coordinator.py
@@ -96,6 +96,7 @@
         self._next_send_at = 0.0
         self._is_handover = False
         self._is_confirming = False
+        self._must_lapse = False
         self._rows = {}
         self._baseline = None
         self._desired = {}
@@ -305,6 +306,8 @@
         else:
             self._held = dict(answer.ranges)
             result += self._reconcile_held(sent_ranges)
+        if self._must_lapse:
+            self._must_lapse = not self._held.items() <= self._desired.items()
         if was_state == 'lapsing':
             self._timer.discard_expired(now)
         if self._chart.fire('answered'):
@@ -535,8 +538,9 @@
         if self.state != 'fencing':
             if changed or self.state != 'serving':
                 ranges = dict(self._desired)
-            expires_at_ms = self._timer.expires_at_ms
-            self._timer.sent()
+            if not self._must_lapse:
+                expires_at_ms = self._timer.expires_at_ms
+                self._timer.sent()
         self._outstanding = (self._seq, ranges, self._term)
         self._earlier_fence = self._fenced_term
         self._fenced_term = max(self._fenced_term, self._term)
@@ -557,6 +561,9 @@
         # finds its server lost asks just these hosts for their fences.
         same_list = answer.previous_term >= self._list.base_term
         keeps = same_list or self._is_handover
+        # Work on revoked ranges may not outlive the bound of the last
+        # coordinator, which does not ask this host.
+        self._must_lapse = not keeps
         self._held = dict(answer.ranges)
         self._sent_ranges = dict(answer.ranges)
         self._desired = dict(answer.ranges) if keeps else {}
@@ -760,6 +767,7 @@
         self._accepted_term = 0
         self._successors = set()
         self._is_confirming = False
+        self._must_lapse = False
         self._timer = lease.LeaseTimer()
         self._boot_id = None
         self._baseline = None
