--- a/features/fault_matrix.feature
+++ b/features/fault_matrix.feature
@@ -12,4 +12,4 @@
   # Guards against a cell that claims a proof by sequences that never combine
   # its step with its fault.
   Scenario: Random sequences reach the cells that name them
-    Then 150 random sequences reach all cells that they prove
+    Then 300 random sequences reach all cells that they prove
--- a/features/steps/entry_host_steps.py
+++ b/features/steps/entry_host_steps.py
@@ -391,8 +391,8 @@
 
 @behave.then('every request has a whole answer')
 def whole_answers(context):
-    found = [answer and answer[0] for answer in context.answers]
-    assert set(found) == {200}, found
+    refused = [a and a[2] for a in context.answers if not a or a[0] != 200]
+    assert not refused, refused
 
 
 @behave.then('the host has ended with status 0')
--- a/features/steps/ownership_host.py
+++ b/features/steps/ownership_host.py
@@ -118,6 +118,8 @@
 class Links:
     """Keep one connection to each other host while it is live."""
 
+    has_wrong_key = False
+
     def __init__(self, host):
         self._host = host
         self._numbers = itertools.count()
--- a/packages/radishferry/src/radishferry/coordinator.py
+++ b/packages/radishferry/src/radishferry/coordinator.py
@@ -133,6 +133,14 @@
         """Return from when the server's lease has surely lapsed."""
         return self._timer.lapsed_at
 
+    @property
+    def can_take_over(self) -> bool:
+        """Tell whether the reserved term was not refused before."""
+        if self._assignment is None:
+            return False
+        term = self._assignment.term_of(self._host)
+        return term is not None and term > self._refused_term
+
     @property
     def boot_id(self) -> str | None:
         """Return the boot id of the server, None before it answered."""
--- a/packages/radishferry/src/radishferry/coordinator_placement.py
+++ b/packages/radishferry/src/radishferry/coordinator_placement.py
@@ -18,7 +18,7 @@
 END_DIFFERENCE = 1
 
 
-def plan_coordinators(service, data_centre, hosts, current):
+def plan_coordinators(service, data_centre, hosts, current, may_move=True):
     """Return the coordinator assignments that should change.
 
     Lost servers keep what they have, and servers that are not in the manifest
@@ -29,6 +29,8 @@
     :param str data_centre: Data centre of servers and hosts.
     :param hosts: Names of its hosts that are live and not leaving.
     :param current: Mapping of server name to ``CoordinatorAssignment``.
+    :param bool may_move: Whether servers may move for balance; False while
+        one of the hosts is silent, which would be given servers.
     :returns: Mapping of server name to ``CoordinatorAssignment``.
     """
     servers = [
@@ -40,7 +42,8 @@
         return {}
     plan = _Plan(servers, hosts, current)
     plan.replace_gone()
-    plan.even_out()
+    if may_move:
+        plan.even_out()
     return plan.changes()
 
 
--- a/packages/radishferryd/src/radishferryd/dispatch.py
+++ b/packages/radishferryd/src/radishferryd/dispatch.py
@@ -21,7 +21,9 @@
 #: Seconds after which a caller may come back when a server is being moved.
 MOVE_RETRY_S = 0.2
 #: Seconds to find out whether a server that broke a connection crashed.
-CRASH_WAIT_S = 0.05
+#: The first probe may only find that the idle connection has been closed; the
+#: next one follows 50 ms later.
+CRASH_WAIT_S = 0.15
 #: Largest body of an answer kept for a repeated request, in bytes.
 KEPT_BYTES = 4096
 #: Prefix of headers that only the router sets.
--- a/packages/radishferryd/src/radishferryd/inspection.py
+++ b/packages/radishferryd/src/radishferryd/inspection.py
@@ -19,6 +19,8 @@
         """Tell whether the host can route requests."""
         if self._app.is_stopping or self._app.manifest is None:
             return False
+        if self._app.links.has_wrong_key:
+            return False
         return all(
             self._app.routes.assignments(service.name)
             for service in self._app.manifest.services
--- a/packages/radishferryd/src/radishferryd/ownership.py
+++ b/packages/radishferryd/src/radishferryd/ownership.py
@@ -330,6 +330,9 @@
                 self._remove(name)
 
     def _is_other_live(self, name):
+        if self._app.links.has_wrong_key:
+            # The others are live, but would not hear of a takeover.
+            return True
         known = self._app.routes.coordinator_of(name)
         if known is None or known[0] == self._app.host_name:
             return False
@@ -340,6 +343,8 @@
         me = self._app.host_name
         if me not in hosts or self._app.is_stopping:
             return False
+        if self._app.links.has_wrong_key or not coordinator.can_take_over:
+            return False
         now = self._now()
         is_live = self._app.membership.is_live
         host, term = self._app.routes.coordinator_of(name) or ('', 0)
--- a/packages/radishferryd/src/radishferryd/peer.py
+++ b/packages/radishferryd/src/radishferryd/peer.py
@@ -32,6 +32,9 @@
     def link_closed(self, link: Link) -> None:
         """Note that a link that was open has closed."""
 
+    def key_refused(self, link: Link) -> None:
+        """Note that the peer does not know the shared key."""
+
     def message(self, link: Link, name: str, message: typing.Any) -> None:
         """Take a message."""
 
@@ -196,6 +199,7 @@
     def _on_proof(self, proof):
         expected = self._mac(not self._is_initiator, by_self=False)
         if not hmac.compare_digest(expected, proof.mac or b''):
+            self._owner.key_refused(self)
             raise peer_codec.FrameError('wrong shared key')
         self._buffer.allow_large()
         self._is_ready = True
@@ -242,6 +246,8 @@
         self._inbound = set()
         self._blocked = {}
         self._closed_bytes = 0
+        self._refused_at = None
+        self._was_ready = False
         self._listener = None
         scheduler.call_every(HANDSHAKE_TIMEOUT_S, self._close_overdue)
 
@@ -255,6 +261,11 @@
         """Return the links that peers opened."""
         return self._inbound
 
+    @property
+    def has_wrong_key(self) -> bool:
+        """Tell whether listed hosts refuse the key and none takes it."""
+        return self._refused_at is not None and not self._was_ready
+
     @property
     def sent_bytes(self) -> int:
         """Return the bytes of messages sent over all links."""
@@ -331,6 +342,7 @@
             )
             link.close()
             return
+        self._was_ready = True
         self._owner.link_opened(link)
 
     def link_closed(self, link):
@@ -343,6 +355,11 @@
             self._blocked[link.target] = now + RECONNECT_INTERVAL_S
         self._owner.link_closed(link)
 
+    def key_refused(self, link):
+        """See :class:`LinkOwner`."""
+        if link.is_initiator:
+            self._refused_at = self._scheduler.now()
+
     def message(self, link, name, message):
         """See :class:`LinkOwner`."""
         self._owner.message(link, name, message)
--- a/packages/radishferryd/src/radishferryd/planner.py
+++ b/packages/radishferryd/src/radishferryd/planner.py
@@ -199,7 +199,11 @@
             hosts = self._usable_hosts(now)
             adjusted = self._acting_first(current, now)
             changed = placement.plan_coordinators(
-                service, app.data_centre, hosts, adjusted
+                service,
+                app.data_centre,
+                hosts,
+                adjusted,
+                all(app.membership.is_live(host, now) for host in hosts),
             )
             merged = {**adjusted, **changed}
             if merged != current:
