Add experiments for the service that callers feel

Open-loop crest, long work, reservations, poison and cost, each beside a baseline policy or without the disturbance in the same run. Not yet run with repeats.

--- /dev/null
+++ b/packages/radishferry-testing/src/radishferry_testing/bench.py
@@ -0,0 +1,36 @@
+"""Run experiments and write their results to docs/measurements."""
+
+from __future__ import annotations
+
+import importlib
+
+from radishferry_testing import arguments
+from radishferry_testing.experiments import results
+
+#: Experiments; each is a module with ``run(repeats)``.
+NAMES = ('crest', 'long_work', 'reservations', 'poison', 'cost')
+
+
+def main(
+    *names: str,
+    repeats: int = 3,
+    output: str = results.DIRECTORY,
+):
+    """Run experiments.
+
+    :param names: crest, long_work, reservations, poison or cost; all without.
+    :param repeats: Runs of each variant.
+    :param output: Directory of the results.
+    """
+    for name in names or NAMES:
+        if name not in NAMES:
+            raise SystemExit(f'no experiment {name}; there are {NAMES}')
+        module = f'radishferry_testing.experiments.{name}'
+        found = importlib.import_module(module).run(repeats=repeats)
+        found.save(output)
+        for row in found.rows():
+            print(name, *row, sep=' | ', flush=True)
+
+
+if __name__ == '__main__':
+    arguments.run(main)
--- /dev/null
+++ b/packages/radishferry-testing/src/radishferry_testing/experiments/closed_loop.py
@@ -0,0 +1,86 @@
+"""Send requests over kept connections, one after the other on each."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+
+import httptools
+
+from radishferry_testing import arguments
+
+
+class Caller(asyncio.Protocol):
+    """Send the next request when the previous one is answered.
+
+    :param latencies: List that takes seconds of each answer.
+    :param statuses: Mapping of status to count.
+    """
+
+    def __init__(self, request, latencies, statuses):
+        self._request = request
+        self._latencies = latencies
+        self._statuses = statuses
+        self._sent_at = 0.0
+        self._transport = None
+        self._parser = None
+
+    def connection_made(self, transport):
+        """Send the first request."""
+        self._transport = transport
+        self._parser = httptools.HttpResponseParser(self)
+        self._send()
+
+    def data_received(self, data):
+        """Take a part of an answer."""
+        self._parser.feed_data(data)
+
+    def on_message_complete(self):
+        """Note an answer and send the next request."""
+        self._latencies.append(time.monotonic() - self._sent_at)
+        status = self._parser.get_status_code()
+        self._statuses[status] = self._statuses.get(status, 0) + 1
+        self._send()
+
+    def _send(self):
+        self._sent_at = time.monotonic()
+        self._transport.write(self._request)
+
+
+async def drive(address, path, callers, seconds) -> dict:
+    """Send GET requests and return counts and latencies in seconds."""
+    host, _, port = address.rpartition(':')
+    latencies, statuses = [], {}
+    loop = asyncio.get_running_loop()
+    start = time.monotonic()
+    transports = []
+    for number in range(callers):
+        request = (
+            f'GET {path.replace("{key}", f"key-{number}")} HTTP/1.1\r\n'
+            f'Host: {host}\r\n\r\n'
+        ).encode()
+        transport, _ = await loop.create_connection(
+            lambda: Caller(request, latencies, statuses), host, int(port)
+        )
+        transports.append(transport)
+    await asyncio.sleep(seconds)
+    elapsed = time.monotonic() - start
+    for transport in transports:
+        transport.abort()
+    return {'elapsed_s': elapsed, 'latencies': latencies, 'statuses': statuses}
+
+
+def main(*, address: str, path: str, callers: int = 16, seconds: float = 5.0):
+    """Send requests and print the results as JSON.
+
+    :param address: Address as ip:port.
+    :param path: Path, in which {key} differs from caller to caller.
+    :param callers: Connections.
+    :param seconds: Duration.
+    """
+    print(json.dumps(asyncio.run(drive(address, path, callers, seconds))))
+
+
+if __name__ == '__main__':
+    arguments.run(main)
--- /dev/null
+++ b/packages/radishferry-testing/src/radishferry_testing/experiments/loads.py
@@ -0,0 +1,115 @@
+"""Run load generators as processes and read what they recorded."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import itertools
+import pathlib
+import subprocess
+import sys
+import time
+
+import orjson
+
+#: Part of the sends of a generator that may be later than this, in seconds,
+#: before its figures are marked.
+LATE_S = 0.02
+
+
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """Declare the load of one generator process.
+
+    :ivar kinds: Values of ``--kind`` of the load generator.
+    :ivar rate: Value of ``--rate``.
+    :ivar start_s: Seconds from the start of the measurement.
+    """
+
+    kinds: tuple[str, ...]
+    rate: str
+    duration_s: float
+    start_s: float = 0.0
+    keys: int = 100_000
+    resend: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Sent:
+    """Hold the records of one generator.
+
+    :ivar records: Fields of ``load_kinds.Record`` with the seconds ``at``
+        (sent), ``took`` and ``late`` (sent after the intended time).
+    """
+
+    load: Load
+    records: list[dict]
+
+
+def run(loads, hosts, directory) -> list[Sent]:
+    """Run generators side by side and return their records.
+
+    Seconds count from the first start of a generator that was ready.
+
+    :param hosts: List of ``ip:port``.
+    :param directory: Where the records are written.
+    """
+    start = time.monotonic()
+    with contextlib.ExitStack() as stack:
+        started = []
+        for number, load in sorted(
+            enumerate(loads), key=lambda pair: pair[1].start_s
+        ):
+            time.sleep(max(0.0, start + load.start_s - time.monotonic()))
+            path = pathlib.Path(directory) / f'load-{number}.jsonl'
+            popen = subprocess.Popen(
+                _command(load, hosts, path, number),
+                stdout=subprocess.DEVNULL,
+            )
+            stack.callback(popen.wait)
+            started.append((load, path))
+    found = [(load, _read(path)) for load, path in started]
+    first = min(r['intended_ns'] for _, records in found for r in records)
+    for record in itertools.chain.from_iterable(r for _, r in found):
+        record['at'] = (record['send_ns'] - first) / 1e9
+        record['took'] = (record['end_ns'] - record['send_ns']) / 1e9
+        record['late'] = (record['send_ns'] - record['intended_ns']) / 1e9
+    return [Sent(load, records) for load, records in found]
+
+
+def late_part(records) -> float:
+    """Return the part of requests that were sent late."""
+    first = [r for r in records if not r['attempt']]
+    return sum(r['late'] > LATE_S for r in first) / max(1, len(first))
+
+
+def is_served(record) -> bool:
+    """Tell whether a request got the whole answer of its server."""
+    return record['status'] == 200 and record['body'] == 'complete'
+
+
+def served_per_s(records, start, end) -> float:
+    """Return the whole answers received in a period, per second."""
+    ends = (r['at'] + r['took'] for r in records if is_served(r))
+    return sum(start <= at < end for at in ends) / (end - start)
+
+
+def _command(load, hosts, path, seed):
+    return [
+        sys.executable,
+        '-m',
+        'radishferry_testing.load',
+        *(f'--host={host}' for host in hosts),
+        *(f'--kind={kind}' for kind in load.kinds),
+        f'--rate={load.rate}',
+        f'--duration-s={load.duration_s}',
+        f'--keys={load.keys}',
+        '--zipf=0',
+        f'--resend={load.resend}',
+        f'--records={path}',
+        f'--seed={seed + 1}',
+    ]
+
+
+def _read(path):
+    return [orjson.loads(line) for line in path.read_bytes().splitlines()]
--- a/packages/radishferry-testing/src/radishferry_testing/process_specs.py
+++ b/packages/radishferry-testing/src/radishferry_testing/process_specs.py
@@ -61,14 +61,18 @@
     )
 
 
-def entry_host(name, settings, ports=('caller', 'peer', 'admin')):
+def entry_host(name, settings, ports=('caller', 'peer', 'admin'), policy=()):
     """Return an entry host that is ready when ``/ready`` answers 200.
 
     :param settings: See :class:`ProcessSpec`.
     :param ports: Names of ports; ``admin`` is polled.
+    :param policy: Arguments of the module ``baseline_host`` in place of the
+        program, empty for the program.
     """
-    program = pathlib.Path(sys.executable).with_name('radishferryd')
-    command = (str(program), '--settings', '{settings}')
+    program = (str(pathlib.Path(sys.executable).with_name('radishferryd')),)
+    if policy:
+        program = _module('baseline_host', *policy)
+    command = (*program, '--settings', '{settings}')
     return ProcessSpec(name, command, ports, settings, ready='admin/ready')
 
 
--- a/packages/radishferry-testing/src/radishferry_testing/topology.py
+++ b/packages/radishferry-testing/src/radishferry_testing/topology.py
@@ -41,11 +41,13 @@
     :ivar data_centres: Names of the data centres.
     :ivar hosts_per_data_centre: Entry hosts in each.
     :ivar services: The services.
+    :ivar policy: Arguments of ``baseline_host``, empty for radishferryd.
     """
 
     data_centres: tuple[str, ...]
     hosts_per_data_centre: int
     services: tuple[ServiceSpec, ...]
+    policy: tuple[str, ...] = ()
 
     @property
     def hosts(self) -> dict[str, str]:
@@ -172,7 +174,11 @@
     def host_specs(self) -> list[process_specs.ProcessSpec]:
         """Return the entry hosts."""
         return [
-            process_specs.entry_host(name, _settings(name, data_centre))
+            process_specs.entry_host(
+                name,
+                _settings(name, data_centre),
+                policy=self.topology.policy,
+            )
             for name, data_centre in self.topology.hosts.items()
         ]
 
