Answer all waiting jobs of a moved range and free servers after retries

The chooser of servers without keys counted an attempt as running for ever when the request was retried or its caller went away, so the server got ever less work. The gateway searched all open requests at each closed connection.

The pump now notes a nested call and repeats itself; each attempt is ended once at the chooser; a cancelled request leaves the gateway by itself.

--- a/packages/radishferry-testing/src/radishferry_testing/experiments/cost.py
+++ b/packages/radishferry-testing/src/radishferry_testing/experiments/cost.py
@@ -169,9 +169,7 @@
 
 async def latency(address, rate, keys, seconds=SECONDS) -> dict:
     """Send an open-loop load and return percentiles in ms."""
-    generator = load.LoadGenerator(
-        [address], [LOOKUP], _Keys(keys), seed=1
-    )
+    generator = load.LoadGenerator([address], [LOOKUP], _Keys(keys), seed=1)
     schedule = arrivals.parse_schedule(f'constant:{rate}')
     report = await generator.run(schedule, seconds)
     generator.close()
--- a/packages/radishferry-testing/src/radishferry_testing/experiments/crest.py
+++ b/packages/radishferry-testing/src/radishferry_testing/experiments/crest.py
@@ -65,9 +65,7 @@
     extra = (PEAK - BASE) * CAPACITY / GENERATORS
     total_s = BEFORE_S + CREST_S + AFTER_S
     base = loads.Load((KIND,), f'constant:{BASE * CAPACITY}', total_s)
-    crest = loads.Load(
-        (KIND,), f'ramp:1:{extra}:{RISE_S}', CREST_S, BEFORE_S
-    )
+    crest = loads.Load((KIND,), f'ramp:1:{extra}:{RISE_S}', CREST_S, BEFORE_S)
     with tempfile.TemporaryDirectory() as directory:
         with demo.deployed(shape(policy), directory) as deployment:
             sent = loads.run(
--- a/packages/radishferry-testing/src/radishferry_testing/experiments/results.py
+++ b/packages/radishferry-testing/src/radishferry_testing/experiments/results.py
@@ -99,7 +99,9 @@
         return '\n'.join(lines).rstrip() + '\n'
 
     def _plot(self, path):
-        names = list(dict.fromkeys(n for f in self.figures.values() for n in f))
+        names = list(
+            dict.fromkeys(n for f in self.figures.values() for n in f)
+        )
         figure, axes = pyplot.subplots(
             len(names), 1, figsize=(7, 1.3 * len(names) + 0.5), squeeze=False
         )
--- a/packages/radishferry/src/radishferry/balancing.py
+++ b/packages/radishferry/src/radishferry/balancing.py
@@ -164,6 +164,14 @@
         record.failures += 1
         self._note_failure(record, now)
 
+    def cancelled(self, name: str):
+        """Note that the caller gave a request up, which says nothing else.
+
+        :param name: The server.
+        """
+        record = self._record(name)
+        record.in_flight = max(0, record.in_flight - 1)
+
     def hint(self, name: str, busy: int, slots: int, now: float):
         """Note the load that a server reports.
 
--- a/packages/radishferryd/src/radishferryd/dispatch.py
+++ b/packages/radishferryd/src/radishferryd/dispatch.py
@@ -131,6 +131,8 @@
         self._jobs = {}
         self._broken = []
         self._timer = None
+        self._is_pumping = False
+        self._pump_again = False
 
     @property
     def jobs(self) -> dict[int, Job]:
@@ -174,6 +176,20 @@
 
     def pump(self):
         """Send waiting work while the server has slots."""
+        # A job refused at its start frees its slot and pumps again. Nested
+        # calls for 4096 waiting jobs would exceed the recursion limit.
+        self._pump_again = True
+        if self._is_pumping:
+            return
+        self._is_pumping = True
+        try:
+            while self._pump_again:
+                self._pump_again = False
+                self._pump_once()
+        finally:
+            self._is_pumping = False
+
+    def _pump_once(self):
         now = self.scheduler.now()
         if self.view.may_work(now):
             for work in self.queue.start(now):
--- a/packages/radishferryd/src/radishferryd/entry.py
+++ b/packages/radishferryd/src/radishferryd/entry.py
@@ -79,6 +79,15 @@
     ) -> streams.Source | outcomes.Refusal | None:
         """Begin a stream, see :class:`radishferryd.streams.Dispatcher`."""
 
+    def ended(
+        self, request: streams.Request, elapsed_s: float, failed: bool | None
+    ) -> None:
+        """Note the end of a stream that was begun.
+
+        :param failed: Whether the server did not serve it; None when the
+            caller gave up.
+        """
+
 
 class EntryRequest:
     """Follow one request of a caller over its attempts."""
@@ -111,6 +120,10 @@
         self._crashes = 0
         self.started_at = scheduler.now()
         self.route = None
+        self._next_route = None
+        self._running = None
+        self._attempt_at = 0.0
+        self._status = 0
 
     @property
     def request(self) -> CallerRequest:
@@ -133,7 +146,8 @@
                 self._left() + COORDINATOR_GRACE_S, self._on_deadline
             )
         self._attempt += 1
-        request = self._router.route(self._request)
+        request = self._next_route or self._router.route(self._request)
+        self._next_route = None
         self.route = request
         if request is None:
             self._refuse_unsent(
@@ -149,8 +163,11 @@
         )
         sink = _AttemptSink(self)
         self._sink = sink
+        self._running = request
+        self._attempt_at = self._scheduler.now()
         source = self._router.connect(request, sink)
         if isinstance(source, outcomes.Refusal):
+            self._end_attempt(failed=True)
             self._finish(source)
             return
         if source is None or sink is not self._sink:
@@ -185,6 +202,7 @@
 
     def cancel(self):
         """Give up, because the caller has gone."""
+        self._end_attempt(failed=None)
         self._done()
         if self._source is not None:
             self._source.cancel()
@@ -192,6 +210,7 @@
     def attempt_head(self, status, headers):
         """Take the head of the answer."""
         self._has_head = True
+        self._status = status
         if self._request.kind.long:
             self._timer.cancel()
         self._answer.on_head(status, headers)
@@ -199,6 +218,7 @@
     def attempt_chunk(self, data, is_last):
         """Take a part of the answer."""
         if is_last:
+            self._end_attempt(failed=self._status >= 500)
             self._done()
             self._budget.note_success(self._scheduler.now())
         self._answer.on_chunk(data, is_last)
@@ -206,6 +226,7 @@
     def attempt_refused(self, refusal):
         """Try again, or pass the refusal on."""
         self._source = None
+        self._end_attempt(failed=True)
         if refusal.outcome is not outcomes.Outcome.NOT_RUN:
             self._may_have_run = True
         if refusal.reason is outcomes.Reason.SERVER_LOST:
@@ -238,6 +259,7 @@
         # Another attempt at the same owner under the same epoch would end
         # in the same way.
         route = self._router.route(self._request)
+        self._next_route = route
         if route is None:
             return False
         old = self.route
@@ -255,7 +277,14 @@
             )
         )
 
+    def _end_attempt(self, failed):
+        running, self._running = self._running, None
+        if running is not None:
+            elapsed_s = self._scheduler.now() - self._attempt_at
+            self._router.ended(running, elapsed_s, failed)
+
     def _on_deadline(self):
+        self._end_attempt(failed=True)
         if self._source is not None:
             self._source.cancel()
         self._finish(
--- a/packages/radishferryd/src/radishferryd/gateway.py
+++ b/packages/radishferryd/src/radishferryd/gateway.py
@@ -91,8 +91,17 @@
         metrics.requests.inc(service, kind, outcome.value, reason)
         elapsed = self._app.scheduler.now() - request.started_at
         metrics.latency.observe(elapsed, service, kind)
-        if request.route is not None and request.route.range_id < 0:
-            self._note_server(request, status, refusal, elapsed)
+
+    def cancelled(self, request):
+        """See :class:`radishferryd.http_server.Gateway`."""
+        self._requests.discard(request)
+        reason = outcomes.Reason.CANCELLED.value
+        self._app.metrics.requests.inc(
+            request.request.service.name,
+            request.request.kind.name,
+            outcomes.Outcome.UNKNOWN.value,
+            reason,
+        )
 
     def connection_opened(self, connection):
         """See :class:`radishferryd.http_server.Gateway`."""
@@ -101,7 +110,6 @@
     def connection_closed(self, connection):
         """See :class:`radishferryd.http_server.Gateway`."""
         self._connections.discard(connection)
-        self._requests = {r for r in self._requests if not r.is_done}
 
     # For requests.
 
@@ -148,6 +156,17 @@
             )
         return self._app.outbound_streams(link).begin(request, sink)
 
+    def ended(self, request, elapsed_s, failed):
+        """See :class:`radishferryd.entry.Router`."""
+        if request.range_id >= 0:
+            return
+        chooser = self._chooser_for(request.service)
+        if failed is None:
+            chooser.cancelled(request.server)
+            return
+        now = self._app.scheduler.now()
+        chooser.finished(request.server, elapsed_s, failed, now)
+
     def _any_server(self, service):
         now = self._app.scheduler.now()
         candidates = self._candidates(service)
@@ -165,12 +184,6 @@
             and coordinator_of(server.name) is not None
         ]
 
-    def _note_server(self, request, status, refusal, elapsed):
-        chooser = self._chooser_for(request.request.service.name)
-        failed = refusal is not None or status >= 500
-        now = self._app.scheduler.now()
-        chooser.finished(request.route.server, elapsed, failed, now)
-
 
 class _AnyRoute:
     """Be a route that needs no range."""
--- a/packages/radishferryd/src/radishferryd/http_server.py
+++ b/packages/radishferryd/src/radishferryd/http_server.py
@@ -52,6 +52,9 @@
     def finished(self, request, status: int, refusal) -> None:
         """Note the end of a request, for the metrics."""
 
+    def cancelled(self, request) -> None:
+        """Note that the caller of a request has gone."""
+
     def connection_opened(self, connection: CallerConnection) -> None:
         """Note a connection."""
 
@@ -124,6 +127,7 @@
         request, self._request = self._request, None
         if request is not None and not request.is_done:
             request.cancel()
+            self._gateway.cancelled(request)
         self._is_open_answer = False
         self._gateway.connection_closed(self)
 
