--- a/features/balancing.feature
+++ b/features/balancing.feature
@@ -138,3 +138,10 @@
     When 100 requests/s are sent for 1 s
     And only server a is kept
     Then the chooser remembers 1 server
+
+  Scenario: A request that its caller gave up does not keep a server busy
+    Guards against servers that get ever less work.
+    Given servers a and b in data centre dc1
+    And 50 requests to a are given up
+    When 100 requests/s are sent for 5 s
+    Then each of a and b received between 40% and 60%
--- a/features/poller.feature
+++ b/features/poller.feature
@@ -18,3 +18,10 @@
     Given a loop with a callback echo server and a component echo server
     When a component polls a socket that is closed
     Then both servers still echo
+
+  Scenario: What is written before a connection closes arrives whole
+    Guards against parts that are lost or reordered when small ones are sent
+    together and large ones do not fit into the socket.
+    Given a loop with a callback echo server and a component echo server
+    When a server writes parts of 10, 0, 70000, 5, 9000000, 7 bytes and closes
+    Then all parts arrive in order
--- a/features/steps/balancing_steps.py
+++ b/features/steps/balancing_steps.py
@@ -52,6 +52,13 @@
         context.chooser.finished(name, ms / 1000, True, 0.0)
 
 
+@behave.given('{count:d} requests to {name:w} are given up')
+def given_up(context, count, name):
+    for _ in range(count):
+        context.chooser.started(name)
+        context.chooser.cancelled(name)
+
+
 @behave.given(
     'all but {name:w} report 6 of 6 slots in use and {same:w} reports {busy:d}'
 )
--- a/features/steps/poller_steps.py
+++ b/features/steps/poller_steps.py
@@ -124,6 +124,41 @@
         assert _echo(address, b'still here') == b'still here'
 
 
+class _Parts:
+    """Answer in parts and close before anything is sent."""
+
+    def __init__(self, parts):
+        self._parts = parts
+
+    def connected(self, connection):
+        for part in self._parts:
+            connection.write(part)
+        connection.close()
+
+    def received(self, data):
+        pass
+
+    pause_producing = resume_producing = lambda self: None
+    closed = received
+
+
+@behave.when('a server writes parts of {sizes} bytes and closes')
+def write_parts(context, sizes):
+    parts = [bytes([n]) * int(s) for n, s in enumerate(sizes.split(', '))]
+    context.sent = b''.join(parts)
+    listener = net.Listener(
+        context.poller, ('127.0.0.1', 0), lambda: _Parts(parts)
+    )
+    context.add_cleanup(listener.close)
+    with contextlib.closing(_connect(listener.address)) as sock:
+        context.echoed = b''.join(iter(lambda: sock.recv(65536), b''))
+
+
+@behave.then('all parts arrive in order')
+def parts_arrive(context):
+    assert context.echoed == context.sent, len(context.echoed)
+
+
 @behave.when('a component polls a socket that is closed')
 def closed_socket(context):
     sock = socket.socket()
