--- a/packages/radishferry-testing/src/radishferry_testing/experiments/closed_loop.py
+++ b/packages/radishferry-testing/src/radishferry_testing/experiments/closed_loop.py
@@ -11,11 +11,14 @@
 from radishferry_testing import arguments
 
 
+REASON_HEADER = b'radishferry-reason'
+
+
 class Caller(asyncio.Protocol):
     """Send the next request when the previous one is answered.
 
     :param latencies: List that takes seconds of each answer.
-    :param statuses: Mapping of status to count.
+    :param statuses: Mapping of status, or the reason of a refusal, to count.
     """
 
     def __init__(self, request, latencies, statuses):
@@ -25,6 +28,7 @@
         self._sent_at = 0.0
         self._transport = None
         self._parser = None
+        self._reason = ''
 
     def connection_made(self, transport):
         """Send the first request."""
@@ -36,10 +40,16 @@
         """Take a part of an answer."""
         self._parser.feed_data(data)
 
+    def on_header(self, name, value):
+        """Take a header of an answer."""
+        if name.lower() == REASON_HEADER:
+            self._reason = value.decode()
+
     def on_message_complete(self):
         """Note an answer and send the next request."""
         self._latencies.append(time.monotonic() - self._sent_at)
-        status = self._parser.get_status_code()
+        status = self._reason or self._parser.get_status_code()
+        self._reason = ''
         self._statuses[status] = self._statuses.get(status, 0) + 1
         self._send()
 
--- a/packages/radishferry-testing/src/radishferry_testing/experiments/cost.py
+++ b/packages/radishferry-testing/src/radishferry_testing/experiments/cost.py
@@ -149,6 +149,8 @@
     others = sum(
         n for f in found for s, n in f['statuses'].items() if s != '200'
     )
+    for reason in {s for f in found for s in f['statuses']} - {'200'}:
+        print('not 200:', reason, [f['statuses'].get(reason) for f in found])
     latencies = [t for f in found for t in f['latencies']]
     return {
         'requests/s': rate,
