--- a/packages/radishferry-testing/src/radishferry_testing/bench.py
+++ b/packages/radishferry-testing/src/radishferry_testing/bench.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import importlib
+import signal
+import sys
 
 from radishferry_testing import arguments
 from radishferry_testing.experiments import results
@@ -35,15 +37,20 @@
         cost is compared.
     :param add: Add to the repeats in the directory.
     """
+    # An end by a time limit must still end the deployment.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     for name in names or NAMES:
         if name not in NAMES:
             raise SystemExit(f'no experiment {name}; there are {NAMES}')
-        module = f'radishferry_testing.experiments.{name}'
+        module = importlib.import_module(
+            f'radishferry_testing.experiments.{name}'
+        )
         more = {'before': before} if before and name == 'cost' else {}
-        found = importlib.import_module(module).run(repeats=repeats, **more)
-        if add:
-            found.add_earlier(output)
-        found.save(output)
+        for number in range(repeats):
+            found = module.run(repeats=1, **more)
+            if add or number:
+                found.add_earlier(output)
+            found.save(output)
         for row in found.rows():
             print(name, *row, sep=' | ', flush=True)
 
