Name requests in flight at a crash that is learned late

Cause: a request whose connection broke was ended after 50 ms and no longer counted as in flight. A server that is started again tells only then, by its new boot id, that it crashed; the crash then named nothing, so the request was never refused.

Such requests count as in flight for 5 s more. The new scenario with a crash learned after 1 s fails on the earlier code and passes now.

--- a/features/dispatch.feature
+++ b/features/dispatch.feature
@@ -139,3 +139,19 @@
     And the job in connection 0 takes 0.4 seconds
     And 0.05 seconds pass at the dispatcher
     Then every refused job was told overloaded before its deadline
+
+  Scenario Outline: A crash that is learned late names what was in flight
+    Guards against a request that crashes every server, because each crash is
+    learned only when the server has been started again.
+    Given a dispatcher with 1 slot
+    And the dispatcher follows crashes
+    When a job arrives for range 1
+    And the job's server breaks the connection
+    And <seconds> seconds pass at the dispatcher
+    And the dispatcher learns of a crash
+    Then 1 request is a suspect
+
+    Examples:
+      | seconds |
+      | 0.01    |
+      | 1       |
--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -10,6 +10,7 @@
 from radishferry import manifest
 from radishferryd import dispatch
 from radishferryd import http_message
+from radishferryd import policy
 from radishferryd import streams
 
 DEADLINE_S = 2.0
@@ -107,6 +108,25 @@
     context.pool.is_exhausted = True
 
 
+@behave.given('the dispatcher follows crashes')
+def follow_crashes(context):
+    app = types.SimpleNamespace(
+        scheduler=context.clock,
+        spread=types.SimpleNamespace(send=lambda name, message: None),
+    )
+    context.policy = policy.Policy(app)
+    dispatcher = context.dispatcher
+    dispatcher.observer = context.policy.observer(
+        dispatcher.service, dispatcher.server
+    )
+
+
+@behave.then('{count:d} request is a suspect')
+@behave.then('{count:d} requests are suspects')
+def check_suspects(context, count):
+    assert len(context.policy.poison()) == count
+
+
 @behave.given('the dispatcher may not send work')
 def forbid_work(context):
     context.may_work = False
--- a/packages/radishferryd/src/radishferryd/dispatch.py
+++ b/packages/radishferryd/src/radishferryd/dispatch.py
@@ -312,6 +312,11 @@
             job_id, kind.name, request.caller, self.deadline, kind.long
         )
 
+    @property
+    def was_broken(self) -> bool:
+        """Tell whether the connection broke while the server had it."""
+        return self._is_broken
+
     @property
     def kept_body(self) -> bytes | None:
         """Return the body of the answer, None when it is not small."""
--- a/packages/radishferryd/src/radishferryd/policy.py
+++ b/packages/radishferryd/src/radishferryd/policy.py
@@ -24,6 +24,10 @@
 
 #: Seconds after which a caller may ask again for a request that runs.
 IN_PROGRESS_RETRY_S = 0.1
+#: Seconds for which a request whose connection broke still counts as in flight
+#: at a crash. A server that is started again tells only then that it crashed;
+#: without this one request crashed up to 15 servers.
+LOST_KEPT_S = 5.0
 #: Hot keys that a host reports for a service.
 REPORTED_KEYS = 64
 #: Seconds for which a report of another host counts.
@@ -46,9 +50,11 @@
         self._server = server.name
         self._memory = dedupe.RequestMemory()
         self._sent = set()
+        self._lost = collections.deque()
 
     def admit(self, job, now):
         """Refuse poison and repeated requests that must not run again."""
+        self._forget_lost(now)
         request = job.request
         fingerprint = job.fingerprint = _fingerprint(request)
         verdict = self._policy.detector.check(self._server, fingerprint, now)
@@ -84,9 +90,12 @@
         ran = job.result is outcomes.Outcome.RAN
         if job.job_id in self._sent:
             self._sent.discard(job.job_id)
-            self._policy.detector.finish(
-                self._server, job.fingerprint, now, ran=ran
-            )
+            if job.was_broken:
+                self._lost.append((now + LOST_KEPT_S, job.fingerprint))
+            else:
+                self._policy.detector.finish(
+                    self._server, job.fingerprint, now, ran=ran
+                )
         if job.kind.idempotent or request.range_id < 0:
             return
         if ran:
@@ -113,6 +122,7 @@
         """Note the crash of the server."""
         records = self._policy.detector.crash(self._server, crash, now)
         self._sent.clear()
+        self._lost.clear()
         if records:
             LOG.warning(
                 'poison: %s crashed with %d requests in flight.',
@@ -121,6 +131,13 @@
             )
             self._policy.push_poison(records)
 
+    def _forget_lost(self, now):
+        while self._lost and self._lost[0][0] <= now:
+            _, fingerprint = self._lost.popleft()
+            self._policy.detector.finish(
+                self._server, fingerprint, now, ran=False
+            )
+
     def _admit_once(self, request, now):
         try:
             verdict = self._memory.begin(
