Check the term of a hand-over and ask again before a late release

Causes, found by reading the decisions: a hand-over that arrives late named no term, so ranges were kept that a later coordinator does not know of; and a coordinator of a lost server answered releases on old knowledge after a successor had taken the restarted server over.

--- a/features/coordinator.feature
+++ b/features/coordinator.feature
@@ -81,6 +81,30 @@
     And server a answers h1 for 0.2 s
     Then h1 has released range 3 below epoch 6 to h9
 
+  # Guards against a release on old knowledge, after a successor has taken the
+  # restarted server over and granted it further epochs.
+  Scenario: A release for a lost server asks the successors again
+    When server a is silent to h1 for 1.0 s
+    And successor h2 replies that it has not fenced
+    And successor h3 replies that it has not fenced
+    And h9 asks h1 to release range 3 below epoch 8
+    Then coordinator h1 is lost
+    And h1 has released nothing
+    When successor h2 replies that it has not fenced
+    And successor h3 replies that it has not fenced
+    Then h1 has released range 3 below epoch 8 to h9
+
+  # Guards against the same, told by the successor.
+  Scenario: A lost server that a successor fenced is not released
+    When server a is silent to h1 for 1.0 s
+    And successor h2 replies that it has not fenced
+    And successor h3 replies that it has not fenced
+    And h9 asks h1 to release range 3 below epoch 8
+    And successor h3 replies that it has not fenced
+    And successor h2 replies that it has fenced
+    Then h1 has released nothing
+    And coordinator h1 is waiting
+
   # Guards against a grant of a lower epoch after a release.
   Scenario: A released range is not granted again below its floor
     When h9 asks h1 to release range 3 below epoch 8
@@ -178,6 +202,12 @@
     And server a answers h4 for 0.7 s
     Then server a holds nothing
 
+  # Guards against a late hand-over, of a host that others have followed.
+  Scenario: A hand-over under an old term keeps no ranges
+    When h4 of a newer list takes server a over late by a hand-over
+    Then coordinator h4 is serving
+    And server a holds nothing
+
   # Guards against ranges unserved by a planned change of coordinators.
   Scenario: A coordinator of another list keeps the ranges handed over
     When h4 of a newer list takes server a over by a hand-over
--- a/features/steps/coordinator_steps.py
+++ b/features/steps/coordinator_steps.py
@@ -150,7 +150,12 @@
     now = context.world.now
     newer = ownership_fakes.assigned(('h4', 'h1'), 20)
     host.run(host.coordinator.assigned(newer, now, is_other_live=True))
-    host.run(host.coordinator.take_over(now, is_handover=how == 'by'))
+    term = _host(context, 'h1').coordinator.term - how.startswith('late')
+    host.run(
+        host.coordinator.take_over(
+            now, handover_term=0 if how == 'without' else term
+        )
+    )
     host.wait(0.05)
 
 
--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -313,7 +313,9 @@
 @behave.then('{count:d} jobs are refused as {outcome} because of {reason}')
 def check_count_refused(context, count, outcome, reason):
     found = [(r.outcome.value, r.reason.value) for r in _refusals(context)]
-    assert found == [(outcome, reason)] * count, [r.detail for r in _refusals(context)]
+    assert found == [(outcome, reason)] * count, [
+        r.detail for r in _refusals(context)
+    ]
 
 
 @behave.then('every refused job was told overloaded before its deadline')
--- a/packages/radishferry/src/radishferry/coordinator.py
+++ b/packages/radishferry/src/radishferry/coordinator.py
@@ -94,7 +94,7 @@
         self._boot_id = None
         self._outstanding = None
         self._next_send_at = 0.0
-        self._is_handover = False
+        self._handover_term = 0
         self._is_confirming = False
         self._must_lapse = False
         self._rows = {}
@@ -246,17 +246,18 @@
         self._next_send_at = now
         return [actions.AnnounceCoordinator(term)]
 
-    def take_over(self, now, *, is_handover=False):
+    def take_over(self, now, *, handover_term=0):
         """Become the coordinator under the reserved term.
 
-        :param bool is_handover: Whether the last coordinator asked for it.
+        :param int handover_term: Term of the coordinator that asked for it,
+            0 without one.
         """
         if self._assignment is None or self.state != 'waiting':
             return []
         term = self._assignment.term_of(self._host)
         if term is None or term <= self._refused_term:
             return []
-        self._is_handover = is_handover
+        self._handover_term = handover_term
         self._forget()
         self._takeovers += 1
         self._set_term(term)
@@ -444,13 +445,13 @@
         if pending and pending.assignment.epoch < epoch:
             del self._pending[range_id]
         self._promotions.pop(range_id, None)
-        if self.state == 'lost':
-            return [actions.ReplyReleased(host, range_id, epoch)]
         # Only an answer to a request sent from now on proves that this host
         # still acts and that the server does not hold the range.
         self._releases[range_id, host] = _Release(
             host, epoch, self._seq, floors
         )
+        if self.state == 'lost':
+            return self._ask_again()
         self._next_send_at = min(self._next_send_at, now)
         return self.tick(now)
 
@@ -511,11 +512,15 @@
             term above the one in the query.
         :param base_term: Base term of the newest assignment it knows.
         """
-        if query_id != self._query_id or self.state != 'lapsing':
+        if query_id != self._query_id:
+            return []
+        if self.state not in ('lapsing', 'lost'):
             return []
         if has_fenced or base_term > self.base_term:
             return self._stand_down('superseded')
         self._query_waits_for.discard(host)
+        if self.state == 'lost':
+            return self._reply_lost()
         return self._confirm_loss(now)
 
     # Time.
@@ -577,7 +582,9 @@
         # which that one handed over, may keep the ranges: a coordinator that
         # finds its server lost asks just these hosts for their fences.
         same_list = answer.previous_term >= self._list.base_term
-        keeps = same_list or self._is_handover
+        # The term shows that nobody acted since it asked.
+        handed_over = answer.previous_term == self._handover_term > 0
+        keeps = same_list or handed_over
         # Work on revoked ranges may not outlive the bound of the last
         # coordinator, which does not ask this host.
         self._must_lapse = not keeps
@@ -741,12 +748,31 @@
         self._timer.forget_clock()
         result = self._lose_ranges()
         result.append(actions.StopWork(give_up=True, is_lost=True))
+        return result + self._reply_lost()
+
+    def _ask_again(self):
+        # A successor may have taken the server over since it was lost, and
+        # have granted it further epochs.
+        self._query_id += 1
+        self._query_waits_for = self._successors | self._handed_to
+        if not self._query_waits_for:
+            return self._reply_lost()
+        return [
+            actions.QuerySuccessors(
+                tuple(sorted(self._query_waits_for)),
+                self._query_id,
+                self._accepted_term,
+            )
+        ]
+
+    def _reply_lost(self):
+        if self._query_waits_for:
+            return []
         waiting, self._releases = self._releases, {}
-        result.extend(
+        return [
             actions.ReplyReleased(release.host, range_id, release.epoch)
             for (range_id, _), release in waiting.items()
-        )
-        return result
+        ]
 
     def _lose_ranges(self):
         lost, self._desired = self._desired, {}
--- a/packages/radishferryd/idl/peer.thrift
+++ b/packages/radishferryd/idl/peer.thrift
@@ -171,6 +171,7 @@
 struct TakeOver {
   1: string service_name
   2: list<string> servers
+  3: list<i64> terms
 }
 
 struct PoisonEntry {
--- a/packages/radishferryd/src/radishferryd/gen/ttypes.py
+++ b/packages/radishferryd/src/radishferryd/gen/ttypes.py
@@ -2155,13 +2155,15 @@
     Attributes:
      - service_name
      - servers
+     - terms
 
     """
 
 
-    def __init__(self, service_name=None, servers=None,):
+    def __init__(self, service_name=None, servers=None, terms=None,):
         self.service_name = service_name
         self.servers = servers
+        self.terms = terms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2187,6 +2189,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.terms = []
+                    (_etype60, _size57) = iprot.readListBegin()
+                    for _i61 in range(_size57):
+                        _elem62 = iprot.readI64()
+                        self.terms.append(_elem62)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2204,8 +2216,15 @@
         if self.servers is not None:
             oprot.writeFieldBegin('servers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.servers))
-            for iter57 in self.servers:
-                oprot.writeString(iter57.encode('utf-8') if sys.version_info[0] == 2 else iter57)
+            for iter63 in self.servers:
+                oprot.writeString(iter63.encode('utf-8') if sys.version_info[0] == 2 else iter63)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.terms is not None:
+            oprot.writeFieldBegin('terms', TType.LIST, 3)
+            oprot.writeListBegin(TType.I64, len(self.terms))
+            for iter64 in self.terms:
+                oprot.writeI64(iter64)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2279,10 +2298,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.crashes.append(_elem63)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.crashes.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2320,8 +2339,8 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.crashes))
-            for iter64 in self.crashes:
-                oprot.writeString(iter64.encode('utf-8') if sys.version_info[0] == 2 else iter64)
+            for iter71 in self.crashes:
+                oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.expires_in_ms is not None:
@@ -2371,11 +2390,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = PoisonEntry()
-                        _elem70.read(iprot)
-                        self.entries.append(_elem70)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = PoisonEntry()
+                        _elem77.read(iprot)
+                        self.entries.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2397,8 +2416,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter71 in self.entries:
-                iter71.write(oprot)
+            for iter78 in self.entries:
+                iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hops is not None:
@@ -2606,11 +2625,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = ServerLoad()
-                        _elem77.read(iprot)
-                        self.loads.append(_elem77)
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = ServerLoad()
+                        _elem84.read(iprot)
+                        self.loads.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2632,8 +2651,8 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter78 in self.loads:
-                iter78.write(oprot)
+            for iter85 in self.loads:
+                iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hops is not None:
@@ -2762,22 +2781,22 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.ranges = {}
-                    (_ktype80, _vtype81, _size79) = iprot.readMapBegin()
-                    for _i83 in range(_size79):
-                        _key84 = iprot.readI32()
-                        _val85 = iprot.readDouble()
-                        self.ranges[_key84] = _val85
+                    (_ktype87, _vtype88, _size86) = iprot.readMapBegin()
+                    for _i90 in range(_size86):
+                        _key91 = iprot.readI32()
+                        _val92 = iprot.readDouble()
+                        self.ranges[_key91] = _val92
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.hot_keys = {}
-                    (_ktype87, _vtype88, _size86) = iprot.readMapBegin()
-                    for _i90 in range(_size86):
-                        _key91 = iprot.readI64()
-                        _val92 = iprot.readDouble()
-                        self.hot_keys[_key91] = _val92
+                    (_ktype94, _vtype95, _size93) = iprot.readMapBegin()
+                    for _i97 in range(_size93):
+                        _key98 = iprot.readI64()
+                        _val99 = iprot.readDouble()
+                        self.hot_keys[_key98] = _val99
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2808,17 +2827,17 @@
         if self.ranges is not None:
             oprot.writeFieldBegin('ranges', TType.MAP, 2)
             oprot.writeMapBegin(TType.I32, TType.DOUBLE, len(self.ranges))
-            for kiter93, viter94 in self.ranges.items():
-                oprot.writeI32(kiter93)
-                oprot.writeDouble(viter94)
+            for kiter100, viter101 in self.ranges.items():
+                oprot.writeI32(kiter100)
+                oprot.writeDouble(viter101)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.hot_keys is not None:
             oprot.writeFieldBegin('hot_keys', TType.MAP, 3)
             oprot.writeMapBegin(TType.I64, TType.DOUBLE, len(self.hot_keys))
-            for kiter95, viter96 in self.hot_keys.items():
-                oprot.writeI64(kiter95)
-                oprot.writeDouble(viter96)
+            for kiter102, viter103 in self.hot_keys.items():
+                oprot.writeI64(kiter102)
+                oprot.writeDouble(viter103)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.host is not None:
@@ -3368,6 +3387,7 @@
     None,  # 0
     (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'servers', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.LIST, 'terms', (TType.I64, None, False), None, ),  # 3
 )
 all_structs.append(PoisonEntry)
 PoisonEntry.thrift_spec = (
--- a/packages/radishferryd/src/radishferryd/ownership.py
+++ b/packages/radishferryd/src/radishferryd/ownership.py
@@ -250,14 +250,14 @@
 
     def take_over(self, host, message):
         """Take a ``TakeOver``."""
-        for name in message.servers:
+        for name, term in zip(message.servers, message.terms):
             owned = self._owned.get(name)
             if owned is None:
                 continue
             LOG.info('ownership: %s hands %s over.', host, name)
             self._run(
                 owned,
-                owned.coordinator.take_over(self._now(), is_handover=True),
+                owned.coordinator.take_over(self._now(), handover_term=term),
             )
 
     # Private.
@@ -381,7 +381,8 @@
             owned.hand_over_to = ''
             self._run(owned, owned.coordinator.confirm_term(now))
             return
-        message = ttypes.TakeOver(owned.service.name, [name])
+        term = owned.coordinator.term
+        message = ttypes.TakeOver(owned.service.name, [name], [term])
         if not self._app.links.send(host, 'take_over', message):
             return
         LOG.info('ownership: Handing %s over to %s.', name, host)
