Split ranges from terms in the coordinator

What a server may hold is in holdings.py, terms and lease in coordinator.py; the messages for actions are in owner_messages.py.

--- a/packages/radishferry/src/radishferry/coordinator.py
+++ b/packages/radishferry/src/radishferry/coordinator.py
@@ -4,19 +4,17 @@
 
 import dataclasses
 import itertools
-import typing
 
 from radishferry import actions
 from radishferry import chart
+from radishferry import holdings
 from radishferry import lease
 
-if typing.TYPE_CHECKING:
-    from radishferry import assignment as assignment_module
 
 #: Time between attempts to reach a server that does not answer, in seconds.
 RETRY_INTERVAL_S = 0.05
 #: Time between repeated requests to other coordinators, in seconds.
-REPEAT_INTERVAL_S = 0.1
+REPEAT_INTERVAL_S = holdings.REPEAT_INTERVAL_S
 
 
 @dataclasses.dataclass(frozen=True)
@@ -39,27 +37,6 @@
     ranges: dict[int, int]
 
 
-@dataclasses.dataclass
-class _Pending:
-    assignment: assignment_module.RangeAssignment
-    unreleased: list[str]
-    asked_at: float = float('-inf')
-
-
-@dataclasses.dataclass(frozen=True)
-class _Release:
-    host: str
-    epoch: int
-    after_seq: int
-    floors: dict[int, int]
-
-    def is_met(self, held, answered_seq):
-        return answered_seq > self.after_seq and all(
-            held.get(range_id, epoch) >= epoch
-            for range_id, epoch in self.floors.items()
-        )
-
-
 class Coordinator:
     """Keep the lease of one server and the set of ranges it may hold.
 
@@ -78,7 +55,6 @@
         """
         self._server = server
         self._host = host
-        self._ranges = ranges
         self._seq = first_seq
         self._chart = chart.Chart('coordinator')
         self._assignment = None
@@ -97,16 +73,7 @@
         self._handover_term = 0
         self._is_confirming = False
         self._must_lapse = False
-        self._rows = {}
-        self._baseline = None
-        self._desired = {}
-        self._sent_ranges = None
-        self._held = {}
-        self._announced = {}
-        self._pending = {}
-        self._floors = {}
-        self._releases = {}
-        self._promotions = {}
+        self._holdings = holdings.Holdings(server, ranges)
         self._query_id = 0
         self._query_waits_for = set()
         self._handed_to = set()
@@ -166,30 +133,22 @@
         """Return range id to epoch of the ranges open for work."""
         if self.state != 'serving':
             return {}
-        return self._announced
+        return self._holdings.announced
 
     @property
     def orphans(self) -> dict[int, int]:
         """Return ranges assigned here that need a new epoch."""
-        if self._baseline is None or self.state not in ('serving', 'lost'):
+        if self.state not in ('serving', 'lost'):
             return {}
-        return {
-            range_id: row.epoch
-            for range_id, row in self._rows.items()
-            if row.owner == self._server
-            and self._desired.get(range_id, 0) < row.epoch
-            and range_id not in self._pending
-            and row.epoch <= self._epoch_floor(range_id)
-        }
+        return self._holdings.orphans
 
     @property
     def holds_nothing(self) -> bool:
         """Tell whether the server holds no range and will get none."""
         known = self.state == 'lost' or (
-            self.state == 'serving' and self._baseline is not None
+            self.state == 'serving' and self._holdings.has_baseline
         )
-        owns = any(row.owner == self._server for row in self._rows.values())
-        return known and not (self._held or self._desired or owns)
+        return known and self._holdings.is_empty
 
     def may_work(self, now) -> bool:
         """Tell whether work may be sent to the server.
@@ -322,10 +281,9 @@
         if was_state == 'fencing':
             result += self._fenced(answer, now)
         else:
-            self._held = dict(answer.ranges)
-            result += self._reconcile_held(sent_ranges)
+            self._holdings.answered(answer.ranges, sent_ranges)
         if self._must_lapse:
-            self._must_lapse = not self._held.items() <= self._desired.items()
+            self._must_lapse = not self._holdings.is_within_desired
         if was_state == 'lapsing':
             self._timer.discard_expired(now)
         if self._chart.fire('answered'):
@@ -339,7 +297,7 @@
                 result.append(actions.ReadBaseline())
         result += self._accept_term(now)
         result += self._announce()
-        result += self._reply_releases(answer.seq)
+        result += self._holdings.reply_releases(answer.seq)
         return result + self.tick(now)
 
     def lease_refused(self, seq, term, now):
@@ -394,14 +352,7 @@
         :param rows: Range id to
             :class:`~radishferry.assignment.RangeAssignment`.
         """
-        if self._baseline is None:
-            # The last coordinator may have been asked to promote the server.
-            self._baseline = {
-                range_id: row.standby_epoch
-                if row.standby == self._server
-                else row.epoch
-                for range_id, row in rows.items()
-            }
+        self._holdings.read_baseline(rows)
         return self.ranges_assigned(rows, now)
 
     def ranges_assigned(self, rows, now):
@@ -410,18 +361,10 @@
         :param rows: Range id to
             :class:`~radishferry.assignment.RangeAssignment`.
         """
-        for range_id, row in rows.items():
-            known = self._rows.get(range_id)
-            if known is not None and known.epoch >= row.epoch:
-                if known.epoch > row.epoch or known.owner != row.owner:
-                    continue
-            self._rows[range_id] = row
-            if row.owner != self._server:
-                self._pending.pop(range_id, None)
-                self._promotions.pop(range_id, None)
+        self._holdings.take_rows(rows)
         if self.state == 'waiting':
             return []
-        self._plan_pending(rows)
+        self._holdings.plan(rows)
         return self._announce() + self.tick(now)
 
     def release_requested(self, host, range_id, epoch, now):
@@ -433,49 +376,20 @@
         """
         if self.state not in ('serving', 'lapsing', 'lost'):
             return []
-        floors = self._release_floors(range_id, epoch)
+        floors = self._holdings.revoke(range_id, epoch)
         if floors is None:
             return []
-        self._floors[range_id] = max(epoch, self._floors.get(range_id, 0))
-        for floored, floor in floors.items():
-            if self._desired.get(floored, floor) < floor:
-                del self._desired[floored]
-                self._announced.pop(floored, None)
-        pending = self._pending.get(range_id)
-        if pending and pending.assignment.epoch < epoch:
-            del self._pending[range_id]
-        self._promotions.pop(range_id, None)
         # Only an answer to a request sent from now on proves that this host
         # still acts and that the server does not hold the range.
-        self._releases[range_id, host] = _Release(
-            host, epoch, self._seq, floors
-        )
+        self._holdings.owe_release(host, range_id, epoch, self._seq, floors)
         if self.state == 'lost':
             return self._ask_again()
         self._next_send_at = min(self._next_send_at, now)
         return self.tick(now)
 
-    def _release_floors(self, range_id, epoch):
-        if range_id < self._ranges:
-            return {range_id: epoch}
-        # A hot key was part of its hash range, which must be released too,
-        # below the epoch it got when the key was split out.
-        row = self._rows.get(range_id)
-        if row is None or row.epoch < epoch or row.key_hash is None:
-            return None
-        home = row.key_hash % self._ranges
-        if home not in self._rows:
-            return None
-        return {range_id: epoch, home: self._rows[home].epoch}
-
     def released(self, server, range_id, epoch, now):
         """Take the release of a range by another server."""
-        pending = self._pending.get(range_id)
-        if pending is None or pending.assignment.epoch > epoch:
-            return []
-        if pending.unreleased and pending.unreleased[0] == server:
-            pending.unreleased.pop(0)
-            pending.asked_at = float('-inf')
+        self._holdings.released(server, range_id, epoch)
         return self.tick(now)
 
     def promoted(self, term, epochs, now):
@@ -486,24 +400,13 @@
         """
         if self.state != 'serving' or term != self._term:
             return []
-        for range_id, epoch in epochs.items():
-            row = self._rows.get(range_id)
-            if row is None or row.standby != self._server:
-                continue
-            if row.standby_epoch != epoch:
-                continue
-            if epoch < self._floors.get(range_id, 0):
-                continue
-            if self._desired.get(range_id, 0) < epoch:
-                self._desired[range_id] = epoch
+        self._holdings.promote(epochs)
         self._next_send_at = min(self._next_send_at, now)
         return self.tick(now) + self._announce(tuple(epochs))
 
     def route_seen(self, range_id, epoch):
         """Note that a range is active elsewhere under an epoch."""
-        promotion = self._promotions.get(range_id)
-        if promotion is not None and epoch >= promotion[1]:
-            del self._promotions[range_id]
+        self._holdings.route_seen(range_id, epoch)
 
     def successor_replied(self, host, query_id, has_fenced, base_term, now):
         """Take the reply to :class:`~radishferry.actions.QuerySuccessors`.
@@ -540,17 +443,18 @@
             result += self._query_successors(now)
         if now >= self._next_repeat_at:
             self._next_repeat_at = now + REPEAT_INTERVAL_S
-            result += self._repeat_promotions()
+            result += self._holdings.repeat_promotions()
             if orphans := self.orphans:
                 result.append(actions.AnnounceOrphans(orphans))
-        result += self._advance_pending(now)
+        if self.state == 'serving':
+            result += self._holdings.advance(now)
         result += self._send_lease(now)
         return result
 
     def _send_lease(self, now):
         if self._outstanding is not None:
             return []
-        changed = self._desired != self._sent_ranges
+        changed = self._holdings.has_changed
         is_due = now >= self._next_send_at
         if not is_due and not (changed and self.state == 'serving'):
             return []
@@ -559,7 +463,7 @@
         expires_at_ms = 0.0
         if self.state != 'fencing':
             if changed or self.state != 'serving':
-                ranges = dict(self._desired)
+                ranges = dict(self._holdings.desired)
             if not self._must_lapse:
                 expires_at_ms = self._timer.expires_at_ms
                 self._timer.sent()
@@ -588,134 +492,23 @@
         # Work on revoked ranges may not outlive the bound of the last
         # coordinator, which does not ask this host.
         self._must_lapse = not keeps
-        self._held = dict(answer.ranges)
-        self._sent_ranges = dict(answer.ranges)
-        self._desired = dict(answer.ranges) if keeps else {}
-        self._plan_pending(self._rows)
-        if not self._desired:
-            return []
-        return [actions.RangesTaken(tuple(self._desired))]
-
-    def _reconcile_held(self, sent_ranges):
-        if sent_ranges is not None:
-            self._sent_ranges = sent_ranges
-        dropped = [
-            range_id
-            for range_id, epoch in self._desired.items()
-            if (self._sent_ranges or {}).get(range_id) == epoch
-            and self._held.get(range_id) != epoch
-        ]
-        for range_id in dropped:
-            # The server's lease lapsed, or it refused the epoch.
-            del self._desired[range_id]
-            self._announced.pop(range_id, None)
-            self._raise_floor(range_id)
-        return []
+        self._holdings.fenced(answer.ranges, keeps=keeps)
+        self._holdings.plan()
+        taken = tuple(self._holdings.desired)
+        return [actions.RangesTaken(taken)] if taken else []
 
     def _restarted(self):
         # The new process has forgotten the terms it saw, so that a host that
         # was superseded unnoticed is accepted again.  Epochs known by now may
         # have been used by the host that superseded it.
         self._timer.forget_clock()
-        self._pending = {}
-        self._baseline = None
         self._takeovers += 1
-        return [*self._lose_ranges(), actions.ReadBaseline()]
+        return [*self._holdings.restarted(), actions.ReadBaseline()]
 
     def _announce(self, again=()):
         if self.state != 'serving':
             return []
-        fresh = {
-            range_id: epoch
-            for range_id, epoch in self._desired.items()
-            if self._held.get(range_id) == epoch
-            and self._announced.get(range_id) != epoch
-            and self._is_in_table(range_id, epoch)
-        }
-        self._announced.update(fresh)
-        repeated = {
-            range_id: self._announced[range_id]
-            for range_id in again
-            if range_id in self._announced
-        }
-        if not fresh and not repeated:
-            return []
-        result = [actions.AnnounceRoutes({**repeated, **fresh})]
-        if fresh:
-            result.append(actions.RangesTaken(tuple(fresh)))
-        return result
-
-    def _is_in_table(self, range_id, epoch):
-        # A host that missed the row with this epoch may also have missed
-        # that a hot key was split out of the range.
-        row = self._rows.get(range_id)
-        if row is None:
-            return False
-        if row.epoch == epoch:
-            return row.owner == self._server
-        return row.standby_epoch == epoch and row.standby == self._server
-
-    def _reply_releases(self, answered_seq):
-        ready = [
-            (key, release)
-            for key, release in self._releases.items()
-            if release.is_met(self._held, answered_seq)
-        ]
-        for key, _ in ready:
-            del self._releases[key]
-        return [
-            actions.ReplyReleased(release.host, key[0], release.epoch)
-            for key, release in ready
-        ]
-
-    def _plan_pending(self, rows):
-        if self._baseline is None:
-            return
-        for range_id, row in rows.items():
-            row = self._rows[range_id]
-            if row.owner != self._server:
-                continue
-            if row.epoch <= self._epoch_floor(range_id):
-                continue
-            if self._desired.get(range_id, 0) >= row.epoch:
-                continue
-            known = self._pending.get(range_id)
-            if known is None or known.assignment.epoch < row.epoch:
-                # The former owner comes before its standby, which it could
-                # still promote until it has released the range.
-                self._pending[range_id] = _Pending(row, list(row.previous))
-
-    def _advance_pending(self, now):
-        if self.state != 'serving':
-            return []
-        result = []
-        for range_id, pending in list(self._pending.items()):
-            row = pending.assignment
-            if not pending.unreleased:
-                del self._pending[range_id]
-                self._desired[range_id] = row.epoch
-                continue
-            if now >= pending.asked_at + REPEAT_INTERVAL_S:
-                pending.asked_at = now
-                result.append(
-                    actions.RequestRelease(
-                        pending.unreleased[0], range_id, row.epoch
-                    )
-                )
-        return result
-
-    def _epoch_floor(self, range_id):
-        # A floor that was set by a release of epoch e still allows e.
-        return max(
-            (self._baseline or {}).get(range_id, 0),
-            self._floors.get(range_id, 0) - 1,
-        )
-
-    def _raise_floor(self, range_id):
-        row = self._rows.get(range_id)
-        if row is not None and row.owner == self._server:
-            floor = row.epoch + 1
-            self._floors[range_id] = max(floor, self._floors.get(range_id, 0))
+        return self._holdings.announce(again)
 
     # Loss of the server.
 
@@ -746,7 +539,7 @@
             return []
         self._chart.fire('loss_confirmed')
         self._timer.forget_clock()
-        result = self._lose_ranges()
+        result = self._holdings.lose()
         result.append(actions.StopWork(give_up=True, is_lost=True))
         return result + self._reply_lost()
 
@@ -768,34 +561,7 @@
     def _reply_lost(self):
         if self._query_waits_for:
             return []
-        waiting, self._releases = self._releases, {}
-        return [
-            actions.ReplyReleased(release.host, range_id, release.epoch)
-            for (range_id, _), release in waiting.items()
-        ]
-
-    def _lose_ranges(self):
-        lost, self._desired = self._desired, {}
-        self._held = {}
-        self._announced = {}
-        self._sent_ranges = {}
-        for range_id, epoch in lost.items():
-            self._raise_floor(range_id)
-            row = self._rows.get(range_id)
-            if row is None or row.owner != self._server:
-                continue
-            if row.epoch == epoch and row.standby:
-                self._promotions[range_id] = (row.standby, row.standby_epoch)
-        return self._repeat_promotions()
-
-    def _repeat_promotions(self):
-        by_server = {}
-        for range_id, (server, epoch) in self._promotions.items():
-            by_server.setdefault(server, {})[range_id] = epoch
-        return [
-            actions.PromoteStandby(server, epochs)
-            for server, epochs in by_server.items()
-        ]
+        return self._holdings.reply_all_releases()
 
     # End of the term.
 
@@ -813,14 +579,6 @@
         self._must_lapse = False
         self._timer = lease.LeaseTimer()
         self._boot_id = None
-        self._baseline = None
-        self._desired = {}
-        self._sent_ranges = None
-        self._held = {}
-        self._announced = {}
-        self._pending = {}
-        self._floors = {}
-        self._releases = {}
-        self._promotions = {}
+        self._holdings.forget()
         self._query_waits_for = set()
         self._handed_to = set()
--- a/packages/radishferryd/src/radishferryd/ownership.py
+++ b/packages/radishferryd/src/radishferryd/ownership.py
@@ -13,6 +13,7 @@
 from radishferry import lease
 from radishferryd import dispatch
 from radishferryd import http_client
+from radishferryd import owner_messages
 from radishferryd.gen import ttypes
 
 if typing.TYPE_CHECKING:
@@ -75,6 +76,22 @@
         self._owned = {}
         self._started_at = app.scheduler.now()
         self._last_tick = app.scheduler.now()
+        self._messages = owner_messages.OwnerMessages(app, self)
+        self._handlers = {
+            actions.SendLease: self._send_lease,
+            actions.ReadBaseline: self._read_baseline,
+            actions.AnnounceCoordinator: self._messages.announce_coordinator,
+            actions.AnnounceRoutes: self._messages.announce_routes,
+            actions.AnnounceOrphans: self._messages.announce_orphans,
+            actions.RequestRelease: self._messages.request_release,
+            actions.ReplyReleased: self._messages.reply_released,
+            actions.QuerySuccessors: self._messages.query_successors,
+            actions.PromoteStandby: self._messages.promote_standby,
+            actions.StopWork: self._stop_work,
+            actions.StartWork: self._start_work,
+            actions.RangesTaken: self._ranges_taken,
+            actions.HandOver: self._hand_over,
+        }
         app.scheduler.call_every(TICK_S, self._tick)
 
     @property
@@ -391,7 +408,7 @@
 
     def _run(self, owned, todo):
         for action in todo:
-            self._HANDLERS[type(action)](self, owned, action)
+            self._handlers[type(action)](owned, action)
 
     def _send_lease(self, owned, action):
         body = {
@@ -426,7 +443,7 @@
                     owned.server.name,
                     result.body['term'],
                 )
-                self._announce_refusal(owned, result.body['term'])
+                self._messages.announce_refusal(owned, result.body['term'])
         else:
             todo = coordinator.lease_failed(now)
         if boot_id and coordinator.boot_id not in (None, boot_id):
@@ -470,95 +487,6 @@
         if acts and owned.coordinator.takeovers == takeovers:
             self._read_baseline(owned, action)
 
-    def _announce_coordinator(self, owned, action):
-        found = ttypes.ActiveCoordinator(
-            owned.service.name,
-            owned.server.name,
-            self._app.host_name,
-            action.term,
-        )
-        self._app.spread.routes([], [found], [])
-
-    def _announce_refusal(self, owned, term):
-        # Hosts that restarted do not know that terms are used up.  The host
-        # that acts under this term, if it still does, takes precedence.
-        found = ttypes.ActiveCoordinator(
-            owned.service.name, owned.server.name, '', term
-        )
-        self._app.spread.routes([], [found], [])
-
-    def _announce_routes(self, owned, action):
-        found = [
-            ttypes.ActiveRoute(
-                owned.service.name, range_id, epoch, owned.server.name
-            )
-            for range_id, epoch in action.epochs.items()
-        ]
-        self._app.spread.routes(found, [], [])
-
-    def _announce_orphans(self, owned, action):
-        found = [
-            ttypes.Orphan(
-                owned.service.name, range_id, epoch, owned.server.name
-            )
-            for range_id, epoch in action.epochs.items()
-        ]
-        self._app.spread.routes([], [], found)
-
-    def _request_release(self, owned, action):
-        message = ttypes.ReleaseRequest(
-            owned.service.name, action.server, action.range_id, action.epoch
-        )
-        known = self._app.routes.coordinator_of(action.server)
-        if known is None:
-            return
-        if known[0] == self._app.host_name:
-            self.release_request(self._app.host_name, message)
-        else:
-            self._app.links.send(known[0], 'release_request', message)
-
-    def _reply_released(self, owned, action):
-        message = ttypes.Released(
-            owned.service.name,
-            owned.server.name,
-            action.range_id,
-            action.epoch,
-        )
-        if action.host == self._app.host_name:
-            self.released(action.host, message)
-        else:
-            self._app.links.send(action.host, 'released', message)
-
-    def _query_successors(self, owned, action):
-        message = ttypes.LossQuery(
-            owned.service.name,
-            owned.server.name,
-            action.term,
-            action.query_id,
-        )
-        for host in action.hosts:
-            self._app.links.send(host, 'loss_query', message)
-
-    def _promote_standby(self, owned, action):
-        known = self._app.routes.coordinator_of(action.server)
-        if known is None:
-            return
-        host, term = known
-        message = ttypes.Promote(
-            owned.service.name,
-            action.server,
-            term,
-            action.epochs,
-            owned.server.name,
-        )
-        self._app.metrics.promotions.add(
-            len(action.epochs), owned.service.name
-        )
-        if host == self._app.host_name:
-            self.promote(host, message)
-        else:
-            self._app.links.send(host, 'promote', message)
-
     def _stop_work(self, owned, action):
         LOG.info(
             'ownership: No work is sent to %s, state %s.',
@@ -581,22 +509,6 @@
     def _hand_over(self, owned, action):
         owned.hand_over_to = action.host
 
-    _HANDLERS: typing.ClassVar = {
-        actions.SendLease: _send_lease,
-        actions.ReadBaseline: _read_baseline,
-        actions.AnnounceCoordinator: _announce_coordinator,
-        actions.AnnounceRoutes: _announce_routes,
-        actions.AnnounceOrphans: _announce_orphans,
-        actions.RequestRelease: _request_release,
-        actions.ReplyReleased: _reply_released,
-        actions.QuerySuccessors: _query_successors,
-        actions.PromoteStandby: _promote_standby,
-        actions.StopWork: _stop_work,
-        actions.StartWork: _start_work,
-        actions.RangesTaken: _ranges_taken,
-        actions.HandOver: _hand_over,
-    }
-
 
 def _answer(seq, result):
     body = result.body
