Move no ranges for balance while many are moving

Cause: the first balance plan came before the first grants were announced, could choose from few ranges, gave two servers 2 ranges each, and no later plan saw these as empty. Ruled out: the first plan itself, which spreads 12 and 11. The experiment hung on it, since it looked for a key of a server without ranges; it now says so.

--- a/packages/radishferry-testing/src/radishferry_testing/experiments/harness.py
+++ b/packages/radishferry-testing/src/radishferry_testing/experiments/harness.py
@@ -153,6 +153,8 @@
         """Return a key that a server owns."""
         routes = self.routes(host)
         ranges = sum(1 for r in routes if r < 256)
+        if server not in routes.values():
+            raise LookupError(f'{server} owns no range')
         while True:
             key = f'probe-{self.random.randrange(10**9)}'
             owner = routes.get(keyspace.key_hash(key) % ranges)
--- a/packages/radishferryd/src/radishferryd/planner.py
+++ b/packages/radishferryd/src/radishferryd/planner.py
@@ -30,6 +30,8 @@
 #: Requests for each server within the time that demand is measured over.
 #: Fewer differ by chance as much as the imbalance that starts moves.
 MIN_SAMPLES = 400
+#: Part of the ranges that may be moving while others move for balance.
+MOST_MOVING = 0.1
 #: Seconds that the first plan waits for all servers to be reported.
 FIRST_PLAN_WAIT_S = 3.0
 
@@ -283,12 +285,18 @@
         return demand
 
     def _moving(self, service, rows):
-        return frozenset(
+        moving = frozenset(
             range_id
             for range_id, found in rows.items()
-            if self._app.routes.active(service.name, range_id)
+            if found.owner
+            and self._app.routes.active(service.name, range_id)
             != (found.epoch, found.owner)
         )
+        if len(moving) > MOST_MOVING * len(rows):
+            # A plan with few ranges to choose from fills an empty server
+            # with these few, and no later plan sees it as empty.
+            return frozenset(rows)
+        return moving
 
     def _is_plannable(self, service, now):
         if self._app.routes.assignments(service.name):
