Pick servers that own ranges in the experiments

A server that was killed and started again owns nothing until the next balance plan, and the experiment ended with a LookupError when it chose one.

--- a/features/steps/ownership_coverage.py
+++ b/features/steps/ownership_coverage.py
@@ -40,7 +40,7 @@
             steps = [f'coordinator: {found.state}']
             if before != found.state:
                 steps.append(f'coordinator: {before} to {found.state}')
-            if found._pending or found._releases:
+            if found._holdings._pending or found._holdings._releases:
                 steps.append('planned move')
             if host.app.is_stopping:
                 steps.append('planned stop')
--- a/packages/radishferry-testing/src/radishferry_testing/experiments/ownership.py
+++ b/packages/radishferry-testing/src/radishferry_testing/experiments/ownership.py
@@ -18,10 +18,9 @@
 
     :param table: State of the platform's table during the faults.
     """
-    servers = _keyed_servers(harness)
     for _ in range(times):
         await harness.settled()
-        server = harness.random.choice(servers)
+        server = await _owner(harness)
         key = await asyncio.to_thread(harness.key_of, server)
         _set_table(harness, table)
         harness.processes.kill(server)
@@ -32,10 +31,9 @@
 
 async def pause_servers(harness, times):
     """Freeze servers of the inventory and let them return."""
-    servers = _keyed_servers(harness)
     for _ in range(times):
         await harness.settled()
-        server = harness.random.choice(servers)
+        server = await _owner(harness)
         key = await asyncio.to_thread(harness.key_of, server)
         harness.processes.pause(server)
         again = await harness.served_again(key)
@@ -75,9 +73,10 @@
 }
 
 
-def _keyed_servers(harness):
-    servers = harness.deployment.topology.servers
-    return [name for name, (service, _) in servers.items() if service.keyed]
+async def _owner(harness):
+    """Return a server of the inventory that owns ranges."""
+    routes = await asyncio.to_thread(harness.routes)
+    return harness.random.choice(sorted(set(routes.values())))
 
 
 def _set_table(harness, state):
@@ -86,7 +85,7 @@
 
 async def _coordinated(harness):
     """Return a host, a key of a server that it coordinates, and the server."""
-    server = harness.random.choice(_keyed_servers(harness))
+    server = await _owner(harness)
     for_any = next(iter(harness.deployment.topology.hosts))
     status = await asyncio.to_thread(harness.deployment.status, for_any)
     host = next(
