--- a/packages/radishferryd/src/radishferryd/planner.py
+++ b/packages/radishferryd/src/radishferryd/planner.py
@@ -280,8 +280,9 @@
     def _demand(self, service):
         demand = self._app.policy.demand(service.name)
         samples = sum(demand.ranges.values()) * hotkeys.DECAY_S
-        if samples < MIN_SAMPLES * len(service.servers):
-            return Demand()
+        if demand.ranges and samples < MIN_SAMPLES * len(service.servers):
+            # Too few to compare loads; the number of ranges is balanced.
+            return Demand(dict.fromkeys(range(service.ranges), 1.0))
         return demand
 
     def _moving(self, service, rows):
