--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -9,6 +9,7 @@
 from features.steps import load_fixtures
 from radishferry import manifest
 from radishferryd import dispatch
+from radishferryd import job as job_module
 from radishferryd import http_message
 from radishferryd import policy
 from radishferryd import streams
@@ -144,7 +145,7 @@
         5,
         'GET',
         '/lots/a',
-        dispatch.forwarded(headers),
+        job_module.forwarded(headers),
         deadline_s,
         'id',
         '',
@@ -234,7 +235,7 @@
 @behave.when("the job's server is silent past the deadline")
 @behave.when("the job's deadline passes")
 def pass_deadline(context):
-    context.clock.advance(DEADLINE_S + dispatch.DEADLINE_GRACE_S + 0.1)
+    context.clock.advance(DEADLINE_S + job_module.DEADLINE_GRACE_S + 0.1)
 
 
 @behave.when("the job's server refuses with {reason}")
--- a/packages/radishferryd/src/radishferryd/dispatch.py
+++ b/packages/radishferryd/src/radishferryd/dispatch.py
@@ -10,7 +10,7 @@
 from radishferry import outcomes
 from radishferry import server_queue
 from radishferryd import http_client
-from radishferryd import http_message
+from radishferryd import job as job_module
 from radishferryd import streams
 
 if typing.TYPE_CHECKING:
@@ -18,49 +18,12 @@
 
 LOG = logging.getLogger(__name__)
 
-#: Seconds after which a caller may come back when a server is being moved.
-MOVE_RETRY_S = 0.2
 #: Least time after which a refused caller may come back, in seconds.
 LEAST_RETRY_S = 0.001
 #: Seconds to find out whether a server that broke a connection crashed.
 #: The first probe may only find that the idle connection has been closed; the
 #: next one follows 50 ms later.
 CRASH_WAIT_S = 0.15
-#: Largest body of an answer kept for a repeated request, in bytes.
-KEPT_BYTES = 4096
-#: Prefix of headers that only the router sets.
-OWN_HEADERS = 'radishferry-'
-#: Seconds that a server has beyond the deadline to answer that it stopped.
-DEADLINE_GRACE_S = 0.05
-
-_DROPPED_HEADERS = http_message.HOP_HEADERS | {'host'}
-
-_REASON_BY_REFUSAL = {
-    'stale-term': outcomes.Reason.STALE_ROUTE,
-    'range-not-held': outcomes.Reason.STALE_ROUTE,
-    'shed': outcomes.Reason.SHED,
-}
-
-
-def forwarded(headers, without=frozenset()):
-    """Return the headers that pass from one side to the other.
-
-    :param headers: Pairs of lower-case name and value.
-    :param without: Further names to leave out.
-    """
-    dropped = _DROPPED_HEADERS | without
-    for name, value in headers:
-        if name == 'connection':
-            dropped = dropped.union(
-                token.strip().lower() for token in value.split(',')
-            )
-    return tuple(
-        [
-            pair
-            for pair in headers
-            if pair[0] not in dropped and not pair[0].startswith(OWN_HEADERS)
-        ]
-    )
 
 
 class LeaseView(typing.Protocol):
@@ -81,19 +44,23 @@
 class JobObserver(typing.Protocol):
     """Follow the jobs of a server, for duplicates and crashes."""
 
-    def admit(self, job: Job, now: float) -> outcomes.Refusal | Replay | None:
+    def admit(
+        self, job: job_module.Job, now: float
+    ) -> outcomes.Refusal | Replay | None:
         """Answer a job before it is queued, or return None."""
 
-    def check_start(self, job: Job, now: float) -> outcomes.Refusal | None:
+    def check_start(
+        self, job: job_module.Job, now: float
+    ) -> outcomes.Refusal | None:
         """Refuse a job that is about to be sent, or return None."""
 
-    def started(self, job: Job, now: float) -> None:
+    def started(self, job: job_module.Job, now: float) -> None:
         """Note that a job is being sent."""
 
     def crashed(self, crash: str, now: float) -> None:
         """Note that the server's process has ended."""
 
-    def finished(self, job: Job, now: float) -> None:
+    def finished(self, job: job_module.Job, now: float) -> None:
         """Note the end of a job; ``job.result`` says how."""
 
     def ranges_taken(self, range_ids, now: float) -> None:
@@ -141,7 +108,7 @@
         self._pump_again = False
 
     @property
-    def jobs(self) -> dict[int, Job]:
+    def jobs(self) -> dict[int, job_module.Job]:
         """Return the jobs that wait or run, by id."""
         return self._jobs
 
@@ -163,7 +130,7 @@
         """See :class:`radishferryd.streams.Dispatcher`."""
         now = self.scheduler.now()
         kind = self.service.kind(request.kind)
-        job = Job(self, next(self._ids), request, kind, sink, now)
+        job = job_module.Job(self, next(self._ids), request, kind, sink, now)
         refusal = self._check(job, now)
         if isinstance(refusal, Replay):
             sink.on_head(refusal.status, refusal.headers)
@@ -207,7 +174,7 @@
         for work in self.queue.drain():
             self._jobs[work.work_id].refuse(
                 outcomes.Reason.STALE_ROUTE,
-                MOVE_RETRY_S,
+                job_module.MOVE_RETRY_S,
                 'The server is being moved to another coordinator.',
             )
 
@@ -259,7 +226,7 @@
             return outcomes.Refusal(
                 outcomes.Outcome.NOT_RUN,
                 outcomes.Reason.STALE_ROUTE,
-                MOVE_RETRY_S,
+                job_module.MOVE_RETRY_S,
                 f'{self.server.name} does not hold range '
                 f'{request.range_id} here.',
             )
@@ -290,284 +257,3 @@
     def _on_timer(self):
         self._timer = None
         self.pump()
-
-
-class Job:
-    """Be one request at the coordinator of its server."""
-
-    def __init__(self, dispatcher, job_id, request, kind, sink, now):
-        self._dispatcher = dispatcher
-        self.job_id = job_id
-        self.request = request
-        self.kind = kind
-        self.deadline = now + request.deadline_s
-        self.result = None
-        self.response = None
-        #: What the observer identifies equal requests by.
-        self.fingerprint = None
-        self._sink = sink
-        self._connection = None
-        self._body = []
-        self._body_done = not request.has_body
-        self._is_chunked = request.has_body and not any(
-            name == 'content-length' for name, _ in request.headers
-        )
-        self._credit = streams.WINDOW_BYTES
-        self._is_broken = False
-        self._has_head = False
-        self._kept = b''
-        # Bytes of the answer's body still to come, None when not declared.
-        self._left = None
-        self._tail = b''
-        self._refused_by_server = ''
-        self._timer = None
-        self.work = server_queue.Work(
-            job_id, kind.name, request.caller, self.deadline, kind.long
-        )
-
-    @property
-    def was_broken(self) -> bool:
-        """Tell whether the connection broke while the server had it."""
-        return self._is_broken
-
-    @property
-    def kept_body(self) -> bytes | None:
-        """Return the body of the answer, None when it is not small."""
-        return self._kept if len(self._kept) <= KEPT_BYTES else None
-
-    # From the queue.
-
-    def start(self, now):
-        """Send the request to the server."""
-        view = self._dispatcher.view
-        request = self.request
-        epoch = view.active.get(request.range_id)
-        if request.range_id >= 0 and epoch is None:
-            self.refuse(
-                outcomes.Reason.STALE_ROUTE,
-                MOVE_RETRY_S,
-                'The range moved while the request waited.',
-            )
-            return
-        refusal = self._dispatcher.observer.check_start(self, now)
-        if refusal is not None:
-            self._refuse_with(refusal)
-            return
-        connection = self._dispatcher.pool.acquire()
-        if connection is None:
-            self.refuse(
-                outcomes.Reason.OVERLOADED,
-                MOVE_RETRY_S,
-                'All connections of the server are in use.',
-            )
-            return
-        self._connection = connection
-        self._dispatcher.observer.started(self, now)
-        self._timer = self._dispatcher.scheduler.call_later(
-            max(0.0, self.deadline - now) + DEADLINE_GRACE_S,
-            self._on_deadline,
-        )
-        body = b''.join(self._frame(part) for part in self._body)
-        if self._is_chunked and self._body_done:
-            body += http_message.LAST_CHUNK
-        connection.request(
-            request.method,
-            request.target,
-            self._headers(view.term, epoch, now),
-            self,
-            body,
-            self._body_done,
-        )
-        self._acknowledge(self._body)
-        self._body = []
-
-    def refuse(self, reason, retry_after_s, detail):
-        """End the job with proof that it did not run."""
-        self._refuse(outcomes.Outcome.NOT_RUN, reason, retry_after_s, detail)
-
-    def refused_early(self, refusal):
-        """Note a refusal that the sink is told by the caller of this."""
-        self.result = refusal.outcome
-        return self
-
-    # From the entry host.
-
-    def send(self, data, is_last):
-        """See :class:`radishferryd.streams.Source`."""
-        if self._body_done or self.result is not None:
-            return
-        self._body_done = is_last
-        if self._connection is None:
-            self._body.append(data)
-            return
-        framed = self._frame(data)
-        if is_last and self._is_chunked:
-            framed += http_message.LAST_CHUNK
-        self._connection.send_body(framed, is_last)
-        if self._connection.is_writable:
-            self._acknowledge([data])
-        else:
-            self._body.append(data)
-
-    def grant(self, size):
-        """See :class:`radishferryd.streams.Source`."""
-        was_spent = self._credit <= 0
-        self._credit += size
-        if was_spent and self._credit > 0 and self._connection is not None:
-            self._connection.resume_reading()
-
-    def cancel(self):
-        """See :class:`radishferryd.streams.Source`."""
-        if self.result is not None:
-            return
-        started = self._connection is not None or self._is_broken
-        self._end(
-            outcomes.Outcome.UNKNOWN if started else outcomes.Outcome.NOT_RUN
-        )
-
-    # From the server.
-
-    def on_head(self, head):
-        """See :class:`radishferryd.http_client.Exchange`."""
-        self._has_head = True
-        self._refused_by_server = head.header('radishferry-refused')
-        if self._refused_by_server:
-            return
-        self.response = (head.status, forwarded(head.headers))
-        length = head.header('content-length')
-        self._left = int(length) if length else None
-        if self.kind.long:
-            # The deadline of a long kind is for the answer to begin.
-            self._timer.cancel()
-        self._sink.on_head(*self.response)
-
-    def on_body(self, data):
-        """See :class:`radishferryd.http_client.Exchange`."""
-        if self._refused_by_server:
-            return
-        self._credit -= len(data)
-        if self._credit <= 0:
-            self._connection.pause_reading()
-        if len(self._kept) <= KEPT_BYTES:
-            self._kept += data
-        if self._left is not None:
-            self._left -= len(data)
-            if not self._left:
-                # The parser reports the end next, so the last bytes and the
-                # end make one chunk.
-                self._tail = data
-                return
-        self._sink.on_chunk(data, False)
-
-    def on_end(self):
-        """See :class:`radishferryd.http_client.Exchange`."""
-        if self._refused_by_server:
-            reason = _REASON_BY_REFUSAL.get(
-                self._refused_by_server, outcomes.Reason.SHED
-            )
-            self.refuse(reason, MOVE_RETRY_S, self._refused_by_server)
-            return
-        self._connection = None
-        self._end(outcomes.Outcome.RAN)
-        self._sink.on_chunk(self._tail, True)
-
-    def on_failed(self, detail, was_sent):
-        """See :class:`radishferryd.http_client.Exchange`."""
-        self._connection = None
-        if was_sent:
-            self._is_broken = True
-            self._dispatcher.broken(lambda: self._lost(detail))
-        else:
-            self.refuse(
-                outcomes.Reason.UNREACHABLE,
-                MOVE_RETRY_S,
-                f'{self._dispatcher.server.name}: {detail}.',
-            )
-
-    def abandon(self):
-        """End the job, because its server is lost."""
-        self._lost('it does not answer and its lease has lapsed')
-
-    def _lost(self, detail):
-        self._refuse(
-            outcomes.Outcome.UNKNOWN,
-            outcomes.Reason.SERVER_LOST,
-            None,
-            f'{self._dispatcher.server.name}: {detail}.',
-        )
-
-    def on_writable(self):
-        """See :class:`radishferryd.http_client.Exchange`."""
-        self._acknowledge(self._body)
-        self._body = []
-
-    def _headers(self, term, epoch, now):
-        request = self.request
-        server = self._dispatcher.server
-        left_ms = max(1, int((self.deadline - now) * 1000))
-        headers = [
-            ('Host', server.address),
-            *request.headers,
-            ('Radishferry-Term', str(term)),
-            ('Idempotency-Key', request.request_id),
-        ]
-        if not self.kind.long:
-            headers.append(('Radishferry-Deadline-Ms', str(left_ms)))
-        if request.key:
-            headers.append(('Radishferry-Key', _header_safe(request.key)))
-        if epoch is not None:
-            headers.append(('Radishferry-Range', str(request.range_id)))
-            headers.append(('Radishferry-Epoch', str(epoch)))
-        if self._is_chunked:
-            headers.append(('Transfer-Encoding', 'chunked'))
-        return headers
-
-    def _frame(self, data):
-        if not data or not self._is_chunked:
-            return data
-        return http_message.format_chunk(data)
-
-    def _acknowledge(self, parts):
-        size = sum(len(part) for part in parts)
-        if size:
-            self._sink.on_credit(size)
-
-    def _on_deadline(self):
-        self._refuse(
-            outcomes.Outcome.UNKNOWN,
-            outcomes.Reason.DEADLINE,
-            None,
-            'The server did not answer before the deadline.',
-        )
-
-    def _refuse(self, outcome, reason, retry_after_s, detail):
-        self._refuse_with(
-            outcomes.Refusal(outcome, reason, retry_after_s, detail)
-        )
-
-    def _refuse_with(self, refusal):
-        if self.result is not None:
-            return
-        self._end(refusal.outcome)
-        self._sink.on_refused(refusal)
-
-    def _end(self, outcome):
-        self.result = outcome
-        if self._timer is not None:
-            self._timer.cancel()
-        connection, self._connection = self._connection, None
-        if connection is not None and not self._refused_by_server:
-            # The answer did not end, so the connection is not reused; its
-            # closing cancels the work.
-            connection.abort()
-        now = self._dispatcher.scheduler.now()
-        ran = outcome is outcomes.Outcome.RAN
-        self._dispatcher.ended(self, now, ran=ran)
-
-
-def _header_safe(key):
-    return (
-        key.encode('utf-8')
-        .decode('latin-1')
-        .translate({13: ' ', 10: ' ', 0: ' '})
-    )
--- a/packages/radishferryd/src/radishferryd/entry.py
+++ b/packages/radishferryd/src/radishferryd/entry.py
@@ -10,7 +10,7 @@
 from radishferry import outcomes
 from radishferry import poison
 from radishferry import retries
-from radishferryd import dispatch
+from radishferryd import job
 from radishferryd import streams
 
 if typing.TYPE_CHECKING:
@@ -433,4 +433,4 @@
 
 def forwarded_headers(headers):
     """Return the caller's headers that go to the server."""
-    return dispatch.forwarded(headers, _SET_BY_COORDINATOR)
+    return job.forwarded(headers, _SET_BY_COORDINATOR)
