Drop silent links of hosts that lost their servers

Cause: heartbeats were checked only on links to hosts that coordinate servers; once successors had taken all servers of a paused host over, an entry host of another data centre no longer looked at its link, and a request on it waited 2.1 s for its deadline. Ruled out: the takeover (19 of 20 keys served again within 1 s, 0.33 s median).

--- a/packages/radishferryd/src/radishferryd/host_directory.py
+++ b/packages/radishferryd/src/radishferryd/host_directory.py
@@ -136,7 +136,9 @@
                 for host in owned.coordinator.hosts
             }
         )
-        for host in self._linked_hosts():
+        # A host that lost its servers may still have requests of this one.
+        wanted = {*self._linked_hosts(), *self._app.links.outbound}
+        for host in sorted(wanted):
             link = self._app.links.link(host)
             if link is None or not link.is_ready:
                 continue
