--- a/features/steps/host_directory_steps.py
+++ b/features/steps/host_directory_steps.py
@@ -48,6 +48,8 @@
         manifests=types.SimpleNamespace(version=1),
         ownership=types.SimpleNamespace(owned={}),
         routes=types.SimpleNamespace(coordinator_of=lambda name: known),
+        state=types.SimpleNamespace(send_to=lambda link, hops: None),
+        spread=types.SimpleNamespace(hops_for=lambda host: 0),
         fire=lambda event: None,
     )
 
