Remove code that nothing calls

A read of the whole change found fields that were set and never read, a check that always returned false, a method to open spare connections without a caller, and a comment that promised a confirmation of terms after a pause; the server's refusal does that.

--- a/packages/radishferryd/src/radishferryd/app.py
+++ b/packages/radishferryd/src/radishferryd/app.py
@@ -162,10 +162,6 @@
         """Return what follows the jobs of a server."""
         return self.policy.observer(service, server)
 
-    def demand(self, service_name):
-        """Return the measured load of a service."""
-        return self.policy.demand(service_name)
-
     def _is_current_range(self, request):
         # A hot key that was split out must not be served in its old range.
         if request.range_id < 0 or not request.key:
--- a/packages/radishferryd/src/radishferryd/gateway.py
+++ b/packages/radishferryd/src/radishferryd/gateway.py
@@ -35,7 +35,6 @@
         self._matcher = None
         self._requests = set()
         self._connections = set()
-        self._outbound = {}
 
     @property
     def open_requests(self) -> int:
--- a/packages/radishferryd/src/radishferryd/http_client.py
+++ b/packages/radishferryd/src/radishferryd/http_client.py
@@ -53,7 +53,6 @@
         self._is_connected = False
         self._keep_alive = True
         self._request_done = True
-        self._answer_done = True
         self._writable = True
         self._parser = http_message.MessageParser(self, is_request=False)
         self._connection = net.connect(poller, address, self)
@@ -77,7 +76,6 @@
         :param bool last: Whether the body is complete.
         """
         self._exchange = exchange
-        self._answer_done = False
         self._request_done = last
         head = http_message.format_request(method, target, headers)
         self._connection.write(head + body)
@@ -135,8 +133,8 @@
 
     def closed(self, error):
         """See :class:`radishferryd.net.Handler`."""
-        if self._exchange is not None and self._ends_with_connection(error):
-            self.on_end()
+        # An answer without a length ends when the server closes.  It cannot
+        # be told from one cut short, so it is not taken as whole.
         self._fail(str(error) if error else 'connection closed')
         if self._on_closed is not None:
             self._on_closed(self)
@@ -144,7 +142,6 @@
     def on_head(self, head):
         """Take the head from the parser."""
         self._keep_alive = head.keep_alive
-        self._head = head
         if self._exchange is not None:
             self._exchange.on_head(head)
 
@@ -156,7 +153,6 @@
     def on_end(self):
         """Take the end of the answer from the parser."""
         exchange, self._exchange = self._exchange, None
-        self._answer_done = True
         if exchange is None:
             return
         exchange.on_end()
@@ -169,11 +165,6 @@
         else:
             self._connection.close()
 
-    def _ends_with_connection(self, error):
-        # An answer without a length ends when the server closes.  It cannot
-        # be told from one cut short, so it is not taken as whole.
-        return False
-
     def _fail(self, detail):
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
@@ -212,19 +203,6 @@
             self._poller, self._address, self._idle.append, self._closed
         )
 
-    def warm(self, count):
-        """Open idle connections until there are ``count``."""
-        while len(self._idle) < count and self._open < self._limit:
-            self._open += 1
-            self._idle.append(
-                ClientConnection(
-                    self._poller,
-                    self._address,
-                    self._idle.append,
-                    self._closed,
-                )
-            )
-
     def close(self):
         """Close the idle connections."""
         while self._idle:
--- a/packages/radishferryd/src/radishferryd/http_message.py
+++ b/packages/radishferryd/src/radishferryd/http_message.py
@@ -73,7 +73,6 @@
         self._target = b''
         self._head_bytes = 0
         self._in_head = True
-        self._ended = False
         parser_class = (
             httptools.HttpRequestParser
             if is_request
@@ -113,7 +112,6 @@
         self._headers = []
         self._target = b''
         self._in_head = True
-        self._ended = False
 
     def on_url(self, url):
         """Collect the request target."""
@@ -155,7 +153,6 @@
     def on_message_complete(self):
         """Pass on the end of the message."""
         self._in_head = True
-        self._ended = True
         self._owner.on_end()
 
 
--- a/packages/radishferryd/src/radishferryd/ownership.py
+++ b/packages/radishferryd/src/radishferryd/ownership.py
@@ -28,8 +28,8 @@
 #: Most connections to a server for lease requests; a request that was given
 #: up may still be closing.
 LEASE_CONNECTIONS = 4
-#: Seconds without a turn of the loop after which the host takes itself for
-#: paused and confirms its terms before it sends work.
+#: Seconds without a turn of the loop after which a pause is logged.  Servers
+#: refuse the terms that the host lost meanwhile.
 PAUSE_S = 0.25
 #: Seconds between repeated requests to a host to take a server over.
 HAND_OVER_INTERVAL_S = 0.5
