--- a/packages/radishferry-testing/src/radishferry_testing/bench.py
+++ b/packages/radishferry-testing/src/radishferry_testing/bench.py
@@ -15,18 +15,22 @@
     *names: str,
     repeats: int = 3,
     output: str = results.DIRECTORY,
+    before: str = '',
 ):
     """Run experiments.
 
     :param names: crest, long_work, reservations, poison or cost; all without.
     :param repeats: Runs of each variant.
     :param output: Directory of the results.
+    :param before: Directory ``packages`` of an earlier version, with which
+        cost is compared.
     """
     for name in names or NAMES:
         if name not in NAMES:
             raise SystemExit(f'no experiment {name}; there are {NAMES}')
         module = f'radishferry_testing.experiments.{name}'
-        found = importlib.import_module(module).run(repeats=repeats)
+        more = {'before': before} if before and name == 'cost' else {}
+        found = importlib.import_module(module).run(repeats=repeats, **more)
         found.save(output)
         for row in found.rows():
             print(name, *row, sep=' | ', flush=True)
--- a/packages/radishferryd/src/radishferryd/dispatch.py
+++ b/packages/radishferryd/src/radishferryd/dispatch.py
@@ -274,6 +274,9 @@
         self._is_broken = False
         self._has_head = False
         self._kept = b''
+        # Bytes of the answer's body still to come, None when not declared.
+        self._left = None
+        self._tail = b''
         self._refused_by_server = ''
         self._timer = None
         self.work = server_queue.Work(
@@ -384,6 +387,8 @@
         if self._refused_by_server:
             return
         self.response = (head.status, forwarded(head.headers))
+        length = head.header('content-length')
+        self._left = int(length) if length else None
         if self.kind.long:
             # The deadline of a long kind is for the answer to begin.
             self._timer.cancel()
@@ -398,6 +403,13 @@
             self._connection.pause_reading()
         if len(self._kept) <= KEPT_BYTES:
             self._kept += data
+        if self._left is not None:
+            self._left -= len(data)
+            if not self._left:
+                # The parser reports the end next, so the last bytes and the
+                # end make one chunk.
+                self._tail = data
+                return
         self._sink.on_chunk(data, False)
 
     def on_end(self):
@@ -410,7 +422,7 @@
             return
         self._connection = None
         self._end(outcomes.Outcome.RAN)
-        self._sink.on_chunk(b'', True)
+        self._sink.on_chunk(self._tail, True)
 
     def on_failed(self, detail, was_sent):
         """See :class:`radishferryd.http_client.Exchange`."""
--- a/packages/radishferryd/src/radishferryd/http_server.py
+++ b/packages/radishferryd/src/radishferryd/http_server.py
@@ -29,6 +29,11 @@
 REASON_HEADER = 'Radishferry-Reason'
 
 
+#: Bytes of an answer for which the coordinator is granted more. A grant for
+#: each small answer would cost a message to another host.
+GRANT_BYTES = streams.WINDOW_BYTES // 4
+
+
 class Gateway(typing.Protocol):
     """Offer what a caller connection needs from its process."""
 
@@ -191,7 +196,8 @@
                 framed = http_message.format_chunk(data)
             self._connection.write(framed)
             self._ungranted += len(data)
-            self._grant()
+            if self._ungranted >= GRANT_BYTES and not is_last:
+                self._grant()
         if is_last:
             if self._is_chunked:
                 self._connection.write(http_message.LAST_CHUNK)
--- a/packages/radishferryd/src/radishferryd/net.py
+++ b/packages/radishferryd/src/radishferryd/net.py
@@ -16,6 +16,8 @@
 
 #: Bytes read from a socket at a time.
 READ_SIZE = 65536
+#: Bytes queued for writing that are sent at once, and most that are joined.
+FLUSH_BYTES = 65536
 #: Bytes queued for writing above which the producer is paused.
 HIGH_WATER = 262144
 #: Bytes queued for writing below which the producer is resumed.
@@ -61,6 +63,7 @@
         self._connecting = False
         self._reading = True
         self._writing = False
+        self._will_flush = False
         self._paused_producer = False
         self._closing = False
         self._is_open = True
@@ -97,20 +100,24 @@
             self._handler.connected(self)
 
     def write(self, data: bytes):
-        """Send bytes, queueing what the socket does not take.
+        """Queue bytes that the poller sends before it waits again.
+
+        Parts written one after the other, as the head and the body of an
+        answer, so reach the socket in one call.
 
         :param data: Bytes to send; dropped when the connection is closed.
         """
         if not self._is_open or self._closing or not data:
             return
-        if not self._queue and not self._connecting:
-            sent = self._send(data)
-            if not self._is_open or sent == len(data):
-                return
-            data = memoryview(data)[sent:]
         self._queue.append(data)
         self._queued += len(data)
-        self._set_interest(writing=True)
+        # A connection that polls for room to write is flushed by that.
+        if not self._writing:
+            if self._queued >= FLUSH_BYTES:
+                self._flush()
+            elif not self._will_flush:
+                self._will_flush = True
+                self._poller.call_before_wait(self._flush_written)
         if self._queued > HIGH_WATER and not self._paused_producer:
             self._paused_producer = True
             self._handler.pause_producing()
@@ -190,9 +197,26 @@
             self._close(exc)
             return 0
 
+    def _flush_written(self):
+        self._will_flush = False
+        if self._is_open and not self._writing:
+            self._flush()
+
+    def _next_data(self):
+        queue = self._queue
+        data = queue.popleft()
+        if not queue or len(data) >= FLUSH_BYTES:
+            return data
+        parts = [data]
+        size = len(data)
+        while queue and size + len(queue[0]) <= FLUSH_BYTES:
+            parts.append(queue.popleft())
+            size += len(parts[-1])
+        return b''.join(parts)
+
     def _flush(self):
         while self._queue:
-            data = self._queue.popleft()
+            data = self._next_data()
             sent = self._send(data)
             if not self._is_open:
                 return
@@ -203,9 +227,11 @@
         if self._paused_producer and self._queued < LOW_WATER:
             self._paused_producer = False
             self._handler.resume_producing()
-        if self._queue or not self._is_open:
+        if not self._is_open:
             return
-        if self._closing:
+        if self._queue:
+            self._set_interest(writing=True)
+        elif self._closing:
             self._close(None)
         else:
             self._set_interest(writing=False)
--- a/packages/radishferryd/src/radishferryd/poller.py
+++ b/packages/radishferryd/src/radishferryd/poller.py
@@ -49,6 +49,7 @@
         super().__init__(channel=self.channel)
         self._epoll = select.epoll()
         self._callbacks = {}
+        self._before_wait = []
         # Components name sockets by object; one may be closed by then.
         self._components = {}
         self._epoll.register(self._ctrl_recv, select.EPOLLIN)
@@ -74,6 +75,10 @@
         )
         self._epoll.modify(fd, mask)
 
+    def call_before_wait(self, callback):
+        """Call once before the next wait for sockets."""
+        self._before_wait.append(callback)
+
     def remove(self, fd):
         """Stop polling a socket.
 
@@ -158,6 +163,7 @@
         self._epoll.close()
 
     def _generate_events(self, event):
+        self._run_before_wait()
         timeout = event.time_left
         try:
             ready = self._epoll.poll(timeout if timeout >= 0 else None)
@@ -173,3 +179,10 @@
             callback = self._callbacks.get(fd)
             if callback is not None:
                 callback(mask)
+        self._run_before_wait()
+
+    def _run_before_wait(self):
+        while self._before_wait:
+            callbacks, self._before_wait = self._before_wait, []
+            for callback in callbacks:
+                callback()
