--- a/packages/radishferry-testing/src/radishferry_testing/bench.py
+++ b/packages/radishferry-testing/src/radishferry_testing/bench.py
@@ -23,6 +23,7 @@
     repeats: int = 3,
     output: str = results.DIRECTORY,
     before: str = '',
+    add: bool = False,
 ):
     """Run experiments.
 
@@ -32,6 +33,7 @@
     :param output: Directory of the results.
     :param before: Directory ``packages`` of an earlier version, with which
         cost is compared.
+    :param add: Add to the repeats in the directory.
     """
     for name in names or NAMES:
         if name not in NAMES:
@@ -39,6 +41,8 @@
         module = f'radishferry_testing.experiments.{name}'
         more = {'before': before} if before and name == 'cost' else {}
         found = importlib.import_module(module).run(repeats=repeats, **more)
+        if add:
+            found.add_earlier(output)
         found.save(output)
         for row in found.rows():
             print(name, *row, sep=' | ', flush=True)
--- a/packages/radishferry-testing/src/radishferry_testing/experiments/results.py
+++ b/packages/radishferry-testing/src/radishferry_testing/experiments/results.py
@@ -49,6 +49,20 @@
             if value is not None:
                 figures.setdefault(name, []).append(round(value, 3))
 
+    def add_earlier(self, directory=DIRECTORY):
+        """Put the repeats of an earlier run, if any, before these."""
+        path = pathlib.Path(directory) / f'{self.name}.json'
+        if not path.exists():
+            return
+        later, self.figures = (
+            self.figures,
+            json.loads(path.read_text())['figures'],
+        )
+        for variant, figures in later.items():
+            kept = self.figures.setdefault(variant, {})
+            for name, values in figures.items():
+                kept.setdefault(name, []).extend(values)
+
     def rows(self):
         """Yield figure, variant, repeats, median, least, most, target."""
         names = dict.fromkeys(n for f in self.figures.values() for n in f)
--- a/packages/radishferryd/src/radishferryd/app.py
+++ b/packages/radishferryd/src/radishferryd/app.py
@@ -53,11 +53,6 @@
 #: Routes in one push.
 ROUTES_PER_PUSH = 2000
 
-#: Objects until a collection, and collections until one of the next
-#: generation. With the defaults of Python a collection of all objects stopped
-#: the loop for 20 to 27 ms in the middle of a load.
-GC_THRESHOLDS = (20_000, 20, 100)
-
 _STREAM_TO_ENTRY = frozenset(('response_head', 'response_chunk', 'refused'))
 _STREAM_TO_COORDINATOR = frozenset(('request_head', 'request_chunk', 'cancel'))
 
@@ -767,7 +762,6 @@
     :param settings: A :class:`~radishferryd.settings.Settings`.
     :returns: Exit code.
     """
-    gc.set_threshold(*GC_THRESHOLDS)
     app = App(settings)
     try:
         app.listen()
@@ -781,6 +775,10 @@
     app.scheduler.call_later(
         0.0, lambda: signal.signal(signal.SIGTERM, on_signal)
     )
+    # The objects of the modules stay for ever. A collection that visits them
+    # stopped the loop for 20 to 27 ms in the middle of a load.
+    gc.collect()
+    gc.freeze()
     app.run()
     return 0
 
