--- a/features/steps/ownership_host.py
+++ b/features/steps/ownership_host.py
@@ -16,7 +16,7 @@
 from radishferryd import host_directory
 from radishferryd import ownership
 from radishferryd import planner
-from radishferryd import platform
+from radishferryd import table_service
 from radishferryd import spread
 from radishferryd.gen import ttypes
 
@@ -167,7 +167,7 @@
 
 def _rows(message):
     return [
-        platform.Row(row.name, row.version, '', orjson.loads(row.value))
+        table_service.Row(row.name, row.version, '', orjson.loads(row.value))
         for row in message.rows
     ]
 
--- a/features/steps/ownership_world.py
+++ b/features/steps/ownership_world.py
@@ -16,7 +16,7 @@
 
 from radishferry import manifest
 from radishferryd import http_client
-from radishferryd import platform
+from radishferryd import table_service
 
 RANGES = 3
 #: Longest delay of a message, and their part, on a slow network.
@@ -44,27 +44,29 @@
 
     def read(self, prefix):
         if self.state == 'down':
-            return platform.Unavailable('down')
+            return table_service.Unavailable('down')
         return [r for n, r in self.rows.items() if n.startswith(prefix)]
 
     def transact(self, conditions, writes):
         if self.state == 'down':
-            return platform.Unavailable('down')
+            return table_service.Unavailable('down')
         versions = {
             name: self.rows[name].version if name in self.rows else 0
             for name in conditions
         }
         if versions != conditions:
-            return platform.Conflict(versions)
+            return table_service.Conflict(versions)
         for name, value in writes.items():
             version = versions[name] + 1
-            self.rows[name] = platform.Row(
+            self.rows[name] = table_service.Row(
                 name, version, str(next(self.numbers)), value
             )
             self.world.note(f'row {name} v{version} {value}')
         if self.state == 'lossy':
-            return platform.Unavailable('the answer was lost')
-        return platform.Written({name: versions[name] + 1 for name in writes})
+            return table_service.Unavailable('the answer was lost')
+        return table_service.Written(
+            {name: versions[name] + 1 for name in writes}
+        )
 
 
 class Server(ownership_fakes.FakeServer):
@@ -256,7 +258,7 @@
             )
 
         if self.is_cut(host.name, 'table'):
-            result = platform.Unavailable('cut')
+            result = table_service.Unavailable('cut')
             self.at(
                 self.now + 0.5,
                 lambda: host.run(process, key, lambda: done(result)),
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -10,7 +10,7 @@
 from radishferry import manifest
 from radishferry import routing
 from radishferryd import planner
-from radishferryd import platform
+from radishferryd import table_service
 from radishferryd.gen import ttypes
 
 _NAMES = ('a', 'b', 'c', 'd')
@@ -101,7 +101,7 @@
                 self.routes.apply_assignments('lots', found)
 
     def transact(self, conditions, writes, done):
-        done(platform.Written(dict.fromkeys(writes, 2)))
+        done(table_service.Written(dict.fromkeys(writes, 2)))
 
     def plan(self, count=1):
         for _ in range(count):
--- /dev/null
+++ b/packages/radishferry/src/radishferry/direct/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of hosts that send to servers directly."""
--- /dev/null
+++ b/packages/radishferry/src/radishferry/direct/configuration.py
@@ -0,0 +1,143 @@
+"""Hold the operators' configuration and select routes by it."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+
+
+class Kind(enum.Enum):
+    """Tell whether the requests of a route may run more than once."""
+
+    SAFE = 'safe'
+    UNSAFE = 'unsafe'
+    #: Large responses; the requests may run more than once.
+    DOWNLOAD = 'download'
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Tell whether a request may run more than once."""
+        return self is not Kind.UNSAFE
+
+
+@dataclasses.dataclass(frozen=True)
+class Part:
+    """Give a service a share of the requests of a route.
+
+    :ivar weight: Share in relation to the other parts.
+    """
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Route:
+    """Say how the requests below one prefix of a virtual host are handled.
+
+    :ivar timeout_s: Longest time that a caller is kept waiting.
+    :ivar target_latency_s: Time within which an answer has its full value.
+    :ivar max_attempts: Most servers to which one request is sent.
+    :ivar priority: Rank of the request; 0 is the highest.
+    """
+
+    name: str
+    virtual_host: str
+    prefix: str
+    kind: Kind
+    parts: tuple[Part, ...]
+    timeout_s: float
+    target_latency_s: float
+    max_attempts: int
+    priority: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """Describe the servers of one service.
+
+    :ivar health_path: Path that answers whether a server is healthy.
+    :ivar max_connections: Connections a server takes from all hosts.
+    :ivar is_keyed: Whether each key is owned by one server.
+    :ivar warm_s: Seconds for which a key is slow that changed its owner
+        without the state of the previous one.
+    """
+
+    name: str
+    health_path: str
+    max_connections: int
+    is_keyed: bool
+    warm_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Limits:
+    """Bound what callers may send and how long they may take."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 67108864
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Configuration:
+    """Hold one version of the operators' configuration.
+
+    :ivar version: Grows with each change, in uneven steps.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    limits: Limits
+
+
+class RouteTable:
+    """Find the route of a request."""
+
+    def __init__(self, configuration: Configuration):
+        self._by_host = collections.defaultdict(dict)
+        for route in configuration.routes:
+            self._by_host[route.virtual_host][route.prefix] = route
+
+    def select(self, host: str, target: str) -> Route | None:
+        """Return the route with the longest prefix of the path.
+
+        :param host: Value of the ``Host`` header; a port is ignored.
+        :param target: Request target with its query.
+        """
+        routes = self._by_host.get(host.partition(':')[0].lower())
+        if not routes:
+            return None
+        path = target.partition('?')[0]
+        end = len(path)
+        while (end := path.rfind('/', 0, end)) >= 0:
+            route = routes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+
+class WeightedChoice:
+    """Divide requests over weighted parts in a fixed proportion.
+
+    Smooth weighted round robin keeps the proportion also over short runs,
+    where independent random choices would stray from it.
+    """
+
+    def __init__(self, parts: tuple[Part, ...]):
+        self._parts = parts
+        self._total = sum(part.weight for part in parts)
+        self._credit = [0.0] * len(parts)
+
+    def next(self) -> str:
+        """Return the service of the next request."""
+        if len(self._parts) == 1:
+            return self._parts[0].service
+        for index, part in enumerate(self._parts):
+            self._credit[index] += part.weight
+        best = max(range(len(self._parts)), key=self._credit.__getitem__)
+        self._credit[best] -= self._total
+        return self._parts[best].service
--- /dev/null
+++ b/packages/radishferry/src/radishferry/direct/granting.py
@@ -0,0 +1,374 @@
+"""Keep at most one holder for each key of a service.
+
+The granter knows for each range of keys which lives of servers may hold it,
+and until when. It grants a range to its owner only when no other life can
+hold it any more: because that life has answered a release, is proved to be
+over, or its last grant has run out.
+
+Time is an argument; orders are results. The caller carries them out and
+reports what came of them.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+
+from radishferry.direct import key_map
+
+#: Seconds for which a grant holds. It bridges a change of the granting host
+#: (three seconds of its right, and the takeover), and is the outage of a
+#: server's keys when it dies without a sign.
+HOLD_S = 5.0
+#: Seconds between renewals of a grant.
+RENEW_S = 1.5
+#: Seconds between attempts at an order that got no answer.
+REPEAT_S = 0.35
+#: Factor by which the clock of a server may run slow.
+SLOW_CLOCK = 1.02
+#: Seconds added to the end of a hold for the way of an order that got no
+#: answer, and for a sender that was paused.
+HOLD_MARGIN_S = 0.5
+#: Seconds after an unanswered release for which the server gets none of
+#: these keys: it may carry the release out late, after a newer grant.
+LATE_RELEASE_S = 13.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Grant:
+    """Order a server to hold a range.
+
+    :ivar handover: Token of the state of the previous owner.
+    """
+
+    service: str
+    segment: key_map.Segment
+    hold_s: float
+    handover: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Release:
+    """Order a server to give a range back.
+
+    :ivar life: The life that is to release.
+    :ivar segment: The range with the fencing token of its next owner.
+    """
+
+    service: str
+    segment: key_map.Segment
+    life: tuple[str, int]
+
+
+class Managed:
+    """Follow one range of keys."""
+
+    def __init__(self, start, end, owner, fence, exposures=None):
+        self.start = start
+        self.end = end
+        self.owner = owner
+        self.fence = fence
+        #: Until when each life may hold the range, in seconds.
+        self.exposures = dict(exposures or {})
+        self.handover = ''
+        self.confirmed_until = 0.0
+        self.next_at = 0.0
+        self.release_at = {}
+        self.moved_at = -1e9
+        self.is_refused = False
+
+    @property
+    def previous(self):
+        """Return the lives other than the owner that may hold the range."""
+        return tuple(life for life in self.exposures if life != self.owner)
+
+    def segment(self, fence=None) -> key_map.Segment:
+        """Return the range as others see it."""
+        return key_map.Segment(
+            self.start,
+            self.end,
+            self.owner,
+            self.fence if fence is None else fence,
+            self.previous,
+        )
+
+    def covers(self, segment) -> bool:
+        """Tell whether an order was about exactly this range."""
+        return (self.start, self.end) == (segment.start, segment.end)
+
+    def part(self, start, end) -> Managed:
+        """Return a copy for a part of the range."""
+        copy = Managed(start, end, self.owner, self.fence, self.exposures)
+        copy.handover = self.handover
+        copy.confirmed_until = self.confirmed_until
+        copy.next_at = self.next_at
+        copy.release_at = dict(self.release_at)
+        copy.moved_at = self.moved_at
+        return copy
+
+
+class KeyGranter:
+    """Decide on orders for the keys of one service."""
+
+    def __init__(self, service: str, hold_max_s: float):
+        """Begin without any range.
+
+        :param hold_max_s: Longest hold that a server accepts.
+        """
+        self.service = service
+        self._hold_max_s = hold_max_s
+        self._ranges = []
+        self._late_releases = []
+        self.version = 0
+
+    @property
+    def ranges(self):
+        """Return the ranges in the order of their keys."""
+        return tuple(self._ranges)
+
+    @property
+    def segments(self):
+        """Return the ranges as they are written to the store."""
+        return tuple(found.segment() for found in self._ranges)
+
+    @property
+    def unsettled(self) -> int:
+        """Return how many ranges another life may still hold."""
+        return sum(1 for found in self._ranges if found.previous)
+
+    def load(self, segments, version, now):
+        """Take over from another host.
+
+        Every life that a row names may hold its range for the longest time
+        from now on: the previous host's orders are not known here.
+
+        :param segments: Ranges of the row; a fence of 0 stands for the
+            version of the row.
+        :param version: Version of the row.
+        """
+        until = now + self._hold_max_s * SLOW_CLOCK + HOLD_MARGIN_S
+        self._ranges = [
+            Managed(
+                s.start,
+                s.end,
+                s.owner,
+                s.fence or version,
+                dict.fromkeys((s.owner, *s.previous), until),
+            )
+            for s in segments
+        ]
+        self.version = version
+
+    def proposal(self, layout):
+        """Return the segments to write for a new layout.
+
+        :param layout: Tuples of start, end and owner that cover the same
+            keys as now, or all of them the first time.
+        :returns: Segments; those that change their owner have fence 0.
+        """
+        return tuple(found.segment() for found in self._arrange(layout))
+
+    def commit(self, layout, version, now):
+        """Adopt a layout that has been written.
+
+        :param version: Version that the store gave to the row; it is the
+            fencing token of all ranges that changed.
+        """
+        self._ranges = self._arrange(layout)
+        for found in self._ranges:
+            if not found.fence:
+                found.fence = version
+                found.moved_at = now
+        self.version = version
+
+    def _arrange(self, layout):
+        if not self._ranges:
+            return [
+                Managed(start, end, owner, 0) for start, end, owner in layout
+            ]
+        arranged = []
+        index = 0
+        for start, end, owner in layout:
+            at = start
+            while at <= end:
+                while self._ranges[index].end < at:
+                    index += 1
+                found = self._ranges[index]
+                last = min(end, found.end)
+                piece = found.part(at, last)
+                if piece.owner != owner or found.is_refused:
+                    piece.owner = owner
+                    piece.fence = 0
+                    piece.handover = ''
+                    piece.confirmed_until = 0.0
+                    piece.next_at = 0.0
+                    piece.release_at = {}
+                arranged.append(piece)
+                at = last + 1
+        return arranged
+
+    def may_give(self, life, start, end, now) -> bool:
+        """Tell whether no late release can take a range from a server."""
+        self._late_releases = [
+            late for late in self._late_releases if late[3] > now
+        ]
+        return not any(
+            late[0] == life and late[1] <= end and start <= late[2]
+            for late in self._late_releases
+        )
+
+    def due(self, now, hold_s=HOLD_S):
+        """Return the orders to carry out now.
+
+        :param hold_s: Seconds that new grants hold.
+        """
+        for found in self._ranges:
+            found.exposures = {
+                life: until
+                for life, until in found.exposures.items()
+                if until > now
+            }
+        return list(
+            itertools.chain.from_iterable(
+                self._orders(found, now, hold_s) for found in self._ranges
+            )
+        )
+
+    def _orders(self, found, now, hold_s):
+        others = found.previous
+        for life in others:
+            if found.release_at.get(life, 0.0) <= now:
+                found.release_at[life] = now + REPEAT_S
+                yield Release(self.service, found.segment(), life)
+        if not others and found.next_at <= now and not found.is_refused:
+            found.next_at = now + REPEAT_S
+            yield Grant(
+                self.service,
+                found.segment(),
+                min(hold_s, self._hold_max_s),
+                found.handover,
+            )
+
+    def note_pending(self, order, now):
+        """Note that an order is under way, so that it is not repeated.
+
+        A release answers only after the work on its keys has ended.
+        """
+        found = self._find(order.segment)
+        if found is None:
+            return
+        if isinstance(order, Release):
+            found.release_at[order.life] = now + LATE_RELEASE_S
+        else:
+            found.next_at = now + LATE_RELEASE_S
+            self._expose(found, order, now)
+
+    def note_granted(self, order, sent_at, now):
+        """Note that a server took a grant."""
+        found = self._find(order.segment)
+        if found is None:
+            return
+        # Counted from the send for what the owner may rely on, and from
+        # the answer for what others must wait for.
+        found.confirmed_until = sent_at + order.hold_s
+        self._expose(found, order, now)
+        found.handover = ''
+        found.next_at = now + RENEW_S
+
+    def note_grant_failed(self, order, now, *, was_sent, is_stale=False):
+        """Note that a grant got no usable answer.
+
+        :param was_sent: Whether the server may carry it out.
+        :param is_stale: Whether the server has seen a higher fence.
+        """
+        for found in self._overlapping(order.segment):
+            if was_sent:
+                self._expose(found, order, now)
+            if found.fence == order.segment.fence:
+                found.next_at = min(found.next_at, now + REPEAT_S)
+                found.is_refused = is_stale
+
+    def _expose(self, found, order, now):
+        life = order.segment.owner
+        until = now + order.hold_s * SLOW_CLOCK + HOLD_MARGIN_S
+        found.exposures[life] = max(found.exposures.get(life, 0.0), until)
+
+    def note_released(self, order, handover):
+        """Note that a server has given a range back.
+
+        :param handover: Token of the state for the next owner.
+        """
+        for found in self._overlapping(order.segment):
+            if found.fence > order.segment.fence:
+                continue
+            if found.owner == order.life:
+                continue
+            if (
+                order.segment.start <= found.start
+                and found.end <= order.segment.end
+            ):
+                found.exposures.pop(order.life, None)
+                if handover and found.owner != order.life:
+                    found.handover = handover
+                found.next_at = 0.0
+
+    def note_release_failed(self, order, now, *, was_sent):
+        """Note that a release got no answer."""
+        if was_sent:
+            self._late_releases.append(
+                (
+                    order.life,
+                    order.segment.start,
+                    order.segment.end,
+                    now + LATE_RELEASE_S,
+                )
+            )
+        for found in self._overlapping(order.segment):
+            if order.life in found.release_at:
+                found.release_at[order.life] = now + REPEAT_S
+
+    def note_ended(self, life) -> bool:
+        """Note the proof that a life of a server is over.
+
+        :returns: Whether it may have held a range.
+        """
+        was_holder = False
+        for found in self._ranges:
+            if found.exposures.pop(life, None) is not None:
+                was_holder = True
+                found.next_at = 0.0
+        return was_holder
+
+    def lapsed(self, now):
+        """Return the ranges whose owner has not been reached in time."""
+        return [
+            found
+            for found in self._ranges
+            if not found.previous
+            and found.owner not in found.exposures
+            and found.moved_at < now - HOLD_S
+        ]
+
+    def refused(self):
+        """Return the ranges whose grant the owner refused as too old.
+
+        Another host has used a higher fence; only a new version helps.
+        """
+        return [found for found in self._ranges if found.is_refused]
+
+    def _find(self, segment):
+        return next(
+            (
+                found
+                for found in self._ranges
+                if found.covers(segment) and found.fence == segment.fence
+            ),
+            None,
+        )
+
+    def _overlapping(self, segment):
+        return [
+            found
+            for found in self._ranges
+            if found.start <= segment.end and segment.start <= found.end
+        ]
--- /dev/null
+++ b/packages/radishferry/src/radishferry/direct/key_rows.py
@@ -0,0 +1,85 @@
+"""Encode the key map of a service as one row of the store."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import orjson
+
+from radishferry.direct import key_map
+
+#: Longest value of a row in bytes; the store takes 64 KiB.
+MAX_ROW_BYTES = 65536
+
+
+class RowError(Exception):
+    """Report a row that is no key map."""
+
+
+@dataclasses.dataclass(frozen=True)
+class KeyRow:
+    """Hold a key map as it is written.
+
+    :ivar write_id: Identifies the write, so that one whose answer was lost
+        is recognised.
+    """
+
+    segments: tuple[key_map.Segment, ...]
+    write_id: str
+
+
+def encode(row: KeyRow) -> bytes:
+    """Return the value of the row.
+
+    :raises RowError: It would be longer than :data:`MAX_ROW_BYTES`.
+    """
+    lives = {}
+    for segment in row.segments:
+        for life in (segment.owner, *segment.previous):
+            lives.setdefault(life, len(lives))
+    value = orjson.dumps(
+        {
+            'write_id': row.write_id,
+            'lives': list(lives),
+            'segments': [
+                [
+                    s.start,
+                    s.end,
+                    lives[s.owner],
+                    s.fence,
+                    [lives[life] for life in s.previous],
+                ]
+                for s in row.segments
+            ],
+        }
+    )
+    if len(value) > MAX_ROW_BYTES:
+        raise RowError(f'{len(value)} bytes are too long')
+    return value
+
+
+def decode(value: bytes, version: int) -> KeyRow:
+    """Return the key map of a row.
+
+    :param version: Version of the row, which is the fencing token of the
+        segments that it changed.
+    :raises RowError: The row cannot be read.
+    """
+    try:
+        document = orjson.loads(value)
+        lives = [(str(name), int(born)) for name, born in document['lives']]
+        return KeyRow(
+            tuple(
+                key_map.Segment(
+                    int(start),
+                    int(end),
+                    lives[owner],
+                    int(fence) or version,
+                    tuple(lives[index] for index in previous),
+                )
+                for start, end, owner, fence, previous in document['segments']
+            ),
+            str(document['write_id']),
+        )
+    except (KeyError, TypeError, ValueError, IndexError) as exc:
+        raise RowError(f'no key map: {exc!r}') from exc
--- /dev/null
+++ b/packages/radishferry/src/radishferry/direct/placement.py
@@ -0,0 +1,293 @@
+"""Divide the keys of a service over its servers."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import itertools
+
+from radishferry.direct import key_map
+
+#: Ranges into which all servers together divide the keys at first. Busy
+#: keys lie close to one another, so that many narrow ranges dealt in turn
+#: spread them before any load has been seen.
+INITIAL_RANGES = 352
+#: Fewest ranges of one server at first.
+MIN_RANGES_PER_SERVER = 3
+#: Load of a server in relation to its fair share above which ranges move.
+OVERLOAD_RATIO = 1.2
+#: Use of a server's slots below which its load does not matter.
+IDLE_USE = 0.35
+#: Moves of one plan.
+MAX_MOVES = 8
+#: Seconds for which a range stays after it has moved.
+REST_S = 4.0
+#: Seconds over which the rate of a key is averaged.
+RATE_WINDOW_S = 4.0
+#: Requests a second below which a key is forgotten.
+MIN_RATE = 0.02
+
+
+@dataclasses.dataclass(frozen=True)
+class Capacity:
+    """Describe what one server can take.
+
+    :ivar per_s: Requests a second with all its slots in use.
+    """
+
+    life: tuple[str, int]
+    per_s: float
+
+
+class KeyRates:
+    """Follow how often each key is asked for."""
+
+    def __init__(self):
+        self._rates = {}
+        self._counts = collections.Counter()
+        self._at = None
+
+    def note(self, keys):
+        """Count requests by their keys."""
+        self._counts.update(keys)
+
+    def advance(self, now: float):
+        """Fold the counts since the last call into the averages."""
+        if self._at is None:
+            self._at = now
+            return
+        elapsed = now - self._at
+        if elapsed < 0.3:
+            return
+        self._at = now
+        keep = max(0.0, 1 - elapsed / RATE_WINDOW_S)
+        rates = {
+            key: kept
+            for key, rate in self._rates.items()
+            if (kept := rate * keep) > MIN_RATE
+        }
+        for key, count in self._counts.items():
+            rates[key] = rates.get(key, 0.0) + count / elapsed * (1 - keep)
+        self._rates = rates
+        self._counts.clear()
+
+    @property
+    def rates(self):
+        """Return requests a second by key."""
+        return self._rates
+
+    def total(self) -> float:
+        """Return requests a second over all keys."""
+        return sum(self._rates.values())
+
+
+class LoadMap:
+    """Sum the rates of keys over ranges."""
+
+    def __init__(self, rates):
+        """Take rates by key."""
+        self._keys = sorted(rates)
+        self._sums = [
+            0.0,
+            *itertools.accumulate(rates[key] for key in self._keys),
+        ]
+
+    def load(self, start, end) -> float:
+        """Return the rate of the keys from start to end."""
+        low = self._index(start)
+        high = self._index(end + 1)
+        return self._sums[high] - self._sums[low]
+
+    def split(self, start, end, wanted) -> int:
+        """Return the last key of a beginning with about a wanted rate."""
+        low = self._index(start)
+        high = self._index(end + 1)
+        for index in range(low, high):
+            if self._sums[index + 1] - self._sums[low] > wanted:
+                return self._keys[index] - 1
+        return end
+
+    def _index(self, key):
+        low, high = 0, len(self._keys)
+        while low < high:
+            middle = (low + high) // 2
+            if self._keys[middle] < key:
+                low = middle + 1
+            else:
+                high = middle
+        return low
+
+
+def initial(lives):
+    """Return a layout that deals narrow ranges in turn.
+
+    :param lives: Lives of the servers.
+    :returns: Tuples of start, end and owner.
+    """
+    lives = sorted(lives)
+    each = max(MIN_RANGES_PER_SERVER, INITIAL_RANGES // len(lives))
+    count = each * len(lives)
+    bounds = [key_map.KEY_COUNT * i // count for i in range(count + 1)]
+    return [
+        (bounds[i], bounds[i + 1] - 1, lives[i % len(lives)])
+        for i in range(count)
+    ]
+
+
+def layout_of(ranges):
+    """Return the layout of the ranges of a granter."""
+    return [(found.start, found.end, found.owner) for found in ranges]
+
+
+def evacuate(ranges, losing, capacities, loads, may_give):
+    """Return a layout without the servers that leave.
+
+    :param ranges: Ranges of a granter.
+    :param losing: Lives that are to own nothing any more.
+    :param capacities: :class:`Capacity` of each server that stays.
+    :param loads: A :class:`LoadMap`.
+    :param may_give: Tells whether a life may get a range.
+    """
+    room = _Room(ranges, capacities, loads)
+    layout = []
+    for found in ranges:
+        owner = found.owner
+        if owner in losing:
+            owner = room.emptiest(found.start, found.end, may_give) or owner
+            room.add(owner, found.start, found.end)
+        layout.append((found.start, found.end, owner))
+    return layout
+
+
+def rebalance(ranges, capacities, loads, may_give, now):
+    """Return a layout that relieves the busiest servers.
+
+    :returns: The layout and the number of moves.
+    """
+    room = _Room(ranges, capacities, loads)
+    pieces = [
+        [found.start, found.end, found.owner, found.moved_at]
+        for found in ranges
+    ]
+    moves = 0
+    stuck = set()
+    while moves < MAX_MOVES:
+        busiest = room.busiest(stuck)
+        if busiest is None:
+            break
+        target = room.least_used()
+        excess = room.excess(busiest)
+        wanted = min(excess, -room.excess(target))
+        if wanted <= 0 or not _move(
+            pieces, busiest, target, wanted, room, loads, may_give, now
+        ):
+            stuck.add(busiest)
+            continue
+        moves += 1
+    return [tuple(piece[:3]) for piece in pieces], moves
+
+
+def _move(pieces, source, target, wanted, room, loads, may_give, now):
+    best = None
+    for index, (start, end, owner, moved_at) in enumerate(pieces):
+        if owner != source or now - moved_at < REST_S:
+            continue
+        if not may_give(target, start, end):
+            continue
+        load = loads.load(start, end)
+        if load <= 0.05 * wanted:
+            continue
+        # A whole range that fits is best, else the smallest one is cut.
+        fits = load <= 1.25 * wanted
+        rank = (fits, load if fits else -load)
+        if best is None or rank > best[0]:
+            best = (rank, index, load, fits)
+    if best is None:
+        return False
+    _, index, load, fits = best
+    start, end, owner, moved_at = pieces[index]
+    if not fits:
+        cut = loads.split(start, end, wanted)
+        if cut < start:
+            # The first key alone is too much; what lies behind it moves.
+            first = start
+            if first == end:
+                return False
+            pieces[index : index + 1] = [
+                [first, first, owner, moved_at],
+                [first + 1, end, target, now],
+            ]
+            moved = (first + 1, end)
+        else:
+            pieces[index : index + 1] = [
+                [start, cut, target, now],
+                [cut + 1, end, owner, moved_at],
+            ]
+            moved = (start, cut)
+    else:
+        pieces[index][2:] = [target, now]
+        moved = (start, end)
+    if loads.load(*moved) <= 0.05 * wanted:
+        return False
+    room.add(source, *moved, sign=-1)
+    room.add(target, *moved)
+    return True
+
+
+class _Room:
+    """Follow the load of each server while a plan is made."""
+
+    def __init__(self, ranges, capacities, loads):
+        self._loads = loads
+        self._capacity = {c.life: c.per_s for c in capacities}
+        self._load = dict.fromkeys(self._capacity, 0.0)
+        # A small part of the load follows the number of keys, so that
+        # servers without any load get some.
+        self._total = 0.0
+        self._total_capacity = sum(self._capacity.values()) or 1.0
+        for found in ranges:
+            self.add(found.owner, found.start, found.end)
+        self._total = sum(self._load.values())
+
+    def _weight(self, start, end):
+        keys = (end - start + 1) / key_map.KEY_COUNT
+        return self._loads.load(start, end) + 0.02 * keys
+
+    def add(self, life, start, end, sign=1):
+        if life in self._load:
+            self._load[life] += sign * self._weight(start, end)
+
+    def excess(self, life):
+        """Return the load above the fair share, in requests a second."""
+        fair = self._total / self._total_capacity
+        return self._load[life] - fair * self._capacity[life]
+
+    def _use(self, life):
+        return self._load[life] / self._capacity[life]
+
+    def busiest(self, stuck):
+        fair = self._total / self._total_capacity
+        found = max(
+            (life for life in self._load if life not in stuck),
+            key=self._use,
+            default=None,
+        )
+        if found is None:
+            return None
+        use = self._use(found)
+        if use < IDLE_USE or use < fair * OVERLOAD_RATIO:
+            return None
+        return found
+
+    def least_used(self):
+        return min(self._load, key=self._use)
+
+    def emptiest(self, start, end, may_give):
+        return min(
+            (life for life in self._load if may_give(life, start, end)),
+            key=lambda life: (
+                (self._load[life] + self._weight(start, end))
+                / self._capacity[life]
+            ),
+            default=None,
+        )
--- /dev/null
+++ b/packages/radishferry/src/radishferry/direct/selection.py
@@ -0,0 +1,173 @@
+"""Choose the server of a request by load, speed and health."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import random
+
+#: Weight of a new sample in the moving average of service times.
+SPEED_WEIGHT = 0.08
+#: Weight of a new sample in the moving average of failures.
+FAILURE_WEIGHT = 0.15
+#: Seconds after which the failures of a server count half; servers recover
+#: while nobody sends to them.
+FAILURE_HALF_LIFE_S = 4.0
+#: Seconds after which a reported load counts half; a report is the state of
+#: the queue at one moment, and jobs last some 100 ms.
+REPORT_HALF_LIFE_S = 0.25
+#: First pause after a connection failure, in seconds; doubled with each one
+#: in a row.
+FIRST_PAUSE_S = 0.4
+#: Longest pause after connection failures, in seconds.
+LONGEST_PAUSE_S = 4.0
+#: Cost of sending to another data centre for each byte of an answer, in
+#: seconds of waiting; 90 kB weigh as much as three usual answers.
+FAR_COST_S_PER_BYTE = 6e-6
+#: Cost of another data centre for any request, in seconds.
+FAR_COST_S = 0.01
+#: Factor on the service time of a server that has just started.
+WARMUP_FACTOR = 2.0
+#: Waiting requests for each slot above which a server takes no more.
+MAX_WAITING_PER_SLOT = 2.5
+
+
+@dataclasses.dataclass
+class ServerStats:
+    """Follow one server as this host sees it.
+
+    :ivar in_flight: Requests of this host without an answer.
+    :ivar service_s: Moving average of the time that a request takes on an
+        idle slot; 0 before the first sample.
+    """
+
+    slots: int
+    in_flight: int = 0
+    service_s: float = 0.0
+    samples: int = 0
+    _failure: float = 0.0
+    _failure_at: float = 0.0
+    _reported: float = 0.0
+    _reported_at: float = -math.inf
+    _reported_in_flight: int = 0
+    _connection_failures: int = 0
+    _paused_until: float = -math.inf
+
+    def note_report(self, running, waiting, slots, now):
+        """Take the load that the server told with an answer."""
+        self.slots = slots or self.slots
+        self._reported = running + waiting
+        self._reported_at = now
+        self._reported_in_flight = self.in_flight
+
+    def note_answer(self, elapsed_s, waiting, now):
+        """Count an answer.
+
+        :param elapsed_s: Seconds from the send to the answer.
+        :param waiting: Requests that waited at the server at its end; the
+            time tells the speed of the server only when there are none.
+        """
+        self._connection_failures = 0
+        self._note_failure(0.0, now)
+        if not waiting:
+            self.samples += 1
+            weight = max(SPEED_WEIGHT, 1 / self.samples)
+            self.service_s += weight * (elapsed_s - self.service_s)
+
+    def note_failure(self, now):
+        """Count a request that the server failed or turned away."""
+        self._note_failure(1.0, now)
+
+    def note_connection_failure(self, now):
+        """Count a broken connection or a silent one, and pause."""
+        self._note_failure(1.0, now)
+        self._connection_failures += 1
+        pause = FIRST_PAUSE_S * 2 ** (self._connection_failures - 1)
+        self._paused_until = now + min(LONGEST_PAUSE_S, pause)
+
+    def is_paused(self, now) -> bool:
+        """Tell whether connections to the server failed just now."""
+        return now < self._paused_until
+
+    def failure_share(self, now) -> float:
+        """Return the part of recent requests that failed, 0 to 1."""
+        age = max(0.0, now - self._failure_at)
+        return self._failure * 0.5 ** (age / FAILURE_HALF_LIFE_S)
+
+    def load(self, now) -> float:
+        """Return the estimated number of requests at the server.
+
+        The reported load fades, and the requests that this host has sent
+        since then are added to it.
+        """
+        age = max(0.0, now - self._reported_at)
+        others = max(0.0, self._reported - self._reported_in_flight)
+        others *= 0.5 ** (age / REPORT_HALF_LIFE_S)
+        return others + self.in_flight
+
+    def expected_s(self, usual_s, now) -> float:
+        """Return the expected time of one more request in seconds.
+
+        :param usual_s: Service time of the service, used while the server's
+            own is not known.
+        """
+        service = self.service_s if self.samples >= 3 else usual_s
+        waiting = max(0.0, self.load(now) + 1 - self.slots)
+        return service * (1 + waiting / self.slots)
+
+    def is_full(self, now) -> bool:
+        """Tell whether the queue of the server is long."""
+        return self.load(now) >= self.slots * (1 + MAX_WAITING_PER_SLOT)
+
+    def _note_failure(self, value, now):
+        share = self.failure_share(now)
+        self._failure = share + FAILURE_WEIGHT * (value - share)
+        self._failure_at = now
+
+
+@dataclasses.dataclass(frozen=True)
+class Choice:
+    """Name the chosen server.
+
+    :ivar expected_s: Expected time of the request in seconds.
+    """
+
+    server: object
+    expected_s: float
+
+
+def choose(
+    servers, stats_of, *, usual_s, data_centre, answer_bytes, now, skip=()
+) -> Choice | None:
+    """Return the server with the least expected cost.
+
+    :param servers: Candidates, :class:`~radishferry.direct.registry.Server`.
+    :param stats_of: Returns the :class:`ServerStats` of a server.
+    :param usual_s: Service time of the service in seconds.
+    :param data_centre: Data centre of this host.
+    :param answer_bytes: Usual size of an answer.
+    :param skip: Lives that have had the request already.
+    """
+    best = None
+    best_cost = math.inf
+    for server in servers:
+        if server.life in skip:
+            continue
+        stats = stats_of(server)
+        if stats.is_paused(now):
+            continue
+        expected = stats.expected_s(usual_s, now)
+        if server.warmup_s > 0:
+            expected *= WARMUP_FACTOR
+        # A failed request costs a second attempt.
+        failing = stats.failure_share(now)
+        cost = expected / max(0.05, 1 - failing)
+        if server.data_centre != data_centre:
+            cost += FAR_COST_S + FAR_COST_S_PER_BYTE * answer_bytes
+        if stats.is_full(now):
+            cost += 10.0
+        # Equal servers are chosen in turn, and hosts differ.
+        cost *= 1 + 0.1 * random.random()
+        if cost < best_cost:
+            best, best_cost = Choice(server, expected), cost
+    return best
--- /dev/null
+++ b/packages/radishferryd/idl/router.thrift
@@ -0,0 +1,90 @@
+/* Messages between the granting host and the other hosts of a deployment.
+ *
+ * Each message is one Frame, in which exactly one field is set, encoded by
+ * the binary protocol and preceded by its length as a 4-byte big-endian
+ * integer.
+ */
+namespace py radishferryd.gen.router
+
+struct Hello {
+  1: string host
+  2: string data_centre
+}
+
+/* Sent by the granting host at a fixed interval. */
+struct Beat {
+  1: i32 hosts
+  /* Age of its newest list of servers, in seconds. */
+  2: double registry_age_s
+  3: bool is_stopping
+}
+
+/* The operators' configuration as the platform keeps it. */
+struct ConfigurationPush {
+  1: binary document
+}
+
+struct ServerEntry {
+  1: string server_id
+  2: i64 born_ms
+  3: string service_name
+  4: string ip
+  5: i32 port
+  6: string data_centre
+  7: i32 slots
+  8: bool is_leaving
+  9: double warmup_s
+}
+
+/* Servers that changed; all of them where is_full is set. */
+struct ServersPush {
+  1: bool is_full
+  2: list<ServerEntry> changed
+  3: list<string> gone
+  4: double age_s
+}
+
+struct SegmentEntry {
+  1: i32 start_key
+  2: i32 end_key
+  3: string owner_id
+  4: i64 owner_born_ms
+  5: i64 fence
+  6: bool is_settled
+}
+
+/* Segments that replace what was known of their keys. */
+struct KeyMapPush {
+  1: string service_name
+  2: list<SegmentEntry> segments
+}
+
+/* Time of requests that met no queue at a server. */
+struct ServerSpeed {
+  1: string server_id
+  2: double total_s
+  3: i32 answers
+}
+
+struct LoadReport {
+  /* Key of each request since the last report, by service. */
+  1: map<string, list<i32>> keys
+  2: list<ServerSpeed> speeds
+  /* Fingerprints of requests in flight at crashes of servers. */
+  3: list<i64> suspects
+}
+
+/* Fingerprints of requests that crashed servers, with their counts. */
+struct PoisonPush {
+  1: map<i64, i32> crashes
+}
+
+struct Frame {
+  1: optional Hello hello
+  2: optional Beat beat
+  3: optional ConfigurationPush configuration_push
+  4: optional ServersPush servers_push
+  5: optional KeyMapPush key_map_push
+  6: optional LoadReport load_report
+  7: optional PoisonPush poison_push
+}
--- a/packages/radishferryd/src/radishferryd/app.py
+++ b/packages/radishferryd/src/radishferryd/app.py
@@ -26,7 +26,7 @@
 from radishferryd import ownership as ownership_module
 from radishferryd import peer
 from radishferryd import planner as planner_module
-from radishferryd import platform
+from radishferryd import table_service
 from radishferryd import policy
 from radishferryd import poller as poller_module
 from radishferryd import reports
@@ -65,7 +65,7 @@
         self.membership = membership_module.Membership(
             self.host_name, self.data_centre
         )
-        self.table = platform.HttpPlatform(
+        self.table = table_service.HttpPlatform(
             self.poller,
             self.scheduler,
             settings.platform_address,
--- a/packages/radishferryd/src/radishferryd/control_messages.py
+++ b/packages/radishferryd/src/radishferryd/control_messages.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from radishferryd import platform
+from radishferryd import table_service
 from radishferryd import spread as spread_module
 
 
@@ -53,7 +53,7 @@
     def _assignment_push(self, link, message):
         self._app.state.take_rows(
             [
-                platform.Row(
+                table_service.Row(
                     row.name, row.version, '', orjson.loads(row.value)
                 )
                 for row in message.rows
--- a/packages/radishferryd/src/radishferryd/control_state.py
+++ b/packages/radishferryd/src/radishferryd/control_state.py
@@ -55,7 +55,7 @@
     def take_rows(self, rows):
         """Merge rows of the table.
 
-        :param rows: List of :class:`~radishferryd.platform.Row`.
+        :param rows: List of :class:`~radishferryd.table_service.Row`.
         :returns: Service name to range assignments by range id, of all the
             rows given.
         """
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/gen/router/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- a/packages/radishferryd/src/radishferryd/host_directory.py
+++ b/packages/radishferryd/src/radishferryd/host_directory.py
@@ -10,7 +10,7 @@
 from radishferry import hosts as hosts_module
 from radishferry import membership as membership_module
 from radishferryd import events
-from radishferryd import platform
+from radishferryd import table_service
 from radishferryd.gen import ttypes
 
 LOG = logging.getLogger(__name__)
@@ -199,7 +199,7 @@
         )
 
         def done(result):
-            if isinstance(result, platform.Unavailable):
+            if isinstance(result, table_service.Unavailable):
                 self._hosts_due_at = self._app.scheduler.now() + HOSTS_RELAY_S
                 return
             if self.take(result) and is_relay:
--- a/packages/radishferryd/src/radishferryd/http_client.py
+++ b/packages/radishferryd/src/radishferryd/http_client.py
@@ -62,6 +62,11 @@
         """Tell whether the connection is open or being opened."""
         return self._connection.is_open
 
+    @property
+    def is_connected(self) -> bool:
+        """Tell whether the connection has ever been open."""
+        return self._is_connected
+
     @property
     def is_writable(self) -> bool:
         """Tell whether the server reads as fast as it is written to."""
@@ -174,14 +179,16 @@
 class ConnectionPool:
     """Reuse connections to one server."""
 
-    def __init__(self, poller, address, limit):
+    def __init__(self, poller, address, limit, on_lost=None):
         """Begin empty.
 
         :param int limit: Most connections open at a time.
+        :param on_lost: Called without arguments when a connection ends.
         """
         self._poller = poller
         self._address = address
         self._limit = limit
+        self._on_lost = on_lost
         self._idle = collections.deque()
         self._open = 0
 
@@ -210,6 +217,8 @@
 
     def _closed(self, connection):
         self._open -= 1
+        if self._on_lost is not None:
+            self._on_lost()
         if connection in self._idle:
             self._idle.remove(connection)
 
@@ -222,12 +231,18 @@
     :ivar body: Decoded body; None when it is empty or no JSON.
     :ivar sent_at: When the request was sent, in seconds.
     :ivar received_at: When the answer was complete, in seconds.
+    :ivar headers: Pairs of lower-case name and value.
     """
 
     status: int
     body: typing.Any
     sent_at: float
     received_at: float
+    headers: tuple[tuple[str, str], ...] = ()
+
+    def header(self, name, default='') -> str:
+        """Return the first value of a header by its lower-case name."""
+        return next((v for n, v in self.headers if n == name), default)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -272,7 +287,15 @@
         except orjson.JSONDecodeError:
             body = None
         now = self._client.scheduler.now()
-        self._finish(JsonAnswer(self._head.status, body, self._sent_at, now))
+        self._finish(
+            JsonAnswer(
+                self._head.status,
+                body,
+                self._sent_at,
+                now,
+                self._head.headers,
+            )
+        )
 
     def on_failed(self, detail, was_sent):
         self._finish(JsonFailure(detail, was_sent))
@@ -281,8 +304,10 @@
         pass
 
     def _on_deadline(self):
+        # Bytes queued for a connection that never opened were not sent.
+        was_sent = self._connection.is_connected
         self._connection.abort()
-        self._finish(JsonFailure('no answer in time', True))
+        self._finish(JsonFailure('no answer in time', was_sent))
 
     def _finish(self, result):
         self._timer.cancel()
@@ -294,17 +319,26 @@
 class JsonClient:
     """Exchange JSON with one address over reused connections."""
 
-    def __init__(self, poller, scheduler, address, headers=(), limit=8):
+    def __init__(
+        self,
+        poller,
+        scheduler,
+        address,
+        headers=(),
+        limit=8,
+        on_lost=None,
+    ):
         """Begin without a connection.
 
         :param address: Pair of IP and port.
         :param headers: Pairs of name and value sent with each request.
         :param int limit: Most connections open at a time.
+        :param on_lost: Called without arguments when a connection ends.
         """
         self.scheduler = scheduler
         self._address = address
         self._headers = tuple(headers)
-        self._pool = ConnectionPool(poller, address, limit)
+        self._pool = ConnectionPool(poller, address, limit, on_lost)
 
     def call(self, method, target, body, deadline_s, done):
         """Send a request.
@@ -324,6 +358,8 @@
             ('Content-Length', str(len(data))),
             *self._headers,
         ]
+        if data:
+            headers.append(('Content-Type', 'application/json'))
         exchange = _JsonExchange(self, connection, done, deadline_s)
         connection.request(method, target, headers, exchange, data)
 
--- a/packages/radishferryd/src/radishferryd/http_message.py
+++ b/packages/radishferryd/src/radishferryd/http_message.py
@@ -66,8 +66,9 @@
     The owner offers ``on_head(head)``, ``on_body(data)`` and ``on_end()``.
     """
 
-    def __init__(self, owner, *, is_request):
+    def __init__(self, owner, *, is_request, max_head_bytes=MAX_HEAD_BYTES):
         self._owner = owner
+        self._max_head_bytes = max_head_bytes
         self._is_request = is_request
         self._headers = []
         self._target = b''
@@ -92,7 +93,7 @@
         :raises BadMessageError: The bytes are not valid HTTP.
         """
         if self._in_head:
-            self._head_bytes += min(len(data), MAX_HEAD_BYTES + 1)
+            self._head_bytes += min(len(data), self._max_head_bytes + 1)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as exc:
@@ -104,7 +105,7 @@
             raise
         except httptools.HttpParserError as exc:
             raise BadMessageError(str(exc)) from exc
-        if self._in_head and self._head_bytes > MAX_HEAD_BYTES:
+        if self._in_head and self._head_bytes > self._max_head_bytes:
             raise HeadTooLargeError()
 
     def on_message_begin(self):
@@ -131,7 +132,7 @@
         size = len(self._target) + sum(
             len(n) + len(v) + 4 for n, v in self._headers
         )
-        if size > MAX_HEAD_BYTES:
+        if size > self._max_head_bytes:
             raise HeadTooLargeError()
         self._in_head = False
         self._head_bytes = 0
--- a/packages/radishferryd/src/radishferryd/logs.py
+++ b/packages/radishferryd/src/radishferryd/logs.py
@@ -20,10 +20,13 @@
 
     :param level: One of :data:`radishferryd.settings.LOG_LEVELS`.
     :param log_format: One of :data:`radishferryd.settings.LOG_FORMATS`.
-    :param stream: Where lines go, by default standard error.
+    :param stream: Where lines go, by default standard error; one that has
+        ``admits(record)`` decides which lines are written.
     """
     handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(_formatter(log_format))
+    if hasattr(stream, 'admits'):
+        handler.addFilter(stream.admits)
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
--- a/packages/radishferryd/src/radishferryd/main.py
+++ b/packages/radishferryd/src/radishferryd/main.py
@@ -10,13 +10,17 @@
 
 from radishferry import findings
 from radishferryd import logs
-from radishferryd import settings as settings_module
 
 #: Exit code of settings that are not valid.
 EXIT_BAD_SETTINGS = 2
 
 
-def radishferryd(*, settings: pathlib.Path, check: bool = False) -> int:
+def radishferryd(
+    *,
+    settings: pathlib.Path,
+    check: bool = False,
+    direct: bool = False,
+) -> int:
     """Route requests to the servers that own their keys.
 
     Exit codes: 0 after an orderly stop or valid settings, 2 for settings
@@ -24,7 +28,11 @@
 
     :param settings: The settings file.
     :param check: Print all findings of the settings file and exit.
+    :param direct: Send to servers in one hop, for servers that check
+        ownership themselves.
     """
+    part = 'radishferryd.router' if direct else 'radishferryd'
+    settings_module = importlib.import_module(f'{part}.settings')
     try:
         loaded = settings_module.load(settings)
     except findings.FindingsError as exc:
@@ -34,10 +42,19 @@
     if check:
         print(f'{settings}: valid')
         return 0
-    logs.configure(loaded.log_level, loaded.log_format)
+    stream = None
+    if direct:
+        scheduler = importlib.import_module('radishferryd.scheduler')
+        output = importlib.import_module('radishferryd.router.log_output')
+        stream = output.BoundedStream(
+            sys.stdout.fileno(), scheduler.Scheduler.now
+        )
+    logs.configure(loaded.log_level, loaded.log_format, stream)
     # A check needs no poller and no sockets, so the application is loaded
     # only when it runs.
-    app = importlib.import_module('radishferryd.app')
+    app = importlib.import_module(f'{part}.app')
+    if direct:
+        return app.run(loaded, stream) or 0
     return app.run(loaded) or 0
 
 
--- a/packages/radishferryd/src/radishferryd/manifests.py
+++ b/packages/radishferryd/src/radishferryd/manifests.py
@@ -9,7 +9,7 @@
 from radishferry import manifest_diff
 from radishferry import manifest_parser
 from radishferryd import operations
-from radishferryd import platform
+from radishferryd import table_service
 from radishferryd.gen import ttypes
 
 LOG = logging.getLogger(__name__)
@@ -56,7 +56,7 @@
         """Read the manifest from the table until there is an answer."""
 
         def done(result):
-            if isinstance(result, platform.Unavailable):
+            if isinstance(result, table_service.Unavailable):
                 if self._document is None:
                     LOG.warning(
                         'manifest: The table cannot be read: %s.',
@@ -102,7 +102,7 @@
             return
 
         def read(result):
-            if isinstance(result, platform.Unavailable):
+            if isinstance(result, table_service.Unavailable):
                 done(operations.Unavailable(result.detail))
                 return
             row = next(iter(result), None)
@@ -132,11 +132,11 @@
         history = f'manifest/{manifest.version}'
 
         def written(result):
-            if isinstance(result, platform.Written):
+            if isinstance(result, table_service.Written):
                 self.offer(manifest.version, text)
                 self._app.spread.send('manifest_push', self.push(0))
                 done(operations.Accepted(manifest.version))
-            elif isinstance(result, platform.Conflict):
+            elif isinstance(result, table_service.Conflict):
                 # Another operator was first; say which version won.
                 self._report_winner(done)
             else:
@@ -150,7 +150,7 @@
 
     def _report_winner(self, done):
         def read(result):
-            if isinstance(result, platform.Unavailable) or not result:
+            if isinstance(result, table_service.Unavailable) or not result:
                 done(operations.Conflict(self.version))
                 return
             row = result[0]
--- a/packages/radishferryd/src/radishferryd/metrics.py
+++ b/packages/radishferryd/src/radishferryd/metrics.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import bisect
+import importlib
 import math
 
-import aioprometheus
-from aioprometheus import histogram as aio_histogram
-
 from radishferryd import metric_table
 
 
@@ -101,7 +99,7 @@
     def _fill(self, collector):
         bounds = (*metric_table.LATENCY_BUCKETS_S, math.inf)
         for labels, values in self._labelled():
-            filled = aio_histogram.Histogram(*bounds)
+            filled = _library('histogram').Histogram(*bounds)
             total = 0
             for bound, count in zip(bounds, values):
                 total += count
@@ -117,9 +115,14 @@
 class Metrics:
     """Record the metrics of the table, one attribute for each."""
 
-    def __init__(self):
+    def __init__(self, table=metric_table.METRICS):
+        """Begin at zero.
+
+        :param table: Every :class:`~radishferryd.metric_table.Metric`.
+        """
         self._sources = []
-        for metric in metric_table.METRICS:
+        self._table = table
+        for metric in table:
             recorder = _RECORDERS[metric.kind](metric)
             setattr(self, metric.attribute, recorder)
 
@@ -134,11 +137,12 @@
         """Return all metrics in the Prometheus text format."""
         for source in self._sources:
             source()
-        registry = aioprometheus.Registry()
-        for metric in metric_table.METRICS:
+        library = _library()
+        registry = library.Registry()
+        for metric in self._table:
             recorder = getattr(self, metric.attribute)
             recorder._fill(_collector(metric, registry))
-        content, _ = aioprometheus.render(registry, [])
+        content, _ = library.render(registry, [])
         return content
 
 
@@ -146,5 +150,12 @@
     options = {'registry': registry}
     if metric.kind == 'histogram':
         options['buckets'] = (*metric_table.LATENCY_BUCKETS_S, math.inf)
-    cls = getattr(aioprometheus, metric.kind.capitalize())
+    cls = getattr(_library(), metric.kind.capitalize())
     return cls(metric.name, metric.help, **options)
+
+
+def _library(module=''):
+    # Loaded at the first rendering: it takes memory that a process whose
+    # metrics nobody reads does not need.
+    name = f'aioprometheus.{module}' if module else 'aioprometheus'
+    return importlib.import_module(name)
--- a/packages/radishferryd/src/radishferryd/net.py
+++ b/packages/radishferryd/src/radishferryd/net.py
@@ -73,6 +73,11 @@
         """Tell whether the connection has not been closed."""
         return self._is_open
 
+    @property
+    def is_connecting(self) -> bool:
+        """Tell whether the connect is still in progress."""
+        return self._connecting
+
     @property
     def queued(self) -> int:
         """Return the number of bytes that wait to be written."""
@@ -289,16 +294,25 @@
             Connection(self._poller, sock, self._handler_factory()).start()
 
 
-def connect(poller, address, handler) -> Connection:
+def connect(poller, address, handler, unacked_limit_s=None) -> Connection:
     """Open a connection without waiting for it.
 
     :param poller: The poller of the loop.
     :param address: Pair of IP and port.
     :param handler: Told by ``connected`` or ``closed`` how it went.
+    :param unacked_limit_s: Seconds after which the connection breaks when
+        the peer acknowledges nothing of what was sent; None for the
+        system's limit.
     :returns: The connection; bytes written before it opens are queued.
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     _prepare(sock)
+    if unacked_limit_s is not None:
+        sock.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            int(unacked_limit_s * 1000),
+        )
     error = sock.connect_ex(address)
     connection = Connection(poller, sock, handler)
     # Any error other than "in progress" shows again in SO_ERROR or at the
--- a/packages/radishferryd/src/radishferryd/peer_codec.py
+++ b/packages/radishferryd/src/radishferryd/peer_codec.py
@@ -22,26 +22,12 @@
 # A protocol object keeps nothing between frames, and making one for each
 # frame took a tenth of the time of a request between two hosts.
 _PROTOCOL = _FACTORY.getProtocol(TTransport.TMemoryBuffer())
-#: Names of the messages of a frame, the most frequent first.
-MESSAGES = (
+_FREQUENT = (
     'response_chunk',
     'response_head',
     'request_head',
     'credit',
     'heartbeat',
-    *sorted(
-        spec[2]
-        for spec in ttypes.Frame.thrift_spec
-        if spec is not None
-        and spec[2]
-        not in (
-            'response_chunk',
-            'response_head',
-            'request_head',
-            'credit',
-            'heartbeat',
-        )
-    ),
 )
 
 
@@ -49,52 +35,76 @@
     """Report bytes that are no valid frame."""
 
 
-def encode(name, message) -> bytes:
-    """Return the bytes of a frame.
-
-    :param name: Field of ``Frame``.
-    :param message: The thrift struct.
-    :raises FrameError: The frame exceeds :data:`MAX_FRAME_BYTES`.
-    """
-    frame = ttypes.Frame(**{name: message})
-    transport = _PROTOCOL.trans = TTransport.TMemoryBuffer()
-    frame.write(_PROTOCOL)
-    data = transport.getvalue()
-    if len(data) > MAX_FRAME_BYTES:
-        raise FrameError(f'{name} of {len(data)} bytes is too large')
-    return _LENGTH.pack(len(data)) + data
-
-
-def decode(data) -> tuple[str, object]:
-    """Return the name and the struct of a frame without its length.
-
-    :raises FrameError: The bytes are no frame.
-    """
-    frame = ttypes.Frame()
-    _PROTOCOL.trans = TTransport.TMemoryBuffer(data)
-    try:
-        frame.read(_PROTOCOL)
-    except (
-        EOFError,
-        Thrift.TException,
-        UnicodeDecodeError,
-        ValueError,
-        TypeError,
-        OverflowError,
-        MemoryError,
-    ) as exc:
-        raise FrameError(f'malformed frame: {exc!r}') from exc
-    for name in MESSAGES:
-        message = getattr(frame, name)
-        if message is not None:
-            return name, message
-    raise FrameError('frame without a known message')
+class Codec:
+    """Encode and decode the frames of one interface file."""
+
+    def __init__(self, frame_class, frequent=()):
+        """Take the fields of a frame as the names of its messages.
+
+        :param frame_class: Generated class of the frame.
+        :param frequent: Names that are looked for first.
+        """
+        self._frame_class = frame_class
+        rest = sorted(
+            spec[2]
+            for spec in frame_class.thrift_spec
+            if spec is not None and spec[2] not in frequent
+        )
+        self.messages = (*frequent, *rest)
+
+    def encode(self, name, message) -> bytes:
+        """Return the bytes of a frame.
+
+        :param name: Field of the frame.
+        :param message: The thrift struct.
+        :raises FrameError: The frame exceeds :data:`MAX_FRAME_BYTES`.
+        """
+        frame = self._frame_class(**{name: message})
+        transport = _PROTOCOL.trans = TTransport.TMemoryBuffer()
+        frame.write(_PROTOCOL)
+        data = transport.getvalue()
+        if len(data) > MAX_FRAME_BYTES:
+            raise FrameError(f'{name} of {len(data)} bytes is too large')
+        return _LENGTH.pack(len(data)) + data
+
+    def decode(self, data) -> tuple[str, object]:
+        """Return the name and the struct of a frame without its length.
+
+        :raises FrameError: The bytes are no frame.
+        """
+        frame = self._frame_class()
+        _PROTOCOL.trans = TTransport.TMemoryBuffer(data)
+        try:
+            frame.read(_PROTOCOL)
+        except (
+            EOFError,
+            Thrift.TException,
+            UnicodeDecodeError,
+            ValueError,
+            TypeError,
+            OverflowError,
+            MemoryError,
+        ) as exc:
+            raise FrameError(f'malformed frame: {exc!r}') from exc
+        for name in self.messages:
+            message = getattr(frame, name)
+            if message is not None:
+                return name, message
+        raise FrameError('frame without a known message')
+
+
+_PEERS = Codec(ttypes.Frame, _FREQUENT)
+#: Names of the messages between coordinators and entry hosts.
+MESSAGES = _PEERS.messages
+encode = _PEERS.encode
+decode = _PEERS.decode
 
 
 class FrameBuffer:
     """Cut a byte stream into frames."""
 
-    def __init__(self):
+    def __init__(self, codec=_PEERS):
+        self._decode = codec.decode
         self._data = bytearray()
         self._limit = MAX_UNPROVED_FRAME_BYTES
 
@@ -117,6 +127,6 @@
             end = _LENGTH.size + length
             if len(self._data) < end:
                 return
-            message = decode(memoryview(self._data)[_LENGTH.size : end])
+            message = self._decode(memoryview(self._data)[_LENGTH.size : end])
             del self._data[:end]
             yield message
--- a/packages/radishferryd/src/radishferryd/planner.py
+++ b/packages/radishferryd/src/radishferryd/planner.py
@@ -12,7 +12,7 @@
 from radishferry import hotkeys
 from radishferry import placement
 from radishferry import rewrites
-from radishferryd import platform
+from radishferryd import table_service
 
 LOG = logging.getLogger(__name__)
 
@@ -174,9 +174,9 @@
 
         def done(result):
             self._is_busy = False
-            if isinstance(result, platform.Written):
+            if isinstance(result, table_service.Written):
                 rows = [
-                    platform.Row(row, result.versions[row], '', value)
+                    table_service.Row(row, result.versions[row], '', value)
                     for row, value in writes.items()
                     if row in result.versions
                 ]
@@ -184,7 +184,7 @@
                 app.state.push_rows(rows)
                 self._is_dirty = True
                 return
-            if isinstance(result, platform.Unavailable):
+            if isinstance(result, table_service.Unavailable):
                 LOG.warning('planner: Rows not written: %s.', result.detail)
             self._is_current = False
 
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/router/__init__.py
@@ -0,0 +1,1 @@
+"""Route requests of callers to servers in one hop."""
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -0,0 +1,366 @@
+"""Wire the parts of a host that sends to servers directly."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import signal
+import time
+
+from circuits.core import Component
+
+from radishferryd import exception_log
+from radishferryd import poller as poller_module
+from radishferryd import scheduler as scheduler_module
+from radishferryd.platform import store as store_module
+from radishferryd.router import callers
+from radishferryd.router import crashes as crashes_module
+from radishferryd.router import gateway as gateway_module
+from radishferryd.router import hub as hub_module
+from radishferryd.router import knowledge as knowledge_module
+from radishferryd.router import links
+from radishferryd.router import metrics as metrics_module
+from radishferryd.router import ownership as ownership_module
+from radishferryd.router import spoke as spoke_module
+from radishferryd.router import status_http
+from radishferryd.router import store_reader
+from radishferryd.router import term as term_module
+
+LOG = logging.getLogger(__name__)
+
+#: Seconds between sweeps over connections.
+SWEEP_S = 0.5
+#: Seconds for which a stopping host takes new connections: the platform
+#: asks once a second and needs two answers that it is not ready.
+STOP_LISTEN_S = 2.6
+#: Seconds for which a connection has to be idle before a stopping host
+#: closes it, so that no request crosses the close.
+STOP_IDLE_S = 0.5
+#: Seconds before the end of the grace at which a stopping host ends.
+STOP_MARGIN_S = 0.4
+#: Seconds between checks whether everything has ended.
+STOP_CHECK_S = 0.05
+#: Seconds for which hosts that start together wait for the granting host
+#: before they read the store themselves.
+FIRST_START_PATIENCE_S = 2.0
+
+
+class App(Component):
+    """Be one host."""
+
+    channel = 'router'
+
+    def __init__(self, settings, log_stream=None):
+        """Build the parts; :meth:`listen` opens the sockets.
+
+        :param settings: A :class:`~radishferryd.router.settings.Settings`.
+        :param log_stream: Counts dropped lines, None without a bound.
+        """
+        super().__init__()
+        self._settings = settings
+        self._log_stream = log_stream
+        self._poller = poller_module.SocketPoller().register(self)
+        self._scheduler = scheduler_module.Scheduler().register(self)
+        exception_log.ExceptionLog().register(self)
+        self._metrics = metrics_module.Metrics()
+        self._knowledge = knowledge_module.Knowledge(self._scheduler.now)
+        self._crashes = crashes_module.CrashCounts()
+        self._store = store_module.Store(
+            self._poller, self._scheduler, settings.platform_address
+        )
+        self._reader = store_reader.StoreReader(
+            self._store, self._scheduler, self._knowledge
+        )
+        self._gateway = gateway_module.Gateway(
+            self._poller,
+            self._scheduler,
+            self._knowledge,
+            self._crashes,
+            settings,
+            self._metrics,
+        )
+        self._term = term_module.TermKeeper(
+            self._store,
+            self._scheduler,
+            self,
+            settings.host_name,
+            '{}:{}'.format(*settings.listen_links),
+            time.time_ns(),
+        )
+        self._ownership = ownership_module.Ownership(
+            self._poller,
+            self._scheduler,
+            self._knowledge,
+            self._term,
+            settings.grants_hold_max_s,
+            settings.host_name,
+        )
+        self._knowledge.on_servers.append(self._ownership.servers_changed)
+        self._hub = hub_module.Hub(
+            self._scheduler, self._knowledge, self._ownership, self._crashes
+        )
+        self._spoke = spoke_module.Spoke(
+            self._poller,
+            self._scheduler,
+            self._knowledge,
+            self._reader,
+            (settings.host_name, settings.host_data_centre),
+            self,
+        )
+        self._stop_at = None
+        self._callers = None
+        self._started_at = self._scheduler.now()
+
+    def listen(self):
+        """Open the sockets and begin.
+
+        :raises OSError: An address cannot be bound.
+        """
+        settings = self._settings
+        poller, scheduler = self._poller, self._scheduler
+        links.listen(poller, scheduler, settings.listen_links, self._hub)
+        self._callers = callers.listen(
+            poller, settings.listen_callers, self._gateway
+        )
+        status_http.listen(poller, settings.listen_ready, self)
+        status_http.listen(poller, settings.listen_metrics, self)
+        self._metrics.add_source(self._fill_gauges)
+        scheduler.call_every(ownership_module.TICK_S, self._on_tick)
+        scheduler.call_every(links.BEAT_S, self._hub.tick)
+        scheduler.call_every(spoke_module.REPORT_S, self._report)
+        scheduler.call_every(SWEEP_S, self._sweep)
+        if settings.host_is_first_start:
+            self._spoke.set_granter(False, FIRST_START_PATIENCE_S)
+        self._term.look_soon()
+        LOG.info(
+            'app: Started.',
+            extra={
+                'host': settings.host_name,
+                'data_centre': settings.host_data_centre,
+                'callers': '{}:{}'.format(*settings.listen_callers),
+                'first_start': settings.host_is_first_start,
+            },
+        )
+
+    def reload(self):
+        """Read the settings file again after SIGHUP.
+
+        The addresses of a host do not change while it runs, and everything
+        else of the configuration comes from the store.
+        """
+        LOG.info('app: Reloaded; no setting takes effect while running.')
+
+    # For the parts.
+
+    def needs_granter(self) -> bool:
+        """Tell whether this host has no link to a granting host."""
+        return not self._spoke.is_linked
+
+    def granter_known(self, term):
+        """Connect to the host that may grant."""
+        self._spoke.connect(term.address)
+
+    def granter_lost(self):
+        """Look for the host that may grant."""
+        self._term.look_soon()
+
+    def term_taken(self):
+        """Begin to grant, with what the store holds now."""
+        self._hub.begin()
+        self._spoke.set_granter(True)
+        self._begin_ownership()
+
+    def term_lost(self):
+        """End granting."""
+        self._ownership.end()
+        self._hub.end()
+        self._spoke.set_granter(False)
+
+    def note_store(self, answer) -> bool:
+        """Note whether the store answers."""
+        return self._reader.note(answer)
+
+    def set_host_count(self, count):
+        """Take the number of hosts from the granting host."""
+        if count != self._gateway.host_count:
+            self._gateway.set_host_count(count)
+
+    def merge_poison(self, counts):
+        """Take crash counts from the granting host."""
+        self._crashes.adopt(counts, self._scheduler.now())
+
+    def take_load(self):
+        """Return what this host has seen of load."""
+        return self._gateway.take_load()
+
+    def _begin_ownership(self):
+        """Read the owners as of now and take over from them."""
+
+        def take(answer):
+            if not self._term.holds:
+                return
+            if self.note_store(answer):
+                self._ownership.begin(answer.rows)
+            else:
+                self._scheduler.call_later(0.2, self._begin_ownership)
+
+        self._store.read(store_reader.OWN_TABLE, take)
+
+    # Timers.
+
+    def _on_tick(self):
+        self._term.tick()
+        self._ownership.tick()
+        self._spoke.tick()
+
+    def _report(self):
+        if self._ownership.is_active:
+            self.set_host_count(self._hub.host_count)
+            keys, speeds, _ = self._gateway.take_load()
+            self._ownership.note_load(keys, speeds)
+        else:
+            self._spoke.report()
+
+    def _sweep(self):
+        now = self._scheduler.now()
+        self._gateway.backends.close_old()
+        for connection in list(self._gateway.connections):
+            connection.check_time(now)
+        if self._log_stream is not None:
+            self._log_stream.flush()
+
+    # For operators.
+
+    def is_ready(self) -> bool:
+        """Tell whether the host takes callers."""
+        return self._stop_at is None and self._knowledge.is_complete
+
+    def metrics(self) -> bytes:
+        """Return all metrics as text."""
+        return self._metrics.render()
+
+    def dump(self) -> dict:
+        """Return the state of the process."""
+        now = self._scheduler.now()
+        knowledge = self._knowledge
+        configuration = knowledge.configuration
+        return {
+            'host': self._settings.host_name,
+            'is_granter': self._ownership.is_active,
+            'is_linked': self._spoke.is_linked,
+            'is_stopping': self._stop_at is not None,
+            'hosts': self._gateway.host_count,
+            'configuration': configuration.version if configuration else None,
+            'registry_age_s': knowledge.registry.age(now),
+            'open_requests': self._gateway.open_requests,
+            'store_calls': self._store.calls,
+            'servers': [
+                {
+                    'id': backend.server.server_id,
+                    'service': backend.server.service,
+                    'data_centre': backend.server.data_centre,
+                    'in_flight': backend.stats.in_flight,
+                    'load': backend.stats.load(now),
+                    'service_s': backend.stats.service_s,
+                    'failure_share': backend.stats.failure_share(now),
+                    'is_paused': backend.stats.is_paused(now),
+                    'connections': backend.open_connections,
+                }
+                for backend in self._gateway.backends
+            ],
+            'owners': {
+                service: [
+                    [s.start, s.end, s.owner[0], s.fence, s.is_settled]
+                    for s in found.segments
+                ]
+                for service, found in knowledge.key_maps.items()
+            },
+            'poison': dict(self._crashes.counts),
+        }
+
+    def _fill_gauges(self):
+        metrics = self._metrics
+        configuration = self._knowledge.configuration
+        age = self._knowledge.registry.age(self._scheduler.now())
+        metrics.store_calls.set(self._store.calls)
+        for order, count in self._ownership.desk.counts.items():
+            metrics.orders.set(count, order)
+        metrics.registry_age.set(min(age, 1e9))
+        metrics.configuration_version.set(
+            configuration.version if configuration else 0
+        )
+        metrics.is_granter.set(int(self._ownership.is_active))
+        metrics.open_requests.set(self._gateway.open_requests)
+        if self._log_stream is not None:
+            metrics.dropped_lines.set(self._log_stream.dropped)
+
+    # Stop.
+
+    def begin_stop(self):
+        """Stop without cutting off a request."""
+        if self._stop_at is not None:
+            return
+        self._stop_at = self._scheduler.now()
+        self._gateway.is_stopping = True
+        LOG.info(
+            'app: A planned stop begins.',
+            extra={'open_requests': self._gateway.open_requests},
+        )
+        if self._ownership.is_active:
+            self._term.give_up()
+            self._ownership.end()
+            self._hub.announce_stop()
+        self._scheduler.call_every(STOP_CHECK_S, self._continue_stop)
+
+    def _continue_stop(self):
+        now = self._scheduler.now()
+        since = now - self._stop_at
+        is_over = since > self._settings.stop_grace_s - STOP_MARGIN_S
+        if since > STOP_LISTEN_S:
+            self._callers.close()
+            for connection in list(self._gateway.connections):
+                is_quiet = now - connection.active_at > STOP_IDLE_S
+                if connection.is_idle and is_quiet:
+                    connection.close()
+            if not self._gateway.connections:
+                is_over = True
+        if is_over:
+            LOG.info(
+                'app: Stopped.',
+                extra={'open_requests': self._gateway.open_requests},
+            )
+            if self._log_stream is not None:
+                self._log_stream.flush()
+            raise SystemExit(0)
+
+
+def run(settings, log_stream=None) -> int:
+    """Run the process until it is stopped.
+
+    :param settings: A :class:`~radishferryd.router.settings.Settings`.
+    :returns: Exit code.
+    """
+    app = App(settings, log_stream)
+    try:
+        app.listen()
+    except OSError as exc:
+        LOG.error('app: Cannot listen: %s.', exc)
+        return 1
+    scheduler = app._scheduler
+
+    def install_handlers():
+        signal.signal(
+            signal.SIGTERM,
+            lambda *_: scheduler.call_later(0.0, app.begin_stop),
+        )
+        signal.signal(
+            signal.SIGHUP, lambda *_: scheduler.call_later(0.0, app.reload)
+        )
+
+    # circuits installs handlers of its own when the loop starts.
+    scheduler.call_later(0.0, install_handlers)
+    # The objects of the modules stay for ever; collections skip them.
+    gc.collect()
+    gc.freeze()
+    app.run()
+    return 0
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/router/callers.py
@@ -0,0 +1,398 @@
+"""Serve callers over HTTP/1.1, with answers in the order of requests."""
+
+from __future__ import annotations
+
+import collections
+import logging
+
+import orjson
+
+from radishferryd import http_message
+from radishferryd import net
+from radishferryd.platform import headers
+from radishferryd.router import results
+
+LOG = logging.getLogger(__name__)
+
+#: Requests of one connection that are worked on at a time.
+MAX_PIPELINED = 16
+#: Bytes of request bodies that a process holds; above, connections wait.
+MAX_HELD_BODY_BYTES = 67108864
+
+#: Headers of a server's answer that concern this system or the connection.
+_NOT_RETURNED = http_message.HOP_HEADERS | {
+    'content-length',
+    headers.LOAD,
+    headers.SERVER_ID,
+    headers.NOT_RUN,
+    headers.HANDOVER,
+}
+
+
+class Slot:
+    """Hold the place of one answer in the order of a connection."""
+
+    def __init__(self, connection, head):
+        self.head = head
+        self.request = None
+        self.arrived_at = connection.now()
+        self.body = []
+        self.body_size = 0
+        self.is_received = False
+        self._connection = connection
+        self._output = []
+        self._is_done = False
+        self._is_chunked = False
+        self._ends_connection = False
+
+    @property
+    def request_id(self) -> str:
+        """Return the id that the caller gave its request."""
+        return self.head.header(headers.REQUEST_ID)
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether the answer is complete."""
+        return self._is_done
+
+    @property
+    def ends_connection(self) -> bool:
+        """Tell whether the connection closes behind the answer."""
+        return self._ends_connection or not self.head.keep_alive
+
+    # For the request.
+
+    def answer(self, head, body):
+        """Return a server's answer."""
+        lines = _returned(head)
+        if head.status not in (204, 304):
+            lines.append(('Content-Length', str(len(body))))
+        self._write(head.status, lines, body)
+        self._finish()
+
+    def begin_stream(self, head):
+        """Return the head of an answer whose body follows in parts."""
+        lines = _returned(head)
+        length = head.header('content-length')
+        self._is_chunked = not length
+        lines.append(
+            ('Content-Length', length)
+            if length
+            else ('Transfer-Encoding', 'chunked')
+        )
+        self._write(head.status, lines, b'')
+
+    def stream(self, data):
+        """Return a part of the body."""
+        if self._is_chunked:
+            data = http_message.format_chunk(data)
+        self._emit(data)
+
+    def end_stream(self):
+        """Complete an answer that came in parts."""
+        if self._is_chunked:
+            self._emit(http_message.LAST_CHUNK)
+        self._finish()
+
+    def refuse(self, refusal):
+        """Answer by the host itself.
+
+        :param refusal: A :class:`~radishferryd.router.results.Refusal`.
+        """
+        body = orjson.dumps(
+            {'reason': refusal.reason.value, 'detail': refusal.detail}
+        )
+        lines = [
+            ('Content-Type', 'application/json'),
+            ('Content-Length', str(len(body))),
+        ]
+        if refusal.retry_after_s is not None:
+            lines.append(('Retry-After', f'{refusal.retry_after_s:.3f}'))
+        if self.request_id:
+            lines.append((headers.REQUEST_ID, self.request_id))
+        if not self.is_received:
+            # The rest of the body would have to be read first.
+            self._ends_connection = True
+        self._write(refusal.status, lines, body)
+        self._finish()
+
+    def break_off(self):
+        """End an answer that has begun so that it does not look whole."""
+        self._connection.abort()
+
+    # For the connection.
+
+    def take_output(self):
+        """Return the bytes that wait for their turn."""
+        output, self._output = self._output, []
+        return output
+
+    def _write(self, status, lines, body):
+        if self._connection.closes_after(self) or self.ends_connection:
+            self._ends_connection = True
+            lines = [*lines, ('Connection', 'close')]
+        data = http_message.format_response(status, lines)
+        self._emit(data if self.head.method == 'HEAD' else data + body)
+
+    def _emit(self, data):
+        self._output.append(data)
+        self._connection.flush()
+
+    def _finish(self):
+        self._is_done = True
+        self._connection.flush()
+
+
+class CallerConnection:
+    """Serve one connection of a caller."""
+
+    def __init__(self, gateway):
+        """Begin.
+
+        :param gateway: Offers ``now``, ``limits``, ``begin``,
+            ``is_stopping`` and the set ``connections``.
+        """
+        self._gateway = gateway
+        self._connection = None
+        self._slots = collections.deque()
+        self._receiving = None
+        self._is_closing = False
+        self._is_flushing = False
+        self._parser = http_message.MessageParser(
+            self,
+            is_request=True,
+            max_head_bytes=gateway.limits.max_header_bytes,
+        )
+        self.active_at = gateway.now()
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no request is being answered or received."""
+        return not self._slots and self._parser.is_between_messages
+
+    @property
+    def open_requests(self) -> int:
+        """Return the number of requests without a complete answer."""
+        return len(self._slots)
+
+    def now(self):
+        """Return the time in seconds."""
+        return self._gateway.now()
+
+    def close(self):
+        """Close after what has been written."""
+        self._is_closing = True
+        self._connection.close()
+
+    def abort(self):
+        """Close at once with a reset."""
+        self._connection.abort()
+
+    def closes_after(self, slot) -> bool:
+        """Tell whether the connection closes behind an answer.
+
+        A stopping host closes behind the last request that it has read, so
+        that none of them is lost.
+        """
+        return self._gateway.is_stopping and (
+            not self._slots or self._slots[-1] is slot
+        )
+
+    def check_time(self, now):
+        """Close the connection when its caller is slow or idle for long."""
+        limits = self._gateway.limits
+        idle_s = now - self.active_at
+        if self.is_idle:
+            if idle_s > limits.idle_timeout_s:
+                self.close()
+        elif not self._slots and idle_s > limits.header_timeout_s:
+            self._reject(
+                results.Refusal(
+                    408,
+                    results.Reason.HEADER_TIMEOUT,
+                    f'The head took over {limits.header_timeout_s} s.',
+                )
+            )
+
+    def flush(self):
+        """Write what is due, in the order of the requests."""
+        if self._is_flushing:
+            return
+        self._is_flushing = True
+        try:
+            self._flush()
+        finally:
+            self._is_flushing = False
+
+    def _flush(self):
+        while self._slots and self._connection.is_open:
+            slot = self._slots[0]
+            for data in slot.take_output():
+                self._connection.write(data)
+            if not slot.is_done:
+                return
+            self._slots.popleft()
+            self.active_at = self._gateway.now()
+            if slot.ends_connection:
+                self._end_behind()
+                return
+            if len(self._slots) < MAX_PIPELINED:
+                self._connection.resume_reading()
+
+    def _end_behind(self):
+        # Requests behind a closing answer count as not read.
+        self._cancel_all()
+        self._is_closing = True
+        self._connection.close()
+
+    # From the network.
+
+    def connected(self, connection):
+        """See :class:`radishferryd.net.Handler`."""
+        self._connection = connection
+        self._gateway.connections.add(self)
+
+    def received(self, data):
+        """See :class:`radishferryd.net.Handler`."""
+        if self._is_closing:
+            return
+        self.active_at = self._gateway.now()
+        try:
+            self._parser.feed(data)
+        except http_message.HeadTooLargeError:
+            self._reject(
+                results.Refusal(
+                    431,
+                    results.Reason.HEAD_TOO_LARGE,
+                    'The head is too large.',
+                )
+            )
+        except http_message.BadMessageError as exc:
+            self._reject(
+                results.Refusal(
+                    400,
+                    results.Reason.BAD_REQUEST,
+                    f'No valid HTTP/1.1: {exc}.',
+                )
+            )
+
+    def pause_producing(self):
+        """See :class:`radishferryd.net.Handler`."""
+        if self._slots and self._slots[0].request is not None:
+            self._slots[0].request.pause()
+
+    def resume_producing(self):
+        """See :class:`radishferryd.net.Handler`."""
+        if self._slots and self._slots[0].request is not None:
+            self._slots[0].request.resume()
+
+    def closed(self, error):
+        """See :class:`radishferryd.net.Handler`."""
+        self._is_closing = True
+        self._gateway.connections.discard(self)
+        self._cancel_all()
+
+    # From the parser.
+
+    def on_head(self, head):
+        """Take the head of a request."""
+        if self._is_closing:
+            return
+        slot = Slot(self, head)
+        self._slots.append(slot)
+        self._receiving = slot
+        problem = _problem(head, self._gateway.limits)
+        if problem is not None:
+            self._refuse(slot, problem)
+            return
+        if head.header('expect').lower() == '100-continue':
+            self._connection.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+        if len(self._slots) >= MAX_PIPELINED:
+            self._connection.pause_reading()
+
+    def on_body(self, data):
+        """Take a part of a request body."""
+        slot = self._receiving
+        if slot is None or self._is_closing:
+            return
+        slot.body.append(data)
+        slot.body_size += len(data)
+        limit = self._gateway.limits.max_body_bytes
+        if slot.body_size > min(limit, MAX_HELD_BODY_BYTES):
+            self._refuse(
+                slot,
+                results.Refusal(
+                    413,
+                    results.Reason.BODY_TOO_LARGE,
+                    f'The body exceeds {limit} bytes.',
+                ),
+            )
+
+    def on_end(self):
+        """Take the end of a request."""
+        slot, self._receiving = self._receiving, None
+        if slot is None or self._is_closing:
+            return
+        slot.is_received = True
+        slot.request = self._gateway.begin(slot)
+
+    def _refuse(self, slot, refusal):
+        self._receiving = None
+        self._gateway.refused(slot, refusal)
+        slot.refuse(refusal)
+
+    def _reject(self, refusal):
+        """Answer bytes that are no request and close."""
+        if self._is_closing:
+            return
+        slot = self._receiving
+        if slot is None:
+            slot = Slot(self, _NO_HEAD)
+            self._slots.append(slot)
+        self._refuse(slot, refusal)
+
+    def _cancel_all(self):
+        slots, self._slots = list(self._slots), collections.deque()
+        for slot in slots:
+            if slot.request is not None and not slot.is_done:
+                slot.request.cancel()
+
+
+_NO_HEAD = http_message.Head('', '', 0, (), False)
+
+
+def _problem(head, limits):
+    has_length = head.header('content-length')
+    if has_length and head.header('transfer-encoding'):
+        # Two framings are how a request is hidden inside another one.
+        detail = 'Content-Length and Transfer-Encoding exclude each other.'
+    elif sum(1 for name, _ in head.headers if name == 'host') != 1:
+        detail = 'Exactly one Host header is needed.'
+    elif has_length and int(has_length) > limits.max_body_bytes:
+        return results.Refusal(
+            413,
+            results.Reason.BODY_TOO_LARGE,
+            f'The body exceeds {limits.max_body_bytes} bytes.',
+        )
+    else:
+        return None
+    return results.Refusal(400, results.Reason.BAD_REQUEST, detail)
+
+
+def _returned(head):
+    named = {
+        name.strip().lower() for name in head.header('connection').split(',')
+    }
+    return [
+        (name, value)
+        for name, value in head.headers
+        if name not in _NOT_RETURNED and name not in named
+    ]
+
+
+def listen(poller, address, gateway) -> net.Listener:
+    """Accept connections of callers.
+
+    :raises OSError: The address cannot be bound.
+    """
+    return net.Listener(poller, address, lambda: CallerConnection(gateway))
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -0,0 +1,275 @@
+"""Connect callers with routes, owners and servers."""
+
+from __future__ import annotations
+
+import collections
+import logging
+
+from radishferry.direct import budget as budget_module
+from radishferryd.router import backends as backends_module
+from radishferryd.router import requests
+from radishferryd.router import results
+
+LOG = logging.getLogger(__name__)
+
+#: Seconds after which callers may return to a host without configuration.
+STARTING_RETRY_S = 0.5
+#: Seconds above which an answered request gets a log line of its own; the
+#: others are counted.
+SLOW_ANSWER_S = 1.0
+
+
+class Gateway:
+    """Start the requests of callers and give them what they need."""
+
+    def __init__(
+        self, poller, scheduler, knowledge, crashes, settings, metrics
+    ):
+        """Begin without connections.
+
+        :param knowledge: A :class:`~radishferryd.router.knowledge.Knowledge`.
+        :param crashes: A :class:`~radishferryd.router.crashes.CrashCounts`.
+        :param settings: A :class:`~radishferryd.router.settings.Settings`.
+        :param metrics: A :class:`~radishferryd.router.metrics.Metrics`.
+        """
+        self.scheduler = scheduler
+        self.connections = set()
+        self.is_stopping = False
+        self.host_count = settings.retry_hosts
+        self.data_centre = settings.host_data_centre
+        self.backends = backends_module.Backends(poller, scheduler)
+        self.budget = budget_module.RetryBudget(
+            settings.retry_ratio, settings.retry_slack, settings.retry_window_s
+        )
+        self._knowledge = knowledge
+        self._crashes = crashes
+        self._metrics = metrics
+        self._stats = {}
+        self._keys = collections.defaultdict(list)
+        self._waiting = collections.defaultdict(list)
+        self.open_requests = 0
+        self.set_host_count(self.host_count)
+        knowledge.on_configuration.append(self._on_configuration)
+        knowledge.on_servers.append(self._on_servers)
+        knowledge.on_owners.append(self._on_owners)
+
+    @property
+    def limits(self):
+        """Return the limits on callers."""
+        return self._knowledge.limits
+
+    @property
+    def registry(self):
+        """Return the known servers."""
+        return self._knowledge.registry
+
+    def now(self):
+        """Return the time in seconds."""
+        return self.scheduler.now()
+
+    def set_host_count(self, count):
+        """Divide connections and retries over a number of hosts."""
+        self.host_count = max(1, count)
+        self.budget.set_hosts(self.host_count)
+        self._share_connections()
+
+    # For caller connections.
+
+    def begin(self, slot):
+        """Handle a request that has been read."""
+        configuration = self._knowledge.configuration
+        if not self._knowledge.is_complete:
+            self._refuse(
+                slot,
+                results.Refusal(
+                    503,
+                    results.Reason.NO_CONFIGURATION,
+                    'The host has no configuration yet.',
+                    STARTING_RETRY_S,
+                ),
+            )
+            return None
+        head = slot.head
+        route = self._knowledge.routes.select(head.header('host'), head.target)
+        if route is None:
+            self._refuse(
+                slot,
+                results.Refusal(
+                    404, results.Reason.NO_ROUTE, 'No route matches.'
+                ),
+            )
+            return None
+        service = self._knowledge.choose_part(route)
+        request = requests.Request(self, slot, route, service, configuration)
+        self.budget.note_request(service, self.now())
+        self.open_requests += 1
+        # The slot needs its request before an answer can come.
+        slot.request = request
+        request.start()
+        return request
+
+    def refused(self, slot, refusal):
+        """Note a request that was answered before it was routed."""
+        self._log_refusal(slot, refusal)
+
+    def _refuse(self, slot, refusal):
+        self._log_refusal(slot, refusal)
+        slot.refuse(refusal)
+
+    def _log_refusal(self, slot, refusal):
+        self._metrics.count_refusal(refusal.reason.value)
+        configuration = self._knowledge.configuration
+        LOG.info(
+            'request: Refused before routing.',
+            extra={
+                'request_id': slot.request_id,
+                'status': refusal.status,
+                'reason': refusal.reason.value,
+                'path': slot.head.target[:80],
+                'configuration': configuration.version
+                if configuration
+                else None,
+            },
+        )
+
+    # For requests.
+
+    def note_key(self, service, key):
+        """Count a request for a key."""
+        self._keys[service].append(key)
+
+    def take_load(self):
+        """Return what has been seen since the last call.
+
+        :returns: Keys by service, tuples of server id, seconds and number of
+            answers, and fingerprints of requests in flight at crashes.
+        """
+        keys, self._keys = dict(self._keys), collections.defaultdict(list)
+        speeds = []
+        for backend in self.backends:
+            if backend.speed_count:
+                speeds.append(
+                    (
+                        backend.server.server_id,
+                        backend.speed_s,
+                        backend.speed_count,
+                    )
+                )
+                backend.speed_s, backend.speed_count = 0.0, 0
+        return keys, speeds, self._crashes.take_new()
+
+    def route_stats(self, request):
+        """Return the statistics of the part of a route."""
+        name = request.route.name, request.service
+        found = self._stats.get(name)
+        if found is None:
+            found = self._stats[name] = requests.RouteStats()
+        return found
+
+    def owner(self, service, key):
+        """Return the segment and the server that owns a key."""
+        return self._knowledge.owner(service, key)
+
+    def is_moving(self, service, key):
+        """Tell whether a key is on its way to another owner."""
+        found = self._knowledge.key_maps.get(service)
+        segment = found.find(key) if found is not None else None
+        return segment is not None and not segment.is_settled
+
+    def wait_for_owner(self, request):
+        """Tell a request when the owners of its service change."""
+        self._waiting[request.service].append(request)
+
+    def is_poison(self, request):
+        """Tell whether equal requests have crashed servers."""
+        if not self._crashes.counts:
+            return False
+        return self._crashes.is_poison(request.fingerprint, self.now())
+
+    def attempt_lost(self, request, attempt, result):
+        """Note an attempt that a server may have run and did not answer."""
+        now = self.now()
+        LOG.info(
+            'request: An attempt was lost.',
+            extra={
+                'request_id': request.request_id,
+                'server': attempt.server.server_id,
+                'sent_ago_s': round(now - attempt.sent_at, 4),
+                'detail': getattr(result, 'detail', 'server error'),
+            },
+        )
+        if getattr(result, 'is_connection_lost', False):
+            self._crashes.note_broken(
+                attempt.server.life, request.fingerprint, now
+            )
+
+    def attempt_refused(self, request, attempt, result):
+        """Note an attempt that a server has not run."""
+        now = self.now()
+        if result.is_unreachable:
+            self._crashes.note_dead(attempt.server.life, now)
+        segment = None
+        if request.key is not None:
+            segment, _ = self.owner(request.service, request.key)
+        LOG.info(
+            'request: A server did not run the request.',
+            extra={
+                'request_id': request.request_id,
+                'server': attempt.server.server_id,
+                'detail': result.detail,
+                'key': request.key,
+                'fence': segment.fence if segment else None,
+                'registry_age_s': round(self.registry.age(now), 3),
+            },
+        )
+
+    def finished(self, request, status, outcome, detail, elapsed_s=None):
+        """Note the end of a request."""
+        self.open_requests -= 1
+        now = self.now()
+        took_s = now - request.arrived_at
+        self._metrics.count_request(
+            request.service, request.route.name, outcome, took_s
+        )
+        if outcome == 'answered' and status < 500 and took_s < SLOW_ANSWER_S:
+            return
+        LOG.info(
+            'request: Ended.',
+            extra={
+                'request_id': request.request_id,
+                'route': request.route.name,
+                'service': request.service,
+                'key': request.key,
+                'status': status,
+                'outcome': outcome,
+                'detail': detail,
+                'took_s': round(took_s, 4),
+                'registry_age_s': round(self.registry.age(now), 3),
+            },
+        )
+
+    # News.
+
+    def _on_configuration(self, configuration):
+        self._share_connections()
+        names = {
+            (route.name, part.service)
+            for route in configuration.routes
+            for part in route.parts
+        }
+        self._stats = {k: v for k, v in self._stats.items() if k in names}
+
+    def _share_connections(self):
+        configuration = self._knowledge.configuration
+        if configuration is not None:
+            self.backends.configure(configuration.services, self.host_count)
+
+    def _on_servers(self, change):
+        self.backends.forget(change.gone)
+        for service in {s.service for s in change.added}:
+            self._on_owners(service)
+
+    def _on_owners(self, service):
+        waiting, self._waiting[service] = self._waiting[service], []
+        for request in waiting:
+            request.owner_changed()
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/router/hub.py
@@ -0,0 +1,203 @@
+"""Keep the other hosts informed while this host may grant keys."""
+
+from __future__ import annotations
+
+import logging
+
+from radishferryd.gen.router import ttypes
+from radishferryd.router import links
+
+LOG = logging.getLogger(__name__)
+
+
+class Hub:
+    """Serve the links of the other hosts.
+
+    :ivar poison: Crash counts by fingerprint, merged from all hosts.
+    """
+
+    def __init__(self, scheduler, knowledge, ownership, poison):
+        """Begin without links.
+
+        :param ownership: A :class:`~radishferryd.router.ownership.Ownership`.
+        :param poison: A :class:`~radishferryd.router.crashes.CrashCounts`.
+        """
+        self._scheduler = scheduler
+        self._knowledge = knowledge
+        self._ownership = ownership
+        self._poison = poison
+        self._links = set()
+        self._is_active = False
+        self._sent_servers = {}
+        knowledge.on_configuration.append(self._on_configuration)
+        knowledge.on_servers.append(self._on_servers)
+        ownership.on_segments.append(self._on_segments)
+        poison.on_change.append(self._on_poison)
+
+    @property
+    def host_count(self) -> int:
+        """Return the number of hosts, this one included."""
+        return 1 + len(self._links)
+
+    def begin(self):
+        """Accept links."""
+        self._is_active = True
+
+    def end(self):
+        """Close all links, so that the hosts look for another granter."""
+        self._is_active = False
+        for link in list(self._links):
+            link.close()
+
+    def announce_stop(self):
+        """Tell the hosts that this one is about to stop."""
+        self._send_all('beat', self._beat(True))
+
+    def tick(self):
+        """Send the beats and drop silent links."""
+        now = self._scheduler.now()
+        for link in list(self._links):
+            if link.is_silent(now):
+                LOG.warning('hub: The link to %s is silent.', link.host)
+                link.close()
+        if self._is_active:
+            self._send_all('beat', self._beat(False))
+
+    def _beat(self, is_stopping):
+        age = self._knowledge.registry.age(self._scheduler.now())
+        return ttypes.Beat(self.host_count, min(age, 1e6), is_stopping)
+
+    # For links.
+
+    def link_opened(self, link):
+        """See :class:`radishferryd.router.links.Link`."""
+        if not self._is_active:
+            link.close()
+
+    def link_message(self, link, name, message):
+        """See :class:`radishferryd.router.links.Link`."""
+        if name == 'hello':
+            link.host = message.host
+            link.data_centre = message.data_centre
+            self._welcome(link)
+        elif name == 'load_report':
+            self._ownership.note_load(
+                message.keys,
+                [(s.server_id, s.total_s, s.answers) for s in message.speeds],
+            )
+            if message.suspects:
+                self._poison.merge(message.suspects, self._scheduler.now())
+
+    def link_closed(self, link, detail):
+        """See :class:`radishferryd.router.links.Link`."""
+        if link in self._links:
+            self._links.discard(link)
+            LOG.info(
+                'hub: The link to %s has ended.',
+                link.host,
+                extra={'detail': detail, 'hosts': self.host_count},
+            )
+
+    def _welcome(self, link):
+        self._links.add(link)
+        LOG.info(
+            'hub: %s has connected.',
+            link.host,
+            extra={'hosts': self.host_count},
+        )
+        link.send('beat', self._beat(False))
+        knowledge = self._knowledge
+        if knowledge.document:
+            link.send(
+                'configuration_push',
+                ttypes.ConfigurationPush(knowledge.document),
+            )
+        if knowledge.registry.read_at is not None:
+            link.send('servers_push', self._all_servers())
+        for service in self._ownership.services:
+            segments = self._ownership.segments(service)
+            link.send('key_map_push', _key_map_push(service, segments))
+        if self._poison.counts:
+            link.send('poison_push', ttypes.PoisonPush(self._poison.counts))
+
+    def _all_servers(self):
+        servers = list(self._knowledge.registry.all())
+        return ttypes.ServersPush(
+            True,
+            [_server_entry(server) for server in servers],
+            [],
+            self._knowledge.registry.age(self._scheduler.now()),
+        )
+
+    # News.
+
+    def _on_configuration(self, configuration):
+        if self._is_active:
+            self._send_all(
+                'configuration_push',
+                ttypes.ConfigurationPush(self._knowledge.document),
+            )
+
+    def _on_servers(self, change):
+        if not self._is_active:
+            return
+        registry = self._knowledge.registry
+        changed = (*change.added, *change.leaving)
+        self._send_all(
+            'servers_push',
+            ttypes.ServersPush(
+                False,
+                [
+                    _server_entry(registry.get(server.server_id))
+                    for server in changed
+                ],
+                [server.server_id for server in change.gone],
+                registry.age(self._scheduler.now()),
+            ),
+        )
+
+    def _on_segments(self, service, segments):
+        self._send_all('key_map_push', _key_map_push(service, segments))
+
+    def _on_poison(self, counts):
+        if self._is_active:
+            self._send_all('poison_push', ttypes.PoisonPush(counts))
+
+    def _send_all(self, name, message):
+        for link in self._links:
+            link.send(name, message)
+
+
+def _server_entry(server):
+    ip, port = server.address
+    return ttypes.ServerEntry(
+        server.server_id,
+        server.born_ms,
+        server.service,
+        ip,
+        port,
+        server.data_centre,
+        server.slots,
+        server.is_leaving,
+        server.warmup_s,
+    )
+
+
+def _key_map_push(service, segments):
+    return ttypes.KeyMapPush(
+        service,
+        [
+            ttypes.SegmentEntry(
+                segment.start,
+                segment.end,
+                *segment.owner,
+                segment.fence,
+                segment.is_settled,
+            )
+            for segment in segments
+        ],
+    )
+
+
+#: Seconds between beats, for the caller's timer.
+BEAT_S = links.BEAT_S
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/router/metrics.py
@@ -0,0 +1,96 @@
+"""Declare and record the metrics of a host that sends directly."""
+
+from __future__ import annotations
+
+from radishferryd import metric_table
+from radishferryd import metrics as recorders
+
+_MAX_SERIES = 2048
+_METRIC = metric_table.Metric
+
+#: Every metric of the process.
+METRICS = (
+    _METRIC(
+        'requests',
+        'radishferry_requests_total',
+        'counter',
+        'Requests that ended, by service, route and outcome.',
+        {'service': (), 'route': (), 'outcome': ()},
+        _MAX_SERIES,
+    ),
+    _METRIC(
+        'latency',
+        'radishferry_request_seconds',
+        'histogram',
+        'Seconds from the arrival of a request to its answer.',
+        {'service': (), 'outcome': ()},
+        _MAX_SERIES,
+    ),
+    _METRIC(
+        'refusals',
+        'radishferry_early_refusals_total',
+        'counter',
+        'Requests answered before they were routed.',
+        {'reason': ()},
+    ),
+    _METRIC(
+        'store_calls',
+        'radishferry_store_calls_total',
+        'gauge',
+        "Calls to the platform's store.",
+    ),
+    _METRIC(
+        'orders',
+        'radishferry_orders_total',
+        'gauge',
+        'Orders about keys given to servers.',
+        {'order': ('grant', 'release')},
+    ),
+    _METRIC(
+        'registry_age',
+        'radishferry_registry_age_seconds',
+        'gauge',
+        'Age of the newest list of servers.',
+    ),
+    _METRIC(
+        'configuration_version',
+        'radishferry_configuration_version',
+        'gauge',
+        'Version of the configuration in force.',
+    ),
+    _METRIC(
+        'is_granter',
+        'radishferry_is_granter',
+        'gauge',
+        'Whether this host may grant keys.',
+    ),
+    _METRIC(
+        'open_requests',
+        'radishferry_open_requests',
+        'gauge',
+        'Requests without an answer.',
+    ),
+    _METRIC(
+        'dropped_lines',
+        'radishferry_dropped_log_lines_total',
+        'gauge',
+        'Log lines left out because there were too many.',
+    ),
+)
+
+
+class Metrics(recorders.Metrics):
+    """Record the metrics of :data:`METRICS`."""
+
+    def __init__(self):
+        """Begin at zero."""
+        super().__init__(METRICS)
+
+    def count_request(self, service, route, outcome, took_s):
+        """Count a request that ended."""
+        self.requests.inc(service, route, outcome)
+        self.latency.observe(took_s, service, outcome)
+
+    def count_refusal(self, reason):
+        """Count a request that was answered before it was routed."""
+        self.refusals.inc(reason)
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/router/ownership.py
@@ -0,0 +1,422 @@
+"""Own the keys' assignment while this host has the right to grant."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import itertools
+import logging
+
+from radishferry.direct import granting
+from radishferry.direct import key_map
+from radishferry.direct import key_rows
+from radishferry.direct import placement
+from radishferryd.platform import store as store_module
+from radishferryd.router import orders
+from radishferryd.router import store_reader
+
+LOG = logging.getLogger(__name__)
+
+#: Seconds between looks at what is due.
+TICK_S = 0.05
+#: Seconds between plans that balance load.
+BALANCE_S = 0.9
+#: Seconds between the first plan and the list of servers; servers that
+#: start together register within about a second.
+GATHER_S = 1.0
+#: Ranges that may be on their way to another server while load is balanced.
+MAX_UNSETTLED = 12
+#: Seconds for which grants hold when the store is silent: nobody else can
+#: move keys then, and renewals end with the right to grant.
+OUTAGE_HOLD_SHARE = 0.95
+#: Seconds without an accepted renewal after which the store counts as
+#: silent.
+SILENT_S = 1.7
+#: Seconds of answers averaged for the speed of a server, as a number of
+#: answers.
+SPEED_ANSWERS = 60.0
+#: Service time assumed for servers that have not answered yet, in seconds.
+DEFAULT_SERVICE_S = 0.1
+#: Narrowest and widest speed taken for a server in relation to the others.
+MIN_SPEED, MAX_SPEED = 0.4, 4.0
+
+
+@dataclasses.dataclass
+class _Speed:
+    """Average the service time of one server over its last answers."""
+
+    total_s: float = 0.0
+    answers: float = 0.0
+
+    def note(self, total_s, answers):
+        self.total_s += total_s
+        self.answers += answers
+        if self.answers > SPEED_ANSWERS:
+            keep = SPEED_ANSWERS / self.answers
+            self.total_s *= keep
+            self.answers *= keep
+
+    @property
+    def mean_s(self):
+        return self.total_s / self.answers if self.answers else 0.0
+
+
+class _Service:
+    """Hold the granter of one service with what it needs to plan."""
+
+    def __init__(self, name, hold_max_s):
+        self.granter = granting.KeyGranter(name, hold_max_s)
+        self.rates = placement.KeyRates()
+        self.row_version = 0
+        self.known = {}
+        self.planned_at = 0.0
+        self.pending = None
+
+
+@dataclasses.dataclass(frozen=True)
+class _Pending:
+    """Hold a write whose answer has not been settled."""
+
+    layout: tuple
+    value: bytes
+    write_id: str
+
+
+class Ownership:
+    """Plan, write and order who owns which keys."""
+
+    def __init__(self, poller, scheduler, knowledge, term, hold_max_s, name):
+        """Begin without the right to grant.
+
+        :param term: A :class:`~radishferryd.router.term.TermKeeper`.
+        :param hold_max_s: Longest hold that a server accepts.
+        :param name: Name of this host, for ids of writes.
+        """
+        self._scheduler = scheduler
+        self._knowledge = knowledge
+        self._term = term
+        self._hold_max_s = hold_max_s
+        self._name = name
+        self._services = {}
+        self._speeds = collections.defaultdict(_Speed)
+        self._is_active = False
+        self._active_at = 0.0
+        self._known_servers = {}
+        self._write_ids = itertools.count(1)
+        self.desk = orders.OrderDesk(
+            poller, scheduler, knowledge.registry, lambda: term.holds
+        )
+        #: Called with a service and the segments that changed.
+        self.on_segments = []
+
+    @property
+    def is_active(self) -> bool:
+        """Tell whether this host orders grants."""
+        return self._is_active
+
+    @property
+    def services(self):
+        """Return the granters by service."""
+        return {name: s.granter for name, s in self._services.items()}
+
+    def begin(self, rows):
+        """Take over with the rows of the store."""
+        self._is_active = True
+        self._active_at = self._scheduler.now()
+        self._services = {}
+        for service, row, version in store_reader.key_rows_of(rows):
+            found = self._service(service)
+            found.granter.load(row.segments, version, self._active_at)
+            found.row_version = version
+            self._publish(found)
+            LOG.info(
+                'ownership: Took over %d ranges of %s.',
+                len(row.segments),
+                service,
+                extra={'row_version': version},
+            )
+
+    def end(self):
+        """Give no more orders."""
+        self._is_active = False
+        self._services = {}
+        self.desk.close()
+
+    def note_load(self, keys, speeds):
+        """Take what a host has seen.
+
+        :param keys: Keys of requests by service.
+        :param speeds: Tuples of server id, seconds and number of answers.
+        """
+        for service, found in keys.items():
+            if service in self._services:
+                self._services[service].rates.note(found)
+        for server_id, total_s, answers in speeds:
+            self._speeds[server_id].note(total_s, answers)
+
+    def servers_changed(self, change):
+        """Remember servers, so that orders reach those that have left."""
+        for server in self._knowledge.registry.all():
+            self._known_servers[server.life] = server
+
+    def segments(self, service):
+        """Return all segments of a service, for a host that connects."""
+        return tuple(self._services[service].known.values())
+
+    def tick(self):
+        """Do what is due."""
+        if not self._is_active or not self._term.holds:
+            return
+        now = self._scheduler.now()
+        configuration = self._knowledge.configuration
+        if configuration is None or not self._knowledge.registry.read_at:
+            return
+        for name, service in configuration.services.items():
+            if service.is_keyed:
+                self._tick_service(self._service(name), now)
+
+    def _service(self, name):
+        found = self._services.get(name)
+        if found is None:
+            found = self._services[name] = _Service(name, self._hold_max_s)
+        return found
+
+    def _tick_service(self, service, now):
+        granter = service.granter
+        self._drop_ended(granter)
+        hold_s = granting.HOLD_S
+        if self._term.silent_s > SILENT_S:
+            hold_s = self._hold_max_s * OUTAGE_HOLD_SHARE
+        for order in granter.due(now, hold_s):
+            self._give(order, granter, now)
+        self._publish(service)
+        if service.pending is not None:
+            self._write(service)
+            return
+        layout = self._plan(service, now)
+        if layout is not None:
+            self._propose(service, layout)
+
+    def _drop_ended(self, granter):
+        registry = self._knowledge.registry
+        lives = set(
+            itertools.chain.from_iterable(
+                found.exposures for found in granter.ranges
+            )
+        )
+        for life in lives:
+            known = self._known_servers.get(life)
+            address = known.address if known is not None else None
+            if registry.has_ended(life, address):
+                granter.note_ended(life)
+                self.desk.drop(life)
+                LOG.info(
+                    'ownership: %s is over; its keys are free.',
+                    life[0],
+                    extra={'born_ms': life[1]},
+                )
+
+    def _give(self, order, granter, now):
+        is_grant = isinstance(order, granting.Grant)
+        life = order.segment.owner if is_grant else order.life
+        server = self._known_servers.get(life)
+        if server is None:
+            # Nobody knows its address, so the keys stay until they lapse.
+            granter_failed = (
+                granter.note_grant_failed
+                if is_grant
+                else granter.note_release_failed
+            )
+            granter_failed(order, now, was_sent=False)
+            return
+        self.desk.give(order, server, granter)
+
+    # Plans.
+
+    def _plan(self, service, now):
+        """Return a new layout, or None to leave all keys where they are."""
+        granter = service.granter
+        servers = self._candidates(granter.service, now)
+        if not servers:
+            return None
+        if not granter.ranges:
+            if now - self._active_at < GATHER_S:
+                return None
+            return placement.initial([server.life for server in servers])
+        service.rates.advance(now)
+        losing = self._losing(service, servers, now)
+        loads = placement.LoadMap(service.rates.rates)
+        capacities = self._capacities(servers)
+
+        def may_give(life, start, end):
+            return granter.may_give(life, start, end, now)
+
+        if losing:
+            layout = placement.evacuate(
+                granter.ranges, losing, capacities, loads, may_give
+            )
+            if layout != placement.layout_of(granter.ranges):
+                return layout
+        if granter.refused():
+            return placement.layout_of(granter.ranges)
+        if now - service.planned_at < BALANCE_S:
+            return None
+        service.planned_at = now
+        if granter.unsettled > MAX_UNSETTLED:
+            return None
+        layout, moves = placement.rebalance(
+            granter.ranges, capacities, loads, may_give, now
+        )
+        return layout if moves else None
+
+    def _candidates(self, service, now):
+        return [
+            server
+            for server in self._knowledge.registry.usable(service)
+            if not self.desk.is_unreachable(server.life, now)
+        ]
+
+    def _losing(self, service, servers, now):
+        """Return the owners that are to lose all their keys."""
+        granter = service.granter
+        registry = self._knowledge.registry
+        staying = {server.life for server in registry.usable(granter.service)}
+        owners = {found.owner for found in granter.ranges}
+        lapsed = {
+            found.owner
+            for found in granter.lapsed(now)
+            if self.desk.is_unreachable(found.owner, now)
+        }
+        return (owners - staying) | lapsed
+
+    def _capacities(self, servers):
+        mean_s = [
+            speed.mean_s
+            for server in servers
+            if (speed := self._speeds.get(server.server_id)) and speed.answers
+        ]
+        usual_s = sum(mean_s) / len(mean_s) if mean_s else DEFAULT_SERVICE_S
+        return [
+            placement.Capacity(
+                server.life,
+                server.slots / (usual_s * self._relative(server, usual_s)),
+            )
+            for server in servers
+        ]
+
+    def _relative(self, server, usual_s):
+        speed = self._speeds.get(server.server_id)
+        if speed is None or not speed.answers:
+            return 1.0
+        # Few answers say little, so the average counts in as well.
+        weight = speed.answers / (speed.answers + 10)
+        relative = 1 + weight * (speed.mean_s / usual_s - 1)
+        return min(MAX_SPEED, max(MIN_SPEED, relative))
+
+    # Writes.
+
+    def _propose(self, service, layout):
+        granter = service.granter
+        write_id = f'{self._name}-{self._active_at}-{next(self._write_ids)}'
+        try:
+            value = key_rows.encode(
+                key_rows.KeyRow(granter.proposal(layout), write_id)
+            )
+        except key_rows.RowError as exc:
+            LOG.error('ownership: The plan cannot be written: %s.', exc)
+            return
+        service.pending = _Pending(tuple(layout), value, write_id)
+        self._write(service)
+
+    def _write(self, service):
+        pending = service.pending
+        name = service.granter.service
+        key = f'{store_reader.KEYS_PREFIX}{name}'
+
+        def done(answer):
+            if service.pending is not pending or not self._is_active:
+                return
+            if isinstance(answer, store_module.Written):
+                self._commit(service, answer.version)
+            elif isinstance(answer, store_module.Conflict):
+                self._resolve(service, answer.rows, key)
+
+        self._term.write_rows(
+            (
+                store_module.Condition(
+                    store_reader.OWN_TABLE, key, service.row_version
+                ),
+            ),
+            ((store_reader.OWN_TABLE, key, pending.value),),
+            done,
+        )
+
+    def _resolve(self, service, rows, key):
+        """Find out whether an earlier write of this plan was applied."""
+        row = next((r for r in rows if r.key == key), None)
+        if row is None or row.version == service.row_version:
+            return
+        try:
+            found = key_rows.decode(row.value, row.version)
+        except key_rows.RowError as exc:
+            LOG.error('ownership: Row %s cannot be used: %s.', key, exc)
+            return
+        if found.write_id == service.pending.write_id:
+            self._commit(service, row.version)
+
+    def _commit(self, service, version):
+        pending, service.pending = service.pending, None
+        granter = service.granter
+        now = self._scheduler.now()
+        before = {found.segment() for found in granter.ranges}
+        granter.commit(pending.layout, version, now)
+        service.row_version = version
+        moved = [s for s in granter.segments if s not in before]
+        LOG.info(
+            'ownership: Version %d of the owners of %s is written.',
+            version,
+            granter.service,
+            extra={
+                'ranges': len(granter.ranges),
+                'changed': len(moved),
+                'rate_per_s': round(service.rates.total(), 1),
+                'examples': ' '.join(
+                    f'{s.start}-{s.end}:{s.owner[0]}' for s in moved[:4]
+                ),
+            },
+        )
+        for order in granter.due(now):
+            self._give(order, granter, now)
+        self._publish(service)
+
+    def _publish(self, service):
+        """Tell the hosts what has changed about the owners."""
+        current = {}
+        for found in service.granter.ranges:
+            segment = found.segment()
+            # A range that nobody holds yet cannot serve requests.
+            if not segment.previous and not found.confirmed_until:
+                segment = dataclasses.replace(
+                    segment, previous=(segment.owner,)
+                )
+            current[segment.start] = segment
+        changed = tuple(
+            segment
+            for start, segment in current.items()
+            if service.known.get(start) != segment
+        )
+        if not changed:
+            return
+        service.known = current
+        name = service.granter.service
+        self._knowledge.apply_segments(name, changed)
+        for callback in self.on_segments:
+            callback(name, changed)
+
+
+def settled(segment, is_settled):
+    """Return a segment as a host that only routes needs it."""
+    previous = () if is_settled else (segment.owner,)
+    return key_map.Segment(
+        segment.start, segment.end, segment.owner, segment.fence, previous
+    )
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -0,0 +1,468 @@
+"""Handle one request: choose a server, send, retry, answer."""
+
+from __future__ import annotations
+
+import logging
+import math
+import random
+
+import xxhash
+
+from radishferry.direct import key_map
+from radishferry.direct import selection
+from radishferryd import http_message
+from radishferryd.platform import headers
+from radishferryd.router import backends
+from radishferryd.router import results
+
+LOG = logging.getLogger(__name__)
+
+#: Seconds that a request waits when its caller names no deadline.
+DEFAULT_DEADLINE_S = 60.0
+#: Seconds kept back from the caller's deadline for the way of the answer.
+ANSWER_MARGIN_S = 0.01
+#: Seconds after the route's timeout at which the host answers itself; a
+#: server that stops at the same moment answers first.
+TIMEOUT_SLACK_S = 0.08
+#: Seconds left below which another attempt has no prospect.
+MIN_ATTEMPT_S = 0.03
+#: Longest wait for an owner whose keys are being moved, in seconds.
+OWNER_WAIT_S = 0.6
+#: Part of the target latency that a request may be expected to take; above
+#: it is refused while there is time to come back.
+ADMISSION_SHARE = 1.0
+#: The same for each rank of priority below the highest.
+PRIORITY_STEP = 0.12
+#: Requests for each slot of a server that one key may occupy.
+HOT_KEY_PER_SLOT = 1.5
+#: Shortest and longest time after which refused callers may return, in
+#: seconds.
+MIN_RETRY_AFTER_S = 0.15
+MAX_RETRY_AFTER_S = 0.9
+#: Weight of a new sample in the moving averages of a route.
+ROUTE_WEIGHT = 0.05
+#: Service time assumed before the first answer, in seconds.
+DEFAULT_SERVICE_S = 0.1
+
+
+class RouteStats:
+    """Follow the answers of one part of a route."""
+
+    def __init__(self):
+        self.answer_bytes = 0.0
+        self.service_s = DEFAULT_SERVICE_S
+
+    def note(self, size, elapsed_s, waiting):
+        """Count one answer."""
+        self.answer_bytes += ROUTE_WEIGHT * (size - self.answer_bytes)
+        if not waiting:
+            self.service_s += ROUTE_WEIGHT * (elapsed_s - self.service_s)
+
+
+class Request:
+    """Be one request of a caller."""
+
+    def __init__(self, gateway, slot, route, service, configuration):
+        self._gateway = gateway
+        self._slot = slot
+        self.route = route
+        self.service = service
+        self._head = slot.head
+        self.request_id = slot.head.header(headers.REQUEST_ID)
+        self.body = b''.join(slot.body)
+        self.arrived_at = slot.arrived_at
+        now = gateway.now()
+        remaining = headers.parse_remaining_s(
+            slot.head.header(headers.REMAINING_MS)
+        )
+        if remaining is None:
+            remaining = DEFAULT_DEADLINE_S
+        self._caller_until = self.arrived_at + remaining
+        self._until = min(
+            self._caller_until, self.arrived_at + route.timeout_s
+        )
+        self.key = None
+        self._attempt = None
+        self._tried = []
+        self._attempts = 0
+        self._was_sent = False
+        self._is_waiting = False
+        self._is_done = False
+        self._last = None
+        self._timer = gateway.scheduler.call_later(
+            max(0.0, self._until + TIMEOUT_SLACK_S - now), self._on_timeout
+        )
+        service_config = configuration.services.get(service)
+        self.is_keyed = bool(service_config and service_config.is_keyed)
+
+    @property
+    def is_idempotent(self):
+        """Tell whether the request may run more than once."""
+        return self.route.kind.is_idempotent
+
+    @property
+    def fingerprint(self):
+        """Identify equal requests."""
+        digest = xxhash.xxh64(self._head.method)
+        digest.update(self._head.header('host'))
+        digest.update(self._head.target)
+        digest.update(self.body)
+        # One bit less, since messages carry signed integers.
+        return digest.intdigest() >> 1
+
+    def start(self):
+        """Send the request, or refuse it."""
+        if self.is_keyed:
+            text = self._head.header(headers.KEY)
+            self.key = key_map.parse_key(text)
+            if self.key is None:
+                self._refuse(
+                    400, results.Reason.BAD_KEY, f'No key: "{text[:20]}".'
+                )
+                return
+            self._gateway.note_key(self.service, self.key)
+        self._next()
+
+    def cancel(self):
+        """Give up, since the caller has gone."""
+        if self._is_done:
+            return
+        self._end()
+        attempt, self._attempt = self._attempt, None
+        # What may run only once is left to end: its effect counts also
+        # without a caller, and breaking it off would not undo it.
+        if attempt is not None and self.is_idempotent:
+            attempt.cancel()
+        self._gateway.finished(self, 0, 'cancelled', 'the caller left')
+
+    def pause(self):
+        """Take no more of the answer for now."""
+        if self._attempt is not None:
+            self._attempt.pause()
+
+    def resume(self):
+        """Take more of the answer."""
+        if self._attempt is not None:
+            self._attempt.resume()
+
+    def owner_changed(self):
+        """Try again after a change of the key map."""
+        if self._is_waiting and not self._is_done:
+            self._is_waiting = False
+            self._next()
+
+    # From the attempt.
+
+    def on_stream_head(self, attempt, head):
+        """See :class:`radishferryd.router.backends.Sink`."""
+        if not self._is_done:
+            self._slot.begin_stream(head)
+
+    def on_stream_body(self, attempt, data):
+        """See :class:`radishferryd.router.backends.Sink`."""
+        if not self._is_done:
+            self._slot.stream(data)
+
+    def on_result(self, attempt, result):
+        """See :class:`radishferryd.router.backends.Sink`."""
+        if self._is_done:
+            return
+        self._attempt = None
+        self._last = result
+        if isinstance(result, results.Answered):
+            self._answer(attempt, result)
+            return
+        if isinstance(result, results.Unknown):
+            self._was_sent = True
+            self._gateway.attempt_lost(self, attempt, result)
+            if result.has_begun_answer:
+                self._end()
+                self._gateway.finished(self, 0, 'broken', result.detail)
+                self._slot.break_off()
+                return
+        else:
+            self._gateway.attempt_refused(self, attempt, result)
+        if self._may_retry(result):
+            self._next()
+        else:
+            self._give_up(result)
+
+    def _answer(self, attempt, result):
+        status = result.head.status
+        promises_not_run = status in (408, 429, 503)
+        if promises_not_run:
+            # The server may have run the request: nothing says that it has
+            # not, and callers would take the status for that.
+            unknown = results.Unknown(f'the server answered {status}')
+            self._was_sent = True
+            if self.is_idempotent and self._may_retry(unknown):
+                self._next()
+            else:
+                self._give_up(unknown)
+            return
+        if (
+            status in (500, 502)
+            and self.is_idempotent
+            and self._may_retry(result)
+        ):
+            self._was_sent = True
+            self._gateway.attempt_lost(self, attempt, result)
+            self._next()
+            return
+        elapsed = self._gateway.now() - attempt.sent_at
+        self._gateway.route_stats(self).note(
+            len(result.body), elapsed, attempt.backend.last_waiting
+        )
+        self._end()
+        self._gateway.finished(
+            self, status, 'answered', attempt.server.server_id, elapsed
+        )
+        if result.is_streamed:
+            self._slot.end_stream()
+        else:
+            self._slot.answer(result.head, result.body)
+
+    # Choice of the server.
+
+    def _next(self):
+        now = self._gateway.now()
+        if self._until - now < MIN_ATTEMPT_S:
+            self._give_up(self._last)
+            return
+        if self._gateway.is_poison(self):
+            self._refuse(
+                503, results.Reason.POISON, 'Equal requests crashed servers.'
+            )
+        elif self.is_keyed:
+            self._next_owner(now)
+        else:
+            self._next_server(now)
+
+    def _next_owner(self, now):
+        gateway = self._gateway
+        segment, server = gateway.owner(self.service, self.key)
+        if server is None:
+            self._wait_for_owner(
+                results.Reason.NO_OWNER, 'The key has no owner now.'
+            )
+            return
+        backend = gateway.backends.get(server)
+        stats = backend.stats
+        if stats.is_paused(now):
+            self._wait_for_owner(
+                results.Reason.OWNER_UNREACHABLE,
+                f'{server.server_id} cannot be reached.',
+            )
+            return
+        usual = gateway.route_stats(self).service_s
+        expected = stats.expected_s(usual, now)
+        if server.warmup_s > 0:
+            expected *= selection.WARMUP_FACTOR
+        limit = max(
+            1,
+            math.ceil(stats.slots * HOT_KEY_PER_SLOT / gateway.host_count),
+        )
+        if (
+            stats.load(now) >= stats.slots
+            and backend.key_counts[self.key] >= limit
+        ):
+            self._refuse_busy(
+                results.Reason.HOT_KEY, expected, 'The key is overloaded.'
+            )
+            return
+        if not self._is_admitted(expected, now):
+            self._refuse_busy(
+                results.Reason.OVERLOADED,
+                expected,
+                f'{server.server_id} has too much work.',
+            )
+            return
+        self._send(backend, now)
+
+    def _next_server(self, now):
+        gateway = self._gateway
+        stats = gateway.route_stats(self)
+        choice = selection.choose(
+            gateway.registry.usable(self.service),
+            gateway.backends.stats,
+            usual_s=stats.service_s,
+            data_centre=gateway.data_centre,
+            answer_bytes=stats.answer_bytes,
+            now=now,
+            skip=self._tried,
+        )
+        if choice is None:
+            if self._last is not None:
+                self._give_up(self._last)
+                return
+            self._refuse(
+                503,
+                results.Reason.NO_SERVER,
+                f'No server of {self.service} can be reached.',
+                self._spread(0.5),
+            )
+            return
+        if not self._is_admitted(choice.expected_s, now):
+            self._refuse_busy(
+                results.Reason.OVERLOADED,
+                choice.expected_s,
+                f'{self.service} has too much work.',
+            )
+            return
+        self._send(gateway.backends.get(choice.server), now)
+
+    def _is_admitted(self, expected_s, now):
+        share = ADMISSION_SHARE - PRIORITY_STEP * min(
+            4, max(0, self.route.priority - 1)
+        )
+        allowed = max(
+            self.route.target_latency_s * share,
+            1.5 * self._gateway.route_stats(self).service_s,
+        )
+        return expected_s <= min(allowed, self._until - now)
+
+    def _send(self, backend, now):
+        gateway = self._gateway
+        if self._attempts:
+            gateway.budget.note_resend(self.service, now)
+        server = backend.server
+        attempt = backends.Attempt(
+            backend,
+            self.request_id,
+            self._head.method,
+            self,
+            self._format(server, now),
+            self.key,
+        )
+        self._attempt = attempt
+        if not backend.send(attempt, self.is_idempotent):
+            self._attempt = None
+            self._refuse_busy(
+                results.Reason.OVERLOADED,
+                0.3,
+                f'All connections to {server.server_id} are in use.',
+            )
+            return
+        self._attempts += 1
+        if server.life not in self._tried:
+            self._tried.append(server.life)
+
+    def _format(self, server, now):
+        hop = {
+            name.strip().lower()
+            for name in self._head.header('connection').split(',')
+        }
+        kept = [
+            (name, value)
+            for name, value in self._head.headers
+            if name not in http_message.HOP_HEADERS
+            and name not in hop
+            and name != 'content-length'
+        ]
+        lines = headers.forwarded(
+            kept,
+            max(0.001, self._until - now - ANSWER_MARGIN_S),
+            server.server_id,
+        )
+        if self.body or self._head.method not in ('GET', 'HEAD', 'DELETE'):
+            lines.append(('Content-Length', str(len(self.body))))
+        head = http_message.format_request(
+            self._head.method, self._head.target, lines
+        )
+        return head + self.body
+
+    def _wait_for_owner(self, reason, detail):
+        """Wait for a move that is under way, but not past its prospect."""
+        gateway = self._gateway
+        now = gateway.now()
+        patience = self.arrived_at + min(
+            OWNER_WAIT_S, self.route.target_latency_s * 0.6
+        )
+        if (
+            now < patience
+            and gateway.is_moving(self.service, self.key)
+            and not self._is_waiting
+        ):
+            self._is_waiting = True
+            gateway.wait_for_owner(self)
+            gateway.scheduler.call_later(patience - now, self.owner_changed)
+            return
+        self._refuse(503, reason, detail, self._spread(0.45))
+
+    # End of the request.
+
+    def _may_retry(self, result):
+        gateway = self._gateway
+        now = gateway.now()
+        if isinstance(result, results.Unknown) and not self.is_idempotent:
+            return False
+        if self._until - now < MIN_ATTEMPT_S:
+            return False
+        if not self.is_keyed and len(self._tried) >= self.route.max_attempts:
+            return False
+        if self._attempts > self.route.max_attempts:
+            return False
+        if isinstance(result, results.NotRun) and result.is_unreachable:
+            # Nothing has reached a server, so the budget is not touched.
+            return True
+        return gateway.budget.allows(self.service, now)
+
+    def _give_up(self, result):
+        if self._was_sent and not self.is_idempotent:
+            self._refuse(
+                502,
+                results.Reason.BAD_ANSWER,
+                'The server may have run the request.',
+            )
+        elif isinstance(result, results.Answered):
+            self._end()
+            self._gateway.finished(self, result.head.status, 'answered', '')
+            self._slot.answer(result.head, result.body)
+        elif isinstance(result, results.Unknown):
+            self._refuse(502, results.Reason.BAD_ANSWER, result.detail)
+        else:
+            detail = result.detail if result else 'no time is left'
+            self._refuse(
+                503, results.Reason.NOT_RUN, detail, self._spread(0.3)
+            )
+
+    def _on_timeout(self):
+        if self._is_done:
+            return
+        attempt, self._attempt = self._attempt, None
+        was_sent = attempt is not None or self._was_sent
+        if attempt is not None:
+            attempt.cancel()
+            attempt.backend.stats.note_failure(self._gateway.now())
+        if was_sent:
+            self._refuse(
+                504, results.Reason.TIMEOUT, 'The server took too long.'
+            )
+        else:
+            self._refuse(
+                503, results.Reason.TIMEOUT, 'No server became free in time.'
+            )
+
+    def _refuse_busy(self, reason, expected_s, detail):
+        if self._was_sent and not self.is_idempotent:
+            self._give_up(self._last)
+            return
+        self._refuse(503, reason, detail, self._spread(expected_s))
+
+    def _spread(self, wait_s):
+        """Return a time to return, spread so that callers come evenly."""
+        wait_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+        return wait_s * random.uniform(0.7, 1.3)
+
+    def _refuse(self, status, reason, detail, retry_after_s=None):
+        self._end()
+        if status == 503 and self._was_sent:
+            # 503 promises that the request has not run.
+            status, retry_after_s = 502, None
+        refusal = results.Refusal(status, reason, detail, retry_after_s)
+        self._gateway.finished(self, status, reason.value, detail)
+        self._slot.refuse(refusal)
+
+    def _end(self):
+        self._is_done = True
+        self._timer.cancel()
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/router/settings.py
@@ -0,0 +1,170 @@
+"""Declare the settings of a host that sends to servers directly."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from radishferryd import setting_readers
+from radishferryd import settings as settings_module
+
+
+@dataclasses.dataclass(frozen=True)
+class Settings:
+    """Hold the settings; attributes are named ``<section>_<option>``.
+
+    Addresses are pairs of IP and port.
+    """
+
+    host_name: str
+    host_data_centre: str
+    listen_callers: tuple[str, int]
+    listen_ready: tuple[str, int]
+    listen_links: tuple[str, int]
+    listen_metrics: tuple[str, int]
+    platform_address: tuple[str, int]
+    retry_ratio: float
+    retry_slack: float
+    retry_window_s: float
+    grants_hold_max_s: float
+    stop_grace_s: float
+    host_is_first_start: bool = False
+    retry_hosts: int = 4
+    log_level: str = 'info'
+    log_format: str = 'json'
+
+
+def _option(section, name, type_name, read, description, default=None):
+    return settings_module.Option(
+        section, name, type_name, read, description, default
+    )
+
+
+#: Every option that a settings file may hold.
+OPTIONS = (
+    _option(
+        'host',
+        'name',
+        'name',
+        setting_readers.read_name,
+        'Name of this host.',
+    ),
+    _option(
+        'host',
+        'data_centre',
+        'name',
+        setting_readers.read_name,
+        'Where this host is.',
+    ),
+    _option(
+        'host',
+        'is_first_start',
+        'true or false',
+        setting_readers.read_flag,
+        'Whether the whole system starts for the first time.',
+        'false',
+    ),
+    _option(
+        'listen',
+        'callers',
+        'ip:port',
+        setting_readers.read_address,
+        'Listens for callers.',
+    ),
+    _option(
+        'listen',
+        'ready',
+        'ip:port',
+        setting_readers.read_address,
+        'Answers whether this host takes callers.',
+    ),
+    _option(
+        'listen',
+        'links',
+        'ip:port',
+        setting_readers.read_address,
+        'Listens for other hosts.',
+    ),
+    _option(
+        'listen',
+        'metrics',
+        'ip:port',
+        setting_readers.read_address,
+        'Serves metrics and the state dump.',
+    ),
+    _option(
+        'platform',
+        'address',
+        'ip:port',
+        setting_readers.read_address,
+        "The platform's store.",
+    ),
+    _option(
+        'retry',
+        'ratio',
+        'number',
+        setting_readers.read_number,
+        'Resends for each request that all hosts together may make.',
+    ),
+    _option(
+        'retry',
+        'slack',
+        'number',
+        setting_readers.read_number,
+        'Resends beside, for all hosts together.',
+    ),
+    _option(
+        'retry',
+        'window_s',
+        'number',
+        setting_readers.read_number,
+        'Seconds over which resends are counted.',
+    ),
+    _option(
+        'retry',
+        'hosts',
+        'integer',
+        setting_readers.read_count,
+        'Hosts assumed before the granting host tells their number.',
+        '4',
+    ),
+    _option(
+        'grants',
+        'hold_max_s',
+        'number',
+        setting_readers.read_number,
+        'Longest time that a server holds keys, in seconds.',
+    ),
+    _option(
+        'stop',
+        'grace_s',
+        'number',
+        setting_readers.read_number,
+        'Seconds after SIGTERM at which the process is killed.',
+    ),
+    _option(
+        'log',
+        'level',
+        'level',
+        setting_readers.one_of(*settings_module.LOG_LEVELS),
+        'Least level of log lines.',
+        'info',
+    ),
+    _option(
+        'log',
+        'format',
+        'format',
+        setting_readers.one_of(*settings_module.LOG_FORMATS),
+        'Format of log lines on standard output.',
+        'json',
+    ),
+)
+
+
+def load(path) -> Settings:
+    """Return the settings of an INI file.
+
+    :param path: Path of the file.
+    :raises findings.FindingsError: The file cannot be read or is not valid;
+        it holds every finding with file, section and option.
+    """
+    return settings_module.load_options(path, OPTIONS, Settings)
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/router/spoke.py
@@ -0,0 +1,227 @@
+"""Stay in touch with the host that may grant keys."""
+
+from __future__ import annotations
+
+import logging
+
+from radishferry.direct import key_map
+from radishferry.direct import registry as registry_module
+from radishferryd.gen.router import ttypes
+from radishferryd.router import links
+
+LOG = logging.getLogger(__name__)
+
+#: Age of the list of servers above which this host reads the store itself,
+#: in seconds. The granting host reads every 0.7 s.
+STALE_SERVERS_S = 1.35
+#: Seconds between reports of load.
+REPORT_S = 0.5
+#: Seconds after which a host without a link begins to read the store.
+PATIENCE_S = 0.5
+
+
+class Spoke:
+    """Hold the link to the granting host, and read the store without one."""
+
+    def __init__(self, poller, scheduler, knowledge, reader, host, owner):
+        """Begin without a link.
+
+        :param reader: A
+            :class:`~radishferryd.router.store_reader.StoreReader`.
+        :param host: Pair of name and data centre of this host.
+        :param owner: Offers ``granter_lost()``, ``set_host_count(count)``,
+            ``merge_poison(counts)`` and ``take_load()``.
+        """
+        self._poller = poller
+        self._scheduler = scheduler
+        self._knowledge = knowledge
+        self._reader = reader
+        self._host = host
+        self._owner = owner
+        self._link = None
+        self._is_heard = False
+        self._address = None
+        self._registry_read_at = None
+        self._alone_since = scheduler.now()
+        self._is_granter = False
+
+    @property
+    def is_linked(self) -> bool:
+        """Tell whether the granting host is heard."""
+        link = self._link
+        return (
+            self._is_heard
+            and link is not None
+            and not link.is_silent(self._scheduler.now())
+        )
+
+    def set_granter(self, is_granter, patience_s=PATIENCE_S):
+        """Note whether this host is the one that grants."""
+        self._is_granter = is_granter
+        if is_granter:
+            self._drop()
+        self._alone_since = self._scheduler.now() + patience_s - PATIENCE_S
+        self.tick()
+
+    def connect(self, address):
+        """Open a link to the granting host.
+
+        :param address: ``ip:port``.
+        """
+        if self._is_granter:
+            return
+        if self._link is not None:
+            if self._address == address and not self._link.is_silent(
+                self._scheduler.now()
+            ):
+                return
+            self._drop()
+        self._address = address
+        self._is_heard = False
+        ip, _, port = address.rpartition(':')
+        self._link = links.Link(self._scheduler, self)
+        self._link.connect(self._poller, (ip, int(port)))
+
+    def report(self):
+        """Send what this host has seen of load."""
+        if self._is_granter or not self.is_linked:
+            return
+        keys, speeds, suspects = self._owner.take_load()
+        self._link.send(
+            'load_report',
+            ttypes.LoadReport(
+                keys,
+                [ttypes.ServerSpeed(*speed) for speed in speeds],
+                suspects,
+            ),
+        )
+
+    def tick(self):
+        """Drop a silent link, and read the store where that is needed."""
+        now = self._scheduler.now()
+        if self._is_granter:
+            self._reader.set_reading(True)
+            return
+        if self._link is not None and self._link.is_silent(now):
+            LOG.warning('spoke: The granting host is silent.')
+            self._drop()
+        if self.is_linked:
+            is_stale = (
+                self._knowledge.registry.age(now) > STALE_SERVERS_S
+                and now - self._alone_since > PATIENCE_S
+            )
+            self._reader.set_reading(is_stale)
+        elif now - self._alone_since > PATIENCE_S:
+            self._reader.set_reading(True, with_owners=True)
+
+    def _drop(self):
+        link, self._link = self._link, None
+        if link is not None:
+            link.close()
+        self._lost()
+
+    def _lost(self):
+        if self._is_heard:
+            self._is_heard = False
+            self._alone_since = self._scheduler.now()
+        if not self._is_granter:
+            self._owner.granter_lost()
+
+    # For the link.
+
+    def link_opened(self, link):
+        """See :class:`radishferryd.router.links.Link`."""
+        if link is self._link:
+            link.send('hello', ttypes.Hello(*self._host))
+
+    def link_closed(self, link, detail):
+        """See :class:`radishferryd.router.links.Link`."""
+        if link is not self._link:
+            return
+        self._link = None
+        LOG.info(
+            'spoke: The link to the granting host has ended.',
+            extra={'detail': detail, 'address': self._address},
+        )
+        self._lost()
+
+    def link_message(self, link, name, message):
+        """See :class:`radishferryd.router.links.Link`."""
+        if link is not self._link:
+            return
+        getattr(self, f'_on_{name}')(message)
+
+    def _on_beat(self, message):
+        now = self._scheduler.now()
+        if not self._is_heard:
+            self._is_heard = True
+            self._alone_since = now
+            LOG.info(
+                'spoke: The granting host answers.',
+                extra={'address': self._address, 'hosts': message.hosts},
+            )
+        self._owner.set_host_count(message.hosts)
+        registry = self._knowledge.registry
+        read_at = now - message.registry_age_s
+        # Nothing has changed since the last push, or it would have come.
+        if registry.read_at is not None and registry.read_at < read_at:
+            if self._registry_read_at is not None:
+                registry.confirm(read_at)
+        if message.is_stopping:
+            self._drop()
+
+    def _on_configuration_push(self, message):
+        self._knowledge.apply_document(message.document, 'granting host')
+
+    def _on_servers_push(self, message):
+        read_at = self._scheduler.now() - message.age_s
+        changed = {e.server_id: _server(e) for e in message.changed}
+        if message.is_full:
+            servers = list(changed.values())
+        else:
+            registry = self._knowledge.registry
+            gone = set(message.gone)
+            servers = [
+                *changed.values(),
+                *(
+                    server
+                    for server in registry.all()
+                    if server.server_id not in changed
+                    and server.server_id not in gone
+                ),
+            ]
+        self._registry_read_at = read_at
+        self._knowledge.apply_pushed(servers, read_at)
+
+    def _on_key_map_push(self, message):
+        self._knowledge.apply_segments(
+            message.service_name,
+            tuple(_segment(entry) for entry in message.segments),
+        )
+
+    def _on_poison_push(self, message):
+        self._owner.merge_poison(message.crashes)
+
+
+def _server(entry):
+    return registry_module.Server(
+        entry.server_id,
+        entry.born_ms,
+        entry.service_name,
+        (entry.ip, entry.port),
+        entry.data_centre,
+        entry.slots,
+        entry.is_leaving,
+        entry.warmup_s,
+    )
+
+
+def _segment(entry):
+    owner = (entry.owner_id, entry.owner_born_ms)
+    return key_map.Segment(
+        entry.start_key,
+        entry.end_key,
+        owner,
+        entry.fence,
+        () if entry.is_settled else (owner,),
+    )
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/router/store_reader.py
@@ -0,0 +1,218 @@
+"""Read configuration, servers and owners from the store.
+
+The granting host reads all the time and passes on what it learns. Other
+hosts read only while the granting host is silent or its news are old, since
+each call to the store has its price.
+"""
+
+from __future__ import annotations
+
+import logging
+
+from radishferry.direct import key_rows
+from radishferryd.platform import documents
+from radishferryd.platform import store as store_module
+
+LOG = logging.getLogger(__name__)
+
+#: Table with the rows of this system.
+OWN_TABLE = 'radishferry'
+#: Key of the row that names the granting host.
+TERM_KEY = 'granter'
+#: Beginning of the keys of rows with the owners of a service.
+KEYS_PREFIX = 'keys/'
+
+#: Seconds between reads of the list of servers. A server that leaves must
+#: get no work two seconds after it has said so, and the news have to be
+#: passed on.
+SERVERS_INTERVAL_S = 0.7
+#: Seconds that a feed waits at the store; a silent connection is found out
+#: within this time.
+FEED_WAIT_S = 2.5
+#: Pause between two reads of the feed, so that configurations in quick
+#: succession are read together.
+FEED_PAUSE_S = 0.2
+#: Pause after a failed call.
+RETRY_S = 0.4
+#: Seconds between reads of the owners by a host without the granting host.
+OWNERS_INTERVAL_S = 1.0
+
+
+class StoreReader:
+    """Keep the knowledge of this host fresh from the store."""
+
+    def __init__(self, store, scheduler, knowledge):
+        """Begin without reading.
+
+        :param store: A :class:`radishferryd.platform.store.Store`.
+        :param knowledge: A :class:`~radishferryd.router.knowledge.Knowledge`.
+        """
+        self._store = store
+        self._scheduler = scheduler
+        self._knowledge = knowledge
+        self._decoder = documents.ServerDecoder()
+        self._is_reading = False
+        self._generation = 0
+        self._feed_version = None
+        self._is_available = True
+
+    @property
+    def is_available(self) -> bool:
+        """Tell whether the last call was answered."""
+        return self._is_available
+
+    def set_reading(self, is_reading: bool, with_owners: bool = False):
+        """Begin or end reading.
+
+        :param with_owners: Whether owners are read too.
+        """
+        if is_reading == self._is_reading:
+            return
+        self._is_reading = is_reading
+        self._generation += 1
+        LOG.info(
+            'store: %s reading the store.',
+            'Began' if is_reading else 'Stopped',
+        )
+        if not is_reading:
+            return
+        generation = self._generation
+        self._read_servers(generation)
+        self._read_configuration(generation)
+        if with_owners:
+            self._read_owners(generation)
+
+    def note(self, answer) -> bool:
+        """Note whether the store answers.
+
+        :returns: Whether the answer is usable.
+        """
+        is_usable = not isinstance(answer, store_module.Unavailable)
+        now = self._scheduler.now()
+        registry = self._knowledge.registry
+        if is_usable:
+            registry.note_answer(now)
+        else:
+            registry.note_outage(now)
+        if is_usable != self._is_available:
+            self._is_available = is_usable
+            if is_usable:
+                LOG.info('store: The store answers again.')
+            else:
+                LOG.warning(
+                    'store: The store does not answer.',
+                    extra={'detail': answer.detail},
+                )
+        return is_usable
+
+    def _again(self, generation, delay_s, function):
+        if generation == self._generation:
+            self._scheduler.call_later(delay_s, lambda: function(generation))
+
+    def _read_servers(self, generation):
+        if generation != self._generation:
+            return
+
+        def take(answer):
+            if generation != self._generation:
+                return
+            if self.note(answer):
+                services = None
+                if self._knowledge.configuration is not None:
+                    services = self._knowledge.configuration.services
+                self._knowledge.apply_servers(
+                    self._decoder.decode(answer.rows, services),
+                    answer.sent_at,
+                    'store',
+                )
+                self._again(generation, SERVERS_INTERVAL_S, self._read_servers)
+            else:
+                self._again(generation, RETRY_S, self._read_servers)
+
+        self._store.read(documents.SERVER_TABLE, take)
+
+    def _read_configuration(self, generation):
+        if generation != self._generation:
+            return
+
+        def take(answer):
+            if generation != self._generation:
+                return
+            if not self.note(answer):
+                self._again(generation, RETRY_S, self._read_configuration)
+                return
+            self._adopt(answer)
+            self._follow(generation)
+
+        self._store.read(documents.OPERATOR_TABLE, take)
+
+    def _follow(self, generation):
+        if generation != self._generation:
+            return
+
+        def take(answer):
+            if generation != self._generation:
+                return
+            if isinstance(answer, store_module.HistoryLost):
+                self._read_configuration(generation)
+            elif not self.note(answer):
+                # What the feed would have told may be missed; read anew.
+                self._again(generation, RETRY_S, self._read_configuration)
+            else:
+                self._adopt(answer)
+                pause = FEED_PAUSE_S if answer.rows else 0.0
+                self._again(generation, pause, self._follow)
+
+        self._store.follow(
+            documents.OPERATOR_TABLE, self._feed_version, FEED_WAIT_S, take
+        )
+
+    def _adopt(self, answer):
+        self._feed_version = answer.version
+        for row in answer.rows:
+            if row.key == documents.CONFIGURATION_KEY and not row.is_deleted:
+                self._knowledge.apply_document(row.value, 'store')
+
+    def _read_owners(self, generation):
+        if generation != self._generation:
+            return
+
+        def take(answer):
+            if generation != self._generation:
+                return
+            if self.note(answer):
+                self.adopt_owners(answer.rows)
+            self._again(generation, OWNERS_INTERVAL_S, self._read_owners)
+
+        self._store.read(OWN_TABLE, take)
+
+    def adopt_owners(self, rows):
+        """Adopt rows with owners.
+
+        A range that may still have another holder is taken as settled: the
+        row is not told when the other one lets go, and a server that does
+        not hold a key yet says so.
+        """
+        for service, row, version in key_rows_of(rows):
+            self._knowledge.apply_row(
+                service, tuple(_settled(s) for s in row.segments), version
+            )
+
+
+def key_rows_of(rows):
+    """Yield service, decoded row and version of each row with owners."""
+    for row in rows:
+        if not row.key.startswith(KEYS_PREFIX) or row.is_deleted:
+            continue
+        try:
+            decoded = key_rows.decode(row.value, row.version)
+        except key_rows.RowError as exc:
+            LOG.error('store: Row %s cannot be used: %s.', row.key, exc)
+            continue
+        yield row.key[len(KEYS_PREFIX) :], decoded, row.version
+
+
+def _settled(segment):
+    return type(segment)(
+        segment.start, segment.end, segment.owner, segment.fence
+    )
--- a/packages/radishferryd/src/radishferryd/scheduler.py
+++ b/packages/radishferryd/src/radishferryd/scheduler.py
@@ -43,8 +43,12 @@
 
     @staticmethod
     def now() -> float:
-        """Return the monotonic time in seconds."""
-        return time.monotonic()
+        """Return the time in seconds of a clock that is never set back.
+
+        The clock counts the time for which the machine was suspended, which
+        leases have to count too and ``time.monotonic`` leaves out.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def call_later(self, delay_s, callback) -> Handle:
         """Plan a call.
@@ -53,7 +57,7 @@
         :param callback: Called without arguments.
         """
         handle = Handle(callback)
-        due = time.monotonic() + delay_s
+        due = self.now() + delay_s
         heapq.heappush(self._heap, (due, next(self._order), handle))
         return handle
 
@@ -74,7 +78,7 @@
 
     @handler('generate_events')
     def _on_generate_events(self, event):
-        now = time.monotonic()
+        now = self.now()
         while self._heap and self._heap[0][0] <= now:
             _, _, handle = heapq.heappop(self._heap)
             if handle.callback is None:
@@ -85,7 +89,7 @@
                 LOG.exception('scheduler: A planned call failed.')
         self._drop_cancelled()
         if self._heap:
-            left = max(0.0, self._heap[0][0] - time.monotonic())
+            left = max(0.0, self._heap[0][0] - self.now())
             event.reduce_time_left(left)
 
     def _drop_cancelled(self):
--- a/packages/radishferryd/src/radishferryd/setting_readers.py
+++ b/packages/radishferryd/src/radishferryd/setting_readers.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import math
+
 from radishferry import field_checks
 
 #: Fewer characters than this can be guessed.
@@ -45,6 +47,28 @@
     return int(text)
 
 
+def read_number(text):
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not 0 <= value < math.inf:
+        raise ValueError('expected a number that is not negative')
+    return value
+
+
+def read_count(text):
+    if not (text.isascii() and text.isdigit() and 1 <= int(text) <= 100000):
+        raise ValueError('expected an integer from 1 to 100000')
+    return int(text)
+
+
+def read_flag(text):
+    if text not in ('true', 'false'):
+        raise ValueError('expected true or false')
+    return text == 'true'
+
+
 def read_boolean(text):
     if text not in ('yes', 'no'):
         raise ValueError('expected yes or no')
--- a/packages/radishferryd/src/radishferryd/settings.py
+++ b/packages/radishferryd/src/radishferryd/settings.py
@@ -168,10 +168,22 @@
     :raises findings.FindingsError: The file cannot be read or is not valid;
         it holds every finding with file, section and option.
     """
+    return load_options(path, OPTIONS, Settings, _between)
+
+
+def load_options(path, options, settings_class, check=None):
+    """Return the settings of an INI file by a table of options.
+
+    :param path: Path of the file.
+    :param options: Every :class:`Option` that the file may hold.
+    :param settings_class: Takes the values by the names of attributes.
+    :param check: Yields findings between options, from path and values.
+    :raises findings.FindingsError: The file cannot be read or is not valid.
+    """
     parser = _parse(path)
-    found = _unknown(path, parser)
+    found = _unknown(path, parser, options)
     values = {}
-    for option in OPTIONS:
+    for option in options:
         place = f'{path}: [{option.section}] {option.name}'
         text = parser.get(option.section, option.name, fallback=None)
         text = option.default if text is None else text
@@ -183,10 +195,11 @@
         except ValueError as exc:
             message = str(exc) + _given(option, text)
             found.append(findings.Finding(place, message))
-    found.extend(_between(path, values))
+    if check is not None:
+        found.extend(check(path, values))
     if found:
         raise findings.FindingsError(found)
-    return Settings(**values)
+    return settings_class(**values)
 
 
 def _given(option, text):
@@ -232,10 +245,10 @@
     return findings.FindingsError([findings.Finding(str(place), message)])
 
 
-def _unknown(path, parser):
+def _unknown(path, parser, options):
     found = []
     names = {}
-    for option in OPTIONS:
+    for option in options:
         names.setdefault(option.section, []).append(option.name)
     for section in parser.sections():
         place = f'{path}: [{section}]'
