--- /dev/null
+++ b/features/direct_granting.feature
@@ -0,0 +1,49 @@
+Feature: Keys are granted to one server at a time
+
+  # Guards against two servers that hold one key, and against fencing tokens
+  # that do not rise, under orders that are late, lost or repeated, servers
+  # that end and restart, and changes of the granting host.
+  Scenario: Random faults of orders, servers and granting hosts
+    Then 60 random sequences of 150 grant faults keep one holder a key
+
+  # Guards against a grant to the next owner before the former one let go.
+  Scenario: A move waits for the release
+    Given keys 0 to 99 are owned by server A
+    When keys 0 to 99 are planned for server B
+    Then server A is asked to release keys 0 to 99
+    And no grant is due
+    When server A releases them with state "s1"
+    Then server B is granted keys 0 to 99 with state "s1"
+
+  # Guards against keys that stay with a dead server for ever, and against
+  # keys that are given away while it may still hold them.
+  Scenario: A silent owner keeps its keys until its last grant has run out
+    Given keys 0 to 99 are owned by server A
+    When keys 0 to 99 are planned for server B
+    And server A does not answer the release
+    Then no grant is due for 5 seconds
+    And server B is granted keys 0 to 99 after 6 seconds
+
+  # Guards against waiting for a server that is proved to be over.
+  Scenario: Proof of an end frees the keys at once
+    Given keys 0 to 99 are owned by server A
+    When keys 0 to 99 are planned for server B
+    And server A is proved to be over
+    Then server B is granted keys 0 to 99 with state ""
+
+  # Guards against a release that is carried out late, after the server got
+  # the keys back.
+  Scenario: An unanswered release keeps the keys away from its server
+    Given keys 0 to 99 are owned by server A
+    When keys 0 to 99 are planned for server B
+    And server A does not answer the release
+    Then server A may not get keys 50 to 60
+    And server A may get keys 100 to 110
+    And server A may get keys 50 to 60 after 14 seconds
+
+  # Guards against a new granting host that does not know of grants under way.
+  Scenario: A new granting host waits for every holder in the row
+    Given a row in which keys 0 to 99 of server B may be held by server A
+    When a granting host takes the row over
+    Then server A is asked to release keys 0 to 99
+    And no grant is due
--- a/packages/radishferry/src/radishferry/direct/granting.py
+++ b/packages/radishferry/src/radishferry/direct/granting.py
@@ -120,6 +120,8 @@
         self._ranges = []
         self._late_releases = []
         self.version = 0
+        #: Grows with each change that other hosts have to know.
+        self.revision = 0
 
     @property
     def ranges(self):
@@ -158,6 +160,7 @@
             for s in segments
         ]
         self.version = version
+        self.revision += 1
 
     def proposal(self, layout):
         """Return the segments to write for a new layout.
@@ -180,6 +183,7 @@
                 found.fence = version
                 found.moved_at = now
         self.version = version
+        self.revision += 1
 
     def _arrange(self, layout):
         if not self._ranges:
@@ -223,11 +227,13 @@
         :param hold_s: Seconds that new grants hold.
         """
         for found in self._ranges:
-            found.exposures = {
-                life: until
-                for life, until in found.exposures.items()
-                if until > now
-            }
+            if any(until <= now for until in found.exposures.values()):
+                self.revision += 1
+                found.exposures = {
+                    life: until
+                    for life, until in found.exposures.items()
+                    if until > now
+                }
         return list(
             itertools.chain.from_iterable(
                 self._orders(found, now, hold_s) for found in self._ranges
@@ -264,16 +270,23 @@
             self._expose(found, order, now)
 
     def note_granted(self, order, sent_at, now):
-        """Note that a server took a grant."""
+        """Note that a server took a grant.
+
+        :returns: Whether the range is served from now on.
+        """
         found = self._find(order.segment)
         if found is None:
-            return
+            return False
         # Counted from the send for what the owner may rely on, and from
         # the answer for what others must wait for.
+        is_first = not found.confirmed_until
+        if is_first:
+            self.revision += 1
         found.confirmed_until = sent_at + order.hold_s
         self._expose(found, order, now)
         found.handover = ''
         found.next_at = now + RENEW_S
+        return is_first
 
     def note_grant_failed(self, order, now, *, was_sent, is_stale=False):
         """Note that a grant got no usable answer.
@@ -308,6 +321,7 @@
                 and found.end <= order.segment.end
             ):
                 found.exposures.pop(order.life, None)
+                self.revision += 1
                 if handover and found.owner != order.life:
                     found.handover = handover
                 found.next_at = 0.0
@@ -336,6 +350,7 @@
         for found in self._ranges:
             if found.exposures.pop(life, None) is not None:
                 was_holder = True
+                self.revision += 1
                 found.next_at = 0.0
         return was_holder
 
--- a/packages/radishferry/src/radishferry/direct/placement.py
+++ b/packages/radishferry/src/radishferry/direct/placement.py
@@ -18,12 +18,25 @@
 OVERLOAD_RATIO = 1.2
 #: Use of a server's slots below which its load does not matter.
 IDLE_USE = 0.35
-#: Moves of one plan.
-MAX_MOVES = 8
+#: Moves of one plan while no server is short of slots.
+MAX_MOVES = 6
+#: Moves of one plan while a server is.
+MAX_URGENT_MOVES = 60
+#: Use of a server's slots above which it is short of them.
+SHORT_USE = 0.7
+#: Part of a server's capacity that a key must take to be hot.
+HOT_KEY_USE = 0.4
+#: Keys that are looked at as hot ones in a plan.
+MAX_HOT_KEYS = 3
+#: Factor by which another server must be faster to be worth the move of a
+#: hot key.
+HOT_KEY_GAIN = 1.25
 #: Seconds for which a range stays after it has moved.
 REST_S = 4.0
 #: Seconds over which the rate of a key is averaged.
-RATE_WINDOW_S = 4.0
+RATE_WINDOW_S = 3.0
+#: Shortest time over which requests are counted, in seconds.
+MIN_STEP_S = 0.3
 #: Requests a second below which a key is forgotten.
 MIN_RATE = 0.02
 
@@ -45,6 +58,7 @@
     def __init__(self):
         self._rates = {}
         self._counts = collections.Counter()
+        self._began_at = None
         self._at = None
 
     def note(self, keys):
@@ -53,14 +67,16 @@
 
     def advance(self, now: float):
         """Fold the counts since the last call into the averages."""
-        if self._at is None:
-            self._at = now
+        if not self._rates and not self._counts:
+            self._began_at = self._at = now
             return
         elapsed = now - self._at
-        if elapsed < 0.3:
+        if elapsed < MIN_STEP_S:
             return
         self._at = now
-        keep = max(0.0, 1 - elapsed / RATE_WINDOW_S)
+        # While the window is not full, all of the time counts the same.
+        window_s = min(RATE_WINDOW_S, now - self._began_at)
+        keep = max(0.0, 1 - elapsed / window_s)
         rates = {
             key: kept
             for key, rate in self._rates.items()
@@ -98,6 +114,14 @@
         high = self._index(end + 1)
         return self._sums[high] - self._sums[low]
 
+    def hottest(self):
+        """Return the keys with the highest rates, and their rates."""
+        rates = [
+            (key, self._sums[i + 1] - self._sums[i])
+            for i, key in enumerate(self._keys)
+        ]
+        return sorted(rates, key=lambda found: -found[1])[:MAX_HOT_KEYS]
+
     def split(self, start, end, wanted) -> int:
         """Return the last key of a beginning with about a wanted rate."""
         low = self._index(start)
@@ -169,9 +193,9 @@
         [found.start, found.end, found.owner, found.moved_at]
         for found in ranges
     ]
-    moves = 0
+    moves = _move_hot_keys(pieces, room, loads, may_give, now)
     stuck = set()
-    while moves < MAX_MOVES:
+    while moves < (MAX_URGENT_MOVES if room.is_short else MAX_MOVES):
         busiest = room.busiest(stuck)
         if busiest is None:
             break
@@ -187,6 +211,33 @@
     return [tuple(piece[:3]) for piece in pieces], moves
 
 
+def _move_hot_keys(pieces, room, loads, may_give, now):
+    """Give each hot key to the fastest server that is not busy with one."""
+    moves = 0
+    for key, rate in loads.hottest():
+        index = next(i for i, piece in enumerate(pieces) if piece[1] >= key)
+        start, end, owner, moved_at = pieces[index]
+        capacity = room.capacity(owner)
+        if rate < HOT_KEY_USE * capacity or now - moved_at < REST_S:
+            continue
+        target = room.fastest(capacity * HOT_KEY_GAIN)
+        if target is None or not may_give(target, key, key):
+            continue
+        pieces[index : index + 1] = [
+            piece
+            for piece in (
+                [start, key - 1, owner, moved_at],
+                [key, key, target, now],
+                [key + 1, end, owner, moved_at],
+            )
+            if piece[0] <= piece[1]
+        ]
+        room.add(owner, key, key, sign=-1)
+        room.add(target, key, key)
+        moves += 1
+    return moves
+
+
 def _move(pieces, source, target, wanted, room, loads, may_give, now):
     best = None
     for index, (start, end, owner, moved_at) in enumerate(pieces):
@@ -262,6 +313,26 @@
         fair = self._total / self._total_capacity
         return self._load[life] - fair * self._capacity[life]
 
+    @property
+    def is_short(self):
+        """Tell whether a server has too few slots."""
+        return any(self._use(life) > SHORT_USE for life in self._load)
+
+    def capacity(self, life):
+        return self._capacity.get(life, 0.0)
+
+    def fastest(self, at_least):
+        """Return the fastest server with room, None if none is so fast."""
+        return max(
+            (
+                life
+                for life, capacity in self._capacity.items()
+                if capacity >= at_least and self._use(life) < SHORT_USE
+            ),
+            key=lambda life: self._capacity[life],
+            default=None,
+        )
+
     def _use(self, life):
         return self._load[life] / self._capacity[life]
 
--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -108,6 +108,7 @@
             self,
         )
         self._stop_at = None
+        self._ticker = None
         self._callers = None
         self._started_at = self._scheduler.now()
 
@@ -125,7 +126,7 @@
         status_http.listen(poller, settings.listen_ready, self)
         status_http.listen(poller, settings.listen_metrics, self)
         self._metrics.add_source(self._fill_gauges)
-        scheduler.call_every(ownership_module.TICK_S, self._on_tick)
+        scheduler.call_every(spoke_module.TICK_S, self._spoke.tick)
         scheduler.call_every(links.BEAT_S, self._hub.tick)
         scheduler.call_every(spoke_module.REPORT_S, self._report)
         scheduler.call_every(SWEEP_S, self._sweep)
@@ -166,12 +167,18 @@
 
     def term_taken(self):
         """Begin to grant, with what the store holds now."""
+        if self._ticker is None:
+            self._ticker = self._scheduler.call_every(
+                ownership_module.TICK_S, self._on_tick
+            )
         self._hub.begin()
         self._spoke.set_granter(True)
         self._begin_ownership()
 
     def term_lost(self):
         """End granting."""
+        self._ticker.cancel()
+        self._ticker = None
         self._ownership.end()
         self._hub.end()
         self._spoke.set_granter(False)
@@ -211,7 +218,6 @@
     def _on_tick(self):
         self._term.tick()
         self._ownership.tick()
-        self._spoke.tick()
 
     def _report(self):
         if self._ownership.is_active:
--- a/packages/radishferryd/src/radishferryd/router/orders.py
+++ b/packages/radishferryd/src/radishferryd/router/orders.py
@@ -26,12 +26,15 @@
 class OrderDesk:
     """Send orders to servers, a few at a time to each one."""
 
-    def __init__(self, poller, scheduler, registry, may_order):
+    def __init__(self, poller, scheduler, registry, may_order, on_freed):
         """Begin without a connection.
 
         :param registry: Tells the present life of a server.
         :param may_order: Tells whether this host may still give orders.
+        :param on_freed: Called after a release or a first grant, which let
+            the next step of a move begin.
         """
+        self.on_freed = on_freed
         self._poller = poller
         self._scheduler = scheduler
         self._registry = registry
@@ -126,7 +129,8 @@
         def done(result):
             self._active -= 1
             self._finish(order, granter, sent_at, result)
-            self._next()
+            # The connection is free only after this answer has been taken.
+            self._desk._scheduler.call_later(0.0, self._next)
 
         if is_grant:
             wire.grant(
@@ -146,9 +150,12 @@
         if status is wire.OrderStatus.DONE:
             self.failures = 0
             if isinstance(order, granting.Grant):
-                granter.note_granted(order, sent_at, now)
+                is_first = granter.note_granted(order, sent_at, now)
+                if is_first:
+                    self._desk.on_freed()
             else:
                 granter.note_released(order, result.handover)
+                self._desk.on_freed()
                 LOG.info(
                     'orders: %s released keys %d to %d.',
                     order.life[0],
--- a/packages/radishferryd/src/radishferryd/router/ownership.py
+++ b/packages/radishferryd/src/radishferryd/router/ownership.py
@@ -18,7 +18,7 @@
 LOG = logging.getLogger(__name__)
 
 #: Seconds between looks at what is due.
-TICK_S = 0.05
+TICK_S = 0.1
 #: Seconds between plans that balance load.
 BALANCE_S = 0.9
 #: Seconds between the first plan and the list of servers; servers that
@@ -26,8 +26,9 @@
 GATHER_S = 1.0
 #: Ranges that may be on their way to another server while load is balanced.
 MAX_UNSETTLED = 12
-#: Seconds for which grants hold when the store is silent: nobody else can
-#: move keys then, and renewals end with the right to grant.
+#: Seconds for which answers are gathered before the next step of a move.
+STEP_S = 0.004
+#: Part of the longest hold that grants get when the store is silent.
 OUTAGE_HOLD_SHARE = 0.95
 #: Seconds without an accepted renewal after which the store counts as
 #: silent.
@@ -68,6 +69,7 @@
         self.granter = granting.KeyGranter(name, hold_max_s)
         self.rates = placement.KeyRates()
         self.row_version = 0
+        self.revision = 0
         self.known = {}
         self.planned_at = 0.0
         self.pending = None
@@ -103,8 +105,14 @@
         self._active_at = 0.0
         self._known_servers = {}
         self._write_ids = itertools.count(1)
+        self._ended_checked = {}
+        self._will_step = False
         self.desk = orders.OrderDesk(
-            poller, scheduler, knowledge.registry, lambda: term.holds
+            poller,
+            scheduler,
+            knowledge.registry,
+            lambda: term.holds,
+            self._step_soon,
         )
         #: Called with a service and the segments that changed.
         self.on_segments = []
@@ -140,6 +148,7 @@
         """Give no more orders."""
         self._is_active = False
         self._services = {}
+        self._ended_checked = {}
         self.desk.close()
 
     def note_load(self, keys, speeds):
@@ -175,6 +184,29 @@
             if service.is_keyed:
                 self._tick_service(self._service(name), now)
 
+    def _step_soon(self):
+        """Order and publish what an answer has made possible."""
+        if not self._will_step:
+            self._will_step = True
+            self._scheduler.call_later(STEP_S, self._step)
+
+    def _step(self):
+        self._will_step = False
+        if not self._is_active or not self._term.holds:
+            return
+        now = self._scheduler.now()
+        for service in self._services.values():
+            for order in service.granter.due(now, self._hold_s()):
+                self._give(order, service.granter, now)
+            self._publish(service)
+
+    def _hold_s(self):
+        # While the store is silent nobody else can move keys, and renewals
+        # end with the right to grant.
+        if self._term.silent_s > SILENT_S:
+            return self._hold_max_s * OUTAGE_HOLD_SHARE
+        return granting.HOLD_S
+
     def _service(self, name):
         found = self._services.get(name)
         if found is None:
@@ -184,10 +216,7 @@
     def _tick_service(self, service, now):
         granter = service.granter
         self._drop_ended(granter)
-        hold_s = granting.HOLD_S
-        if self._term.silent_s > SILENT_S:
-            hold_s = self._hold_max_s * OUTAGE_HOLD_SHARE
-        for order in granter.due(now, hold_s):
+        for order in granter.due(now, self._hold_s()):
             self._give(order, granter, now)
         self._publish(service)
         if service.pending is not None:
@@ -199,6 +228,9 @@
 
     def _drop_ended(self, granter):
         registry = self._knowledge.registry
+        if registry.read_at == self._ended_checked.get(granter.service):
+            return
+        self._ended_checked[granter.service] = registry.read_at
         lives = set(
             itertools.chain.from_iterable(
                 found.exposures for found in granter.ranges
@@ -391,6 +423,9 @@
 
     def _publish(self, service):
         """Tell the hosts what has changed about the owners."""
+        if service.revision == service.granter.revision:
+            return
+        service.revision = service.granter.revision
         current = {}
         for found in service.granter.ranges:
             segment = found.segment()
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -33,8 +33,9 @@
 ADMISSION_SHARE = 1.0
 #: The same for each rank of priority below the highest.
 PRIORITY_STEP = 0.12
-#: Requests for each slot of a server that one key may occupy.
-HOT_KEY_PER_SLOT = 1.5
+#: Part of the target latency that the requests of one key may fill at its
+#: server, so that the requests of other keys are still in time there.
+HOT_KEY_SHARE = 0.8
 #: Shortest and longest time after which refused callers may return, in
 #: seconds.
 MIN_RETRY_AFTER_S = 0.15
@@ -258,14 +259,9 @@
         expected = stats.expected_s(usual, now)
         if server.warmup_s > 0:
             expected *= selection.WARMUP_FACTOR
-        limit = max(
-            1,
-            math.ceil(stats.slots * HOT_KEY_PER_SLOT / gateway.host_count),
-        )
-        if (
-            stats.load(now) >= stats.slots
-            and backend.key_counts[self.key] >= limit
-        ):
+        if stats.load(now) >= stats.slots and backend.key_counts[
+            self.key
+        ] >= self._key_limit(stats, usual):
             self._refuse_busy(
                 results.Reason.HOT_KEY, expected, 'The key is overloaded.'
             )
@@ -279,6 +275,14 @@
             return
         self._send(backend, now)
 
+    def _key_limit(self, stats, usual_s):
+        """Return how many requests of one key this host may have there."""
+        service_s = stats.service_s or usual_s
+        in_time = HOT_KEY_SHARE * self.route.target_latency_s / service_s
+        return max(
+            1, math.ceil(stats.slots * in_time / self._gateway.host_count)
+        )
+
     def _next_server(self, now):
         gateway = self._gateway
         stats = gateway.route_stats(self)
--- a/packages/radishferryd/src/radishferryd/router/spoke.py
+++ b/packages/radishferryd/src/radishferryd/router/spoke.py
@@ -14,6 +14,8 @@
 #: Age of the list of servers above which this host reads the store itself,
 #: in seconds. The granting host reads every 0.7 s.
 STALE_SERVERS_S = 1.35
+#: Seconds between looks at the age of what this host knows.
+TICK_S = 0.2
 #: Seconds between reports of load.
 REPORT_S = 0.5
 #: Seconds after which a host without a link begins to read the store.
--- a/packages/radishferryd/src/radishferryd/router/term.py
+++ b/packages/radishferryd/src/radishferryd/router/term.py
@@ -116,6 +116,8 @@
         self._look_timer = None
         if self._holds or self._is_ending:
             return
+        if not self._owner.needs_granter():
+            return
 
         def take(answer):
             if not self._owner.note_store(answer):
