--- a/packages/radishferry/src/radishferry/direct/granting.py
+++ b/packages/radishferry/src/radishferry/direct/granting.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import bisect
 import dataclasses
 import itertools
 
@@ -118,6 +119,7 @@
         self.service = service
         self._hold_max_s = hold_max_s
         self._ranges = []
+        self._starts = []
         self._late_releases = []
         self.version = 0
         #: Grows with each change that other hosts have to know.
@@ -159,6 +161,7 @@
             )
             for s in segments
         ]
+        self._starts = [found.start for found in self._ranges]
         self.version = version
         self.revision += 1
 
@@ -178,6 +181,7 @@
             fencing token of all ranges that changed.
         """
         self._ranges = self._arrange(layout)
+        self._starts = [found.start for found in self._ranges]
         for found in self._ranges:
             if not found.fence:
                 found.fence = version
@@ -372,18 +376,14 @@
         return [found for found in self._ranges if found.is_refused]
 
     def _find(self, segment):
-        return next(
-            (
-                found
-                for found in self._ranges
-                if found.covers(segment) and found.fence == segment.fence
-            ),
-            None,
-        )
+        found = self._overlapping(segment)
+        if len(found) != 1:
+            return None
+        (found,) = found
+        is_same = found.covers(segment) and found.fence == segment.fence
+        return found if is_same else None
 
     def _overlapping(self, segment):
-        return [
-            found
-            for found in self._ranges
-            if found.start <= segment.end and segment.start <= found.end
-        ]
+        first = bisect.bisect_right(self._starts, segment.start) - 1
+        last = bisect.bisect_right(self._starts, segment.end)
+        return self._ranges[max(0, first) : last]
