--- /dev/null
+++ b/features/steps/direct_placement_steps.py
@@ -0,0 +1,180 @@
+"""Steps for the division of keys over servers."""
+
+from __future__ import annotations
+
+import collections
+import random
+
+import behave
+
+from radishferry.direct import granting
+from radishferry.direct import key_map
+from radishferry.direct import placement
+
+#: Seconds of work of a request on a server of usual speed.
+WORK_S = 0.1
+SLOTS = 6
+
+
+def _always(life, start, end):
+    return True
+
+
+@behave.given('key {key:d} is asked for {count:d} times')
+def asked(context, key, count):
+    context.rates = placement.KeyRates()
+    context.rates.note([key] * count)
+
+
+@behave.when('the rates are looked at twice, {seconds:g} seconds apart')
+def look(context, seconds):
+    context.rates.advance(10.0)
+    context.rates.advance(10.0 + seconds)
+
+
+@behave.then('key {key:d} has a rate of {rate:g} a second')
+def has_rate(context, key, rate):
+    assert abs(context.rates.rates[key] - rate) < 1e-6, context.rates.rates
+
+
+def _own(context, speeds):
+    context.speeds = {(f's{i}', 1): s for i, s in enumerate(speeds)}
+    context.capacities = [
+        placement.Capacity(life, SLOTS / (WORK_S * speed))
+        for life, speed in context.speeds.items()
+    ]
+    context.granter = granting.KeyGranter('s', 10.0)
+    context.now = 100.0
+    context.granter.commit(
+        placement.initial(list(context.speeds)), 1, context.now
+    )
+    context.moved = 0
+    context.rates = collections.Counter()
+
+
+@behave.given('{count:d} servers of equal speed own the keys')
+def own_equal(context, count):
+    _own(context, [1.0] * count)
+
+
+@behave.given(
+    '{count:d} servers whose every third one takes {factor:g} times as long '
+    'own the keys'
+)
+def own_unequal(context, count, factor):
+    _own(context, [factor if i % 3 == 2 else 1.0 for i in range(count)])
+
+
+@behave.given(
+    '{share:d}% of {rate:d} requests a second are for the first fifth of the '
+    'keys'
+)
+def skewed(context, share, rate):
+    rng = random.Random(7)
+    samples = 20000
+    for _ in range(samples):
+        if rng.random() < share / 100:
+            # Falls off from the first key.
+            key = int(key_map.KEY_COUNT / 5 * rng.random() ** 1.6)
+        else:
+            key = rng.randrange(key_map.KEY_COUNT)
+        context.rates[key] += rate / samples
+
+
+@behave.given('{rate:d} requests a second are for all keys alike')
+def even(context, rate):
+    rng = random.Random(8)
+    samples = 20000
+    for _ in range(samples):
+        context.rates[rng.randrange(key_map.KEY_COUNT)] += rate / samples
+
+
+@behave.given('a key of a slow server gets {rate:d} requests a second more')
+def hot(context, rate):
+    slow = next(life for life, s in context.speeds.items() if s > 1)
+    found = next(f for f in context.granter.ranges if f.owner == slow)
+    context.hot = found.start + 3
+    context.rates[context.hot] += rate
+
+
+@behave.when('the load is balanced {count:d} times')
+def balance(context, count):
+    for _ in range(count):
+        context.now += 10.0
+        layout, moves = placement.rebalance(
+            context.granter.ranges,
+            context.capacities,
+            placement.LoadMap(context.rates),
+            _always,
+            context.now,
+        )
+        context.moved += moves
+        context.granter.commit(layout, int(context.now), context.now)
+
+
+@behave.when('server {number:d} leaves')
+def leave(context, number):
+    life = (f's{number}', 1)
+    layout = placement.evacuate(
+        context.granter.ranges,
+        {life},
+        [c for c in context.capacities if c.life != life],
+        placement.LoadMap({}),
+        _always,
+    )
+    context.granter.commit(layout, 2, context.now)
+
+
+def _loads(context):
+    loads = dict.fromkeys(context.speeds, 0.0)
+    found = placement.LoadMap(context.rates)
+    for each in context.granter.ranges:
+        loads[each.owner] += found.load(each.start, each.end)
+    return loads
+
+
+@behave.then('the busiest server has at most {ratio:g} times the mean load')
+def spread(context, ratio):
+    loads = _loads(context).values()
+    assert max(loads) <= ratio * sum(loads) / len(loads), sorted(loads)
+
+
+@behave.then('no server is used more than {ratio:g} times as much as the mean')
+def spread_by_speed(context, ratio):
+    uses = [
+        load * context.speeds[life] for life, load in _loads(context).items()
+    ]
+    mean = sum(_loads(context).values()) / sum(
+        1 / s for s in context.speeds.values()
+    )
+    assert max(uses) <= ratio * mean, sorted(uses)
+
+
+@behave.then('the hot key is alone on a fast server')
+def hot_alone(context):
+    found = next(
+        f for f in context.granter.ranges if f.start <= context.hot <= f.end
+    )
+    assert found.start == found.end == context.hot
+    assert context.speeds[found.owner] == 1.0
+
+
+@behave.then('at most {count:d} ranges have moved')
+def few_moves(context, count):
+    assert context.moved <= count, context.moved
+
+
+@behave.then('server {number:d} owns nothing')
+def owns_nothing(context, number):
+    life = (f's{number}', 1)
+    assert all(f.owner != life for f in context.granter.ranges)
+
+
+@behave.then(
+    'the busiest server has at most {ratio:g} times the mean number of keys'
+)
+def key_spread(context, ratio):
+    counts = collections.Counter()
+    for found in context.granter.ranges:
+        counts[found.owner] += found.end - found.start + 1
+    assert max(counts.values()) <= ratio * key_map.KEY_COUNT / len(counts)
--- a/packages/radishferry/src/radishferry/direct/placement.py
+++ b/packages/radishferry/src/radishferry/direct/placement.py
@@ -67,7 +67,7 @@
 
     def advance(self, now: float):
         """Fold the counts since the last call into the averages."""
-        if not self._rates and not self._counts:
+        if self._at is None or not (self._rates or self._counts):
             self._began_at = self._at = now
             return
         elapsed = now - self._at
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -104,9 +104,9 @@
     @property
     def fingerprint(self):
         """Identify equal requests."""
-        digest = xxhash.xxh64(self._head.method)
-        digest.update(self._head.header('host'))
-        digest.update(self._head.target)
+        head = self._head
+        parts = (head.method, head.header('host'), head.target)
+        digest = xxhash.xxh64(' '.join(parts).encode())
         digest.update(self.body)
         # One bit less, since messages carry signed integers.
         return digest.intdigest() >> 1
