--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -101,15 +101,15 @@
 def balance(context, count):
     for _ in range(count):
         context.now += 10.0
-        layout, moves = placement.rebalance(
+        plan = placement.rebalance(
             context.granter.ranges,
             context.capacities,
             placement.LoadMap(context.rates),
             _always,
             context.now,
         )
-        context.moved += moves
-        context.granter.commit(layout, int(context.now), context.now)
+        context.moved += plan.moves
+        context.granter.commit(plan.layout, int(context.now), context.now)
 
 
 @behave.when('server {number:d} leaves')
--- a/packages/radishferry/src/radishferry/direct/placement.py
+++ b/packages/radishferry/src/radishferry/direct/placement.py
@@ -32,9 +32,9 @@
 #: hot key.
 HOT_KEY_GAIN = 1.25
 #: Seconds for which a range stays after it has moved.
-REST_S = 4.0
+REST_S = 2.5
 #: Seconds over which the rate of a key is averaged.
-RATE_WINDOW_S = 3.0
+RATE_WINDOW_S = 2.0
 #: Shortest time over which requests are counted, in seconds.
 MIN_STEP_S = 0.3
 #: Requests a second below which a key is forgotten.
@@ -52,6 +52,22 @@
     per_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """Hold a layout and what it is based on.
+
+    :ivar layout: Tuples of start, end and owner.
+    :ivar moves: Ranges that change their owner.
+    :ivar busiest_use: Part of its slots that the busiest server needed.
+    :ivar mean_use: Part of all slots that was needed.
+    """
+
+    layout: tuple[tuple[int, int, tuple[str, int]], ...]
+    moves: int
+    busiest_use: float
+    mean_use: float
+
+
 class KeyRates:
     """Follow how often each key is asked for."""
 
@@ -186,13 +202,14 @@
 def rebalance(ranges, capacities, loads, may_give, now):
     """Return a layout that relieves the busiest servers.
 
-    :returns: The layout and the number of moves.
+    :returns: A :class:`Plan`.
     """
     room = _Room(ranges, capacities, loads)
     pieces = [
         [found.start, found.end, found.owner, found.moved_at]
         for found in ranges
     ]
+    busiest_use, mean_use = room.busiest_use, room.mean_use
     moves = _move_hot_keys(pieces, room, loads, may_give, now)
     stuck = set()
     while moves < (MAX_URGENT_MOVES if room.is_short else MAX_MOVES):
@@ -208,7 +225,8 @@
             stuck.add(busiest)
             continue
         moves += 1
-    return [tuple(piece[:3]) for piece in pieces], moves
+    layout = tuple(tuple(piece[:3]) for piece in pieces)
+    return Plan(layout, moves, busiest_use, mean_use)
 
 
 def _move_hot_keys(pieces, room, loads, may_give, now):
@@ -310,14 +328,21 @@
 
     def excess(self, life):
         """Return the load above the fair share, in requests a second."""
-        fair = self._total / self._total_capacity
-        return self._load[life] - fair * self._capacity[life]
+        return self._load[life] - self.mean_use * self._capacity[life]
 
     @property
     def is_short(self):
         """Tell whether a server has too few slots."""
         return any(self._use(life) > SHORT_USE for life in self._load)
 
+    @property
+    def busiest_use(self):
+        return max(map(self._use, self._load), default=0.0)
+
+    @property
+    def mean_use(self):
+        return self._total / self._total_capacity
+
     def capacity(self, life):
         return self._capacity.get(life, 0.0)
 
@@ -337,7 +362,6 @@
         return self._load[life] / self._capacity[life]
 
     def busiest(self, stuck):
-        fair = self._total / self._total_capacity
         found = max(
             (life for life in self._load if life not in stuck),
             key=self._use,
@@ -346,7 +370,7 @@
         if found is None:
             return None
         use = self._use(found)
-        if use < IDLE_USE or use < fair * OVERLOAD_RATIO:
+        if use < IDLE_USE or use < self.mean_use * OVERLOAD_RATIO:
             return None
         return found
 
--- a/packages/radishferry/src/radishferry/direct/selection.py
+++ b/packages/radishferry/src/radishferry/direct/selection.py
@@ -25,7 +25,7 @@
 #: seconds of waiting; 90 kB weigh as much as three usual answers.
 FAR_COST_S_PER_BYTE = 6e-6
 #: Cost of another data centre for any request, in seconds.
-FAR_COST_S = 0.01
+FAR_COST_S = 0.03
 #: Factor on the service time of a server that has just started.
 WARMUP_FACTOR = 2.0
 #: Waiting requests for each slot above which a server takes no more.
--- a/packages/radishferryd/idl/router.thrift
+++ b/packages/radishferryd/idl/router.thrift
@@ -44,19 +44,24 @@
   4: double age_s
 }
 
-struct SegmentEntry {
-  1: i32 start_key
-  2: i32 end_key
-  3: string owner_id
-  4: i64 owner_born_ms
-  5: i64 fence
-  6: bool is_settled
+struct Owner {
+  1: string server_id
+  2: i64 born_ms
 }
 
-/* Segments that replace what was known of their keys. */
+/* Segments that replace what was known of their keys. The lists have one
+ * entry a segment; one struct a segment would take four times the bytes.
+ */
 struct KeyMapPush {
   1: string service_name
-  2: list<SegmentEntry> segments
+  2: list<Owner> owners
+  /* Number of each segment's owner in the list above. */
+  3: list<i16> owner_numbers
+  4: list<i32> start_keys
+  5: list<i32> end_keys
+  6: list<i64> fences
+  /* Numbers of the segments that another server may still hold. */
+  7: list<i16> unsettled
 }
 
 /* Time of requests that met no queue at a server. */
--- a/packages/radishferryd/src/radishferryd/gen/router/ttypes.py
+++ b/packages/radishferryd/src/radishferryd/gen/router/ttypes.py
@@ -472,26 +472,18 @@
         return not (self == other)
 
 
-class SegmentEntry(object):
+class Owner(object):
     """
     Attributes:
-     - start_key
-     - end_key
-     - owner_id
-     - owner_born_ms
-     - fence
-     - is_settled
+     - server_id
+     - born_ms
 
     """
 
 
-    def __init__(self, start_key=None, end_key=None, owner_id=None, owner_born_ms=None, fence=None, is_settled=None,):
-        self.start_key = start_key
-        self.end_key = end_key
-        self.owner_id = owner_id
-        self.owner_born_ms = owner_born_ms
-        self.fence = fence
-        self.is_settled = is_settled
+    def __init__(self, server_id=None, born_ms=None,):
+        self.server_id = server_id
+        self.born_ms = born_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -503,33 +495,13 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.I32:
-                    self.start_key = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I32:
-                    self.end_key = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
                 if ftype == TType.STRING:
-                    self.owner_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.I64:
-                    self.owner_born_ms = iprot.readI64()
+                    self.server_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
+            elif fid == 2:
                 if ftype == TType.I64:
-                    self.fence = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.BOOL:
-                    self.is_settled = iprot.readBool()
+                    self.born_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -541,30 +513,14 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('SegmentEntry')
-        if self.start_key is not None:
-            oprot.writeFieldBegin('start_key', TType.I32, 1)
-            oprot.writeI32(self.start_key)
-            oprot.writeFieldEnd()
-        if self.end_key is not None:
-            oprot.writeFieldBegin('end_key', TType.I32, 2)
-            oprot.writeI32(self.end_key)
-            oprot.writeFieldEnd()
-        if self.owner_id is not None:
-            oprot.writeFieldBegin('owner_id', TType.STRING, 3)
-            oprot.writeString(self.owner_id.encode('utf-8') if sys.version_info[0] == 2 else self.owner_id)
-            oprot.writeFieldEnd()
-        if self.owner_born_ms is not None:
-            oprot.writeFieldBegin('owner_born_ms', TType.I64, 4)
-            oprot.writeI64(self.owner_born_ms)
-            oprot.writeFieldEnd()
-        if self.fence is not None:
-            oprot.writeFieldBegin('fence', TType.I64, 5)
-            oprot.writeI64(self.fence)
+        oprot.writeStructBegin('Owner')
+        if self.server_id is not None:
+            oprot.writeFieldBegin('server_id', TType.STRING, 1)
+            oprot.writeString(self.server_id.encode('utf-8') if sys.version_info[0] == 2 else self.server_id)
             oprot.writeFieldEnd()
-        if self.is_settled is not None:
-            oprot.writeFieldBegin('is_settled', TType.BOOL, 6)
-            oprot.writeBool(self.is_settled)
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 2)
+            oprot.writeI64(self.born_ms)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -588,14 +544,24 @@
     """
     Attributes:
      - service_name
-     - segments
+     - owners
+     - owner_numbers
+     - start_keys
+     - end_keys
+     - fences
+     - unsettled
 
     """
 
 
-    def __init__(self, service_name=None, segments=None,):
+    def __init__(self, service_name=None, owners=None, owner_numbers=None, start_keys=None, end_keys=None, fences=None, unsettled=None,):
         self.service_name = service_name
-        self.segments = segments
+        self.owners = owners
+        self.owner_numbers = owner_numbers
+        self.start_keys = start_keys
+        self.end_keys = end_keys
+        self.fences = fences
+        self.unsettled = unsettled
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -613,12 +579,62 @@
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
-                    self.segments = []
+                    self.owners = []
                     (_etype17, _size14) = iprot.readListBegin()
                     for _i18 in range(_size14):
-                        _elem19 = SegmentEntry()
+                        _elem19 = Owner()
                         _elem19.read(iprot)
-                        self.segments.append(_elem19)
+                        self.owners.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.owner_numbers = []
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = iprot.readI16()
+                        self.owner_numbers.append(_elem25)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.start_keys = []
+                    (_etype29, _size26) = iprot.readListBegin()
+                    for _i30 in range(_size26):
+                        _elem31 = iprot.readI32()
+                        self.start_keys.append(_elem31)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.end_keys = []
+                    (_etype35, _size32) = iprot.readListBegin()
+                    for _i36 in range(_size32):
+                        _elem37 = iprot.readI32()
+                        self.end_keys.append(_elem37)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.fences = []
+                    (_etype41, _size38) = iprot.readListBegin()
+                    for _i42 in range(_size38):
+                        _elem43 = iprot.readI64()
+                        self.fences.append(_elem43)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.unsettled = []
+                    (_etype47, _size44) = iprot.readListBegin()
+                    for _i48 in range(_size44):
+                        _elem49 = iprot.readI16()
+                        self.unsettled.append(_elem49)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -636,11 +652,46 @@
             oprot.writeFieldBegin('service_name', TType.STRING, 1)
             oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
             oprot.writeFieldEnd()
-        if self.segments is not None:
-            oprot.writeFieldBegin('segments', TType.LIST, 2)
-            oprot.writeListBegin(TType.STRUCT, len(self.segments))
-            for iter20 in self.segments:
-                iter20.write(oprot)
+        if self.owners is not None:
+            oprot.writeFieldBegin('owners', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.owners))
+            for iter50 in self.owners:
+                iter50.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.owner_numbers is not None:
+            oprot.writeFieldBegin('owner_numbers', TType.LIST, 3)
+            oprot.writeListBegin(TType.I16, len(self.owner_numbers))
+            for iter51 in self.owner_numbers:
+                oprot.writeI16(iter51)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.start_keys is not None:
+            oprot.writeFieldBegin('start_keys', TType.LIST, 4)
+            oprot.writeListBegin(TType.I32, len(self.start_keys))
+            for iter52 in self.start_keys:
+                oprot.writeI32(iter52)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.end_keys is not None:
+            oprot.writeFieldBegin('end_keys', TType.LIST, 5)
+            oprot.writeListBegin(TType.I32, len(self.end_keys))
+            for iter53 in self.end_keys:
+                oprot.writeI32(iter53)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.fences is not None:
+            oprot.writeFieldBegin('fences', TType.LIST, 6)
+            oprot.writeListBegin(TType.I64, len(self.fences))
+            for iter54 in self.fences:
+                oprot.writeI64(iter54)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.unsettled is not None:
+            oprot.writeFieldBegin('unsettled', TType.LIST, 7)
+            oprot.writeListBegin(TType.I16, len(self.unsettled))
+            for iter55 in self.unsettled:
+                oprot.writeI16(iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -767,37 +818,37 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.keys = {}
-                    (_ktype22, _vtype23, _size21) = iprot.readMapBegin()
-                    for _i25 in range(_size21):
-                        _key26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val27 = []
-                        (_etype31, _size28) = iprot.readListBegin()
-                        for _i32 in range(_size28):
-                            _elem33 = iprot.readI32()
-                            _val27.append(_elem33)
+                    (_ktype57, _vtype58, _size56) = iprot.readMapBegin()
+                    for _i60 in range(_size56):
+                        _key61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val62 = []
+                        (_etype66, _size63) = iprot.readListBegin()
+                        for _i67 in range(_size63):
+                            _elem68 = iprot.readI32()
+                            _val62.append(_elem68)
                         iprot.readListEnd()
-                        self.keys[_key26] = _val27
+                        self.keys[_key61] = _val62
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.speeds = []
-                    (_etype37, _size34) = iprot.readListBegin()
-                    for _i38 in range(_size34):
-                        _elem39 = ServerSpeed()
-                        _elem39.read(iprot)
-                        self.speeds.append(_elem39)
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = ServerSpeed()
+                        _elem74.read(iprot)
+                        self.speeds.append(_elem74)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype43, _size40) = iprot.readListBegin()
-                    for _i44 in range(_size40):
-                        _elem45 = iprot.readI64()
-                        self.suspects.append(_elem45)
+                    (_etype78, _size75) = iprot.readListBegin()
+                    for _i79 in range(_size75):
+                        _elem80 = iprot.readI64()
+                        self.suspects.append(_elem80)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -814,26 +865,26 @@
         if self.keys is not None:
             oprot.writeFieldBegin('keys', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.LIST, len(self.keys))
-            for kiter46, viter47 in self.keys.items():
-                oprot.writeString(kiter46.encode('utf-8') if sys.version_info[0] == 2 else kiter46)
-                oprot.writeListBegin(TType.I32, len(viter47))
-                for iter48 in viter47:
-                    oprot.writeI32(iter48)
+            for kiter81, viter82 in self.keys.items():
+                oprot.writeString(kiter81.encode('utf-8') if sys.version_info[0] == 2 else kiter81)
+                oprot.writeListBegin(TType.I32, len(viter82))
+                for iter83 in viter82:
+                    oprot.writeI32(iter83)
                 oprot.writeListEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.speeds is not None:
             oprot.writeFieldBegin('speeds', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.speeds))
-            for iter49 in self.speeds:
-                iter49.write(oprot)
+            for iter84 in self.speeds:
+                iter84.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 3)
             oprot.writeListBegin(TType.I64, len(self.suspects))
-            for iter50 in self.suspects:
-                oprot.writeI64(iter50)
+            for iter85 in self.suspects:
+                oprot.writeI64(iter85)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -877,11 +928,11 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.crashes = {}
-                    (_ktype52, _vtype53, _size51) = iprot.readMapBegin()
-                    for _i55 in range(_size51):
-                        _key56 = iprot.readI64()
-                        _val57 = iprot.readI32()
-                        self.crashes[_key56] = _val57
+                    (_ktype87, _vtype88, _size86) = iprot.readMapBegin()
+                    for _i90 in range(_size86):
+                        _key91 = iprot.readI64()
+                        _val92 = iprot.readI32()
+                        self.crashes[_key91] = _val92
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -898,9 +949,9 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.MAP, 1)
             oprot.writeMapBegin(TType.I64, TType.I32, len(self.crashes))
-            for kiter58, viter59 in self.crashes.items():
-                oprot.writeI64(kiter58)
-                oprot.writeI32(viter59)
+            for kiter93, viter94 in self.crashes.items():
+                oprot.writeI64(kiter93)
+                oprot.writeI32(viter94)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1088,21 +1139,22 @@
     (3, TType.LIST, 'gone', (TType.STRING, 'UTF8', False), None, ),  # 3
     (4, TType.DOUBLE, 'age_s', None, None, ),  # 4
 )
-all_structs.append(SegmentEntry)
-SegmentEntry.thrift_spec = (
+all_structs.append(Owner)
+Owner.thrift_spec = (
     None,  # 0
-    (1, TType.I32, 'start_key', None, None, ),  # 1
-    (2, TType.I32, 'end_key', None, None, ),  # 2
-    (3, TType.STRING, 'owner_id', 'UTF8', None, ),  # 3
-    (4, TType.I64, 'owner_born_ms', None, None, ),  # 4
-    (5, TType.I64, 'fence', None, None, ),  # 5
-    (6, TType.BOOL, 'is_settled', None, None, ),  # 6
+    (1, TType.STRING, 'server_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born_ms', None, None, ),  # 2
 )
 all_structs.append(KeyMapPush)
 KeyMapPush.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
-    (2, TType.LIST, 'segments', (TType.STRUCT, [SegmentEntry, None], False), None, ),  # 2
+    (2, TType.LIST, 'owners', (TType.STRUCT, [Owner, None], False), None, ),  # 2
+    (3, TType.LIST, 'owner_numbers', (TType.I16, None, False), None, ),  # 3
+    (4, TType.LIST, 'start_keys', (TType.I32, None, False), None, ),  # 4
+    (5, TType.LIST, 'end_keys', (TType.I32, None, False), None, ),  # 5
+    (6, TType.LIST, 'fences', (TType.I64, None, False), None, ),  # 6
+    (7, TType.LIST, 'unsettled', (TType.I16, None, False), None, ),  # 7
 )
 all_structs.append(ServerSpeed)
 ServerSpeed.thrift_spec = (
--- a/packages/radishferryd/src/radishferryd/router/hub.py
+++ b/packages/radishferryd/src/radishferryd/router/hub.py
@@ -5,7 +5,6 @@
 import logging
 
 from radishferryd.gen.router import ttypes
-from radishferryd.router import links
 
 LOG = logging.getLogger(__name__)
 
@@ -184,20 +183,19 @@
 
 
 def _key_map_push(service, segments):
+    numbers = {}
+    for segment in segments:
+        numbers.setdefault(segment.owner, len(numbers))
     return ttypes.KeyMapPush(
         service,
+        [ttypes.Owner(*owner) for owner in numbers],
+        [numbers[segment.owner] for segment in segments],
+        [segment.start for segment in segments],
+        [segment.end for segment in segments],
+        [segment.fence for segment in segments],
         [
-            ttypes.SegmentEntry(
-                segment.start,
-                segment.end,
-                *segment.owner,
-                segment.fence,
-                segment.is_settled,
-            )
-            for segment in segments
+            number
+            for number, segment in enumerate(segments)
+            if not segment.is_settled
         ],
     )
-
-
-#: Seconds between beats, for the caller's timer.
-BEAT_S = links.BEAT_S
--- a/packages/radishferryd/src/radishferryd/router/ownership.py
+++ b/packages/radishferryd/src/radishferryd/router/ownership.py
@@ -8,7 +8,6 @@
 import logging
 
 from radishferry.direct import granting
-from radishferry.direct import key_map
 from radishferry.direct import key_rows
 from radishferry.direct import placement
 from radishferryd.platform import store as store_module
@@ -20,7 +19,7 @@
 #: Seconds between looks at what is due.
 TICK_S = 0.1
 #: Seconds between plans that balance load.
-BALANCE_S = 0.9
+BALANCE_S = 0.6
 #: Seconds between the first plan and the list of servers; servers that
 #: start together register within about a second.
 GATHER_S = 1.0
@@ -36,8 +35,11 @@
 #: Seconds of answers averaged for the speed of a server, as a number of
 #: answers.
 SPEED_ANSWERS = 60.0
-#: Service time assumed for servers that have not answered yet, in seconds.
+#: Service time assumed before servers have answered, in seconds, and the
+#: number of answers that it counts for: short requests are answered first,
+#: so that the first answers alone show servers as too fast.
 DEFAULT_SERVICE_S = 0.1
+DEFAULT_ANSWERS = 100
 #: Narrowest and widest speed taken for a server in relation to the others.
 MIN_SPEED, MAX_SPEED = 0.4, 4.0
 
@@ -296,10 +298,22 @@
         service.planned_at = now
         if granter.unsettled > MAX_UNSETTLED:
             return None
-        layout, moves = placement.rebalance(
+        plan = placement.rebalance(
             granter.ranges, capacities, loads, may_give, now
         )
-        return layout if moves else None
+        if not plan.moves:
+            return None
+        LOG.info(
+            'ownership: Load is to be balanced.',
+            extra={
+                'service': granter.service,
+                'moves': plan.moves,
+                'busiest_use': round(plan.busiest_use, 3),
+                'mean_use': round(plan.mean_use, 3),
+                'rate_per_s': round(service.rates.total(), 1),
+            },
+        )
+        return plan.layout
 
     def _candidates(self, service, now):
         return [
@@ -322,12 +336,15 @@
         return (owners - staying) | lapsed
 
     def _capacities(self, servers):
-        mean_s = [
-            speed.mean_s
+        known = [
+            self._speeds[server.server_id]
             for server in servers
-            if (speed := self._speeds.get(server.server_id)) and speed.answers
+            if server.server_id in self._speeds
         ]
-        usual_s = sum(mean_s) / len(mean_s) if mean_s else DEFAULT_SERVICE_S
+        usual_s = (
+            DEFAULT_SERVICE_S * DEFAULT_ANSWERS
+            + sum(speed.total_s for speed in known)
+        ) / (DEFAULT_ANSWERS + sum(speed.answers for speed in known))
         return [
             placement.Capacity(
                 server.life,
@@ -447,11 +464,3 @@
         self._knowledge.apply_segments(name, changed)
         for callback in self.on_segments:
             callback(name, changed)
-
-
-def settled(segment, is_settled):
-    """Return a segment as a host that only routes needs it."""
-    previous = () if is_settled else (segment.owner,)
-    return key_map.Segment(
-        segment.start, segment.end, segment.owner, segment.fence, previous
-    )
--- a/packages/radishferryd/src/radishferryd/router/spoke.py
+++ b/packages/radishferryd/src/radishferryd/router/spoke.py
@@ -198,7 +198,7 @@
     def _on_key_map_push(self, message):
         self._knowledge.apply_segments(
             message.service_name,
-            tuple(_segment(entry) for entry in message.segments),
+            tuple(_segments(message)),
         )
 
     def _on_poison_push(self, message):
@@ -218,12 +218,17 @@
     )
 
 
-def _segment(entry):
-    owner = (entry.owner_id, entry.owner_born_ms)
-    return key_map.Segment(
-        entry.start_key,
-        entry.end_key,
-        owner,
-        entry.fence,
-        () if entry.is_settled else (owner,),
+def _segments(message):
+    owners = [(owner.server_id, owner.born_ms) for owner in message.owners]
+    unsettled = set(message.unsettled)
+    columns = zip(
+        message.owner_numbers,
+        message.start_keys,
+        message.end_keys,
+        message.fences,
+        strict=True,
     )
+    for number, (owner_number, start, end, fence) in enumerate(columns):
+        owner = owners[owner_number]
+        previous = (owner,) if number in unsettled else ()
+        yield key_map.Segment(start, end, owner, fence, previous)
