--- /dev/null
+++ b/features/direct_host.feature
@@ -0,0 +1,93 @@
+Feature: Hosts that send to servers directly
+
+  Background:
+    Given two direct hosts before a store, 2 keyed and 2 plain servers
+
+  # Guards the whole path: configuration, servers and grants from the store,
+  # one hop to the owner, the answer with its signature.
+  Scenario: Requests of all kinds are answered by their servers
+    When keys 5, 30000 and 65535 are looked up at both hosts
+    Then each answer is 200 with a signature
+    And both hosts name the same owner for each key
+    When a payment "p1" is sent to host 1
+    Then the answer is 200 with a signature
+    And "p1" has run once
+
+  # Guards against answers that change places on a pipelined connection.
+  Scenario: Pipelined requests are answered in order
+    When 6 lookups are sent to host 1 on one connection at once
+    Then 6 answers come in the order of the requests
+
+  # Guards against a second run of what may run only once.
+  Scenario: A payment whose server breaks off is not sent again
+    Given plain servers break off requests after they began
+    When a payment "p2" is sent to host 1
+    Then the answer is 502 without a signature
+    And "p2" has run once
+
+  # Guards against a refusal that hides where the request can be served.
+  Scenario: A payment that a server has not run is sent to another one
+    Given plain server 0 turns requests away
+    When 8 payments are sent to host 1
+    Then each answer is 200 with a signature
+
+  # Guards against a second answer that is taken for that of a later request.
+  Scenario: An answer to another request is not returned
+    Given plain servers answer another request
+    When a payment "p3" is sent to host 1
+    Then the answer is 504 without a signature
+
+  # Guards against work for a server that leaves.
+  Scenario: A server that leaves gets nothing after two seconds
+    When plain server 0 announces that it leaves
+    And 2 seconds pass
+    And 10 payments are sent to host 2
+    Then plain server 0 has run none of them
+
+  # Guards against keys that stay with a server that leaves.
+  Scenario: The keys of a leaving server move to the other one
+    When keyed server 0 announces that it leaves
+    And 2 seconds pass
+    Then keys 5, 30000 and 65535 are served by keyed server 1
+
+  # Guards against an older configuration after a newer one, and a slow one.
+  Scenario: A newer configuration is in force at both hosts within 2 seconds
+    When configuration 9 is put and then configuration 4
+    And 2 seconds pass
+    Then both hosts have configuration 9 in force
+
+  # Guards against an outage of the store that stops service.
+  Scenario: Keys are served while the store is away
+    When the store is away
+    And 7 seconds pass
+    And keys 5, 30000 and 65535 are looked up at both hosts
+    Then each answer is 200 with a signature
+
+  # Guards against keys without owner after the loss of the granting host.
+  Scenario: Another host grants after the granting host is killed
+    When the granting host is killed
+    And 6 seconds pass
+    Then the other host grants
+    And keys 5, 30000 and 65535 are served at the other host
+
+  # Guards against requests that a planned stop cuts off.
+  Scenario: A stopping host finishes what it has read
+    When a slow payment "p4" is under way at host 1 and it is stopped
+    Then the answer is 200 with a signature
+    And host 1 is not ready
+    And host 1 ends within 6 seconds
+
+  # Guards against requests that are hidden inside others.
+  Scenario Outline: A request with <problem> is refused
+    When host 1 gets a request with <problem>
+    Then the answer is <status> without a signature
+    And no server has run anything
+
+    Examples:
+      | problem               | status |
+      | two framings          | 400    |
+      | no host               | 400    |
+      | a key that is no key  | 400    |
+      | an unknown path       | 404    |
+      | an unknown host       | 404    |
+      | a head of 20000 bytes | 431    |
--- a/features/direct_placement.feature
+++ b/features/direct_placement.feature
@@ -44,3 +44,13 @@
     When server 3 leaves
     Then server 3 owns nothing
     And the busiest server has at most 1.3 times the mean number of keys
+
+  # Answers the pattern of servers that join a quiet day: no server is short
+  # of slots, and the new ones would get nothing.
+  Scenario: A server that joins gets keys also on a quiet day
+    Given 22 servers of equal speed own the keys
+    And 50 requests a second are for all keys alike
+    When a server joins
+    And the load is balanced 1 times
+    Then the new server owns between 4 and 16 ranges
+    And at most 10 ranges have moved
--- /dev/null
+++ b/features/steps/direct_host_steps.py
@@ -0,0 +1,375 @@
+"""Steps for hosts that send directly, as processes."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import http.client
+import itertools
+import json
+import signal
+import socket
+import sys
+import tempfile
+import time
+
+import behave
+
+from radishferry_testing import process_specs
+from radishferry_testing import processes as processes_module
+
+_LIMIT_S = 60.0
+_KEYS = (5, 30000, 65535)
+_NAMES = ('host1', 'host2')
+_ids = itertools.count()
+
+
+def _platform(work_ms):
+    ports = ('port', 'k0', 'k1', 'p0', 'p1')
+    command = (
+        sys.executable,
+        '-m',
+        'radishferry_testing.users_platform',
+        *('--port', '{port}', '--work-ms', str(work_ms)),
+        *('--keyed-ports', '{k0}', '{k1}'),
+        *('--plain-ports', '{p0}', '{p1}'),
+    )
+    return process_specs.ProcessSpec('platform', command, ports)
+
+
+def _host(name):
+    address = '127.0.0.1:{}'
+    listen = {
+        option: address.format('{' + option + '}')
+        for option in ('callers', 'ready', 'links', 'metrics')
+    }
+    settings = {
+        'host': {'name': name, 'data_centre': 'a'},
+        'listen': listen,
+        'platform': {'address': address.format('{platform.port}')},
+        'retry': {'ratio': '0.2', 'slack': '64', 'window_s': '10'},
+        'grants': {'hold_max_s': '10'},
+        'stop': {'grace_s': '6'},
+    }
+    command = (
+        sys.executable,
+        '-m',
+        'radishferryd.main',
+        *('--settings', '{settings}', '--direct'),
+    )
+    return process_specs.ProcessSpec(
+        name, command, tuple(listen), settings, ready='ready/api/ready'
+    )
+
+
+@behave.fixture
+def deployment(context):
+    """Run the processes of one scenario."""
+    specs = [_platform(30), *(_host(name) for name in _NAMES)]
+    with tempfile.TemporaryDirectory() as directory:
+        with processes_module.running(directory, specs) as found:
+            yield found
+
+
+def _until(condition):
+    """Wait for a condition; the limit only ends a hanging test."""
+    end = time.monotonic() + _LIMIT_S
+    while True:
+        found = condition()
+        if found:
+            return found
+        assert time.monotonic() < end, 'the condition did not come true'
+        time.sleep(0.02)
+
+
+def _call(port, method, path, headers=(), body=None):
+    connection = http.client.HTTPConnection('127.0.0.1', port, timeout=20)
+    try:
+        connection.request(method, path, body, dict(headers))
+        answer = connection.getresponse()
+        return answer.status, dict(answer.getheaders()), answer.read()
+    finally:
+        connection.close()
+
+
+def _request(context, host, method, path, request_id=None, **headers):
+    fields = {
+        'Host': 'example',
+        'X-Request-Id': request_id or f'r{next(_ids)}',
+        'X-Deadline-Ms': '6000',
+        **{name.replace('_', '-'): value for name, value in headers.items()},
+    }
+    port = context.processes.port(f'host{host}', 'callers')
+    body = b'amount=5' if method == 'POST' else None
+    return _call(port, method, path, fields, body)
+
+
+def _lookup(context, host, key):
+    return _request(context, host, 'GET', '/k/x', X_Shard_Key=str(key))
+
+
+def _test(context, name, **arguments):
+    port = context.processes.port('platform')
+    body = json.dumps(arguments).encode()
+    status, _, answer = _call(port, 'POST', f'/test/{name}', (), body)
+    assert status == 200, status
+    return json.loads(answer)
+
+
+def _state(context, name):
+    port = context.processes.port(name, 'metrics')
+    return json.loads(_call(port, 'GET', '/state')[2])
+
+
+def _runs(context):
+    return [e for e in _test(context, 'events') if e[0] == 'run']
+
+
+def _is_served(context, host, key):
+    return _lookup(context, host, key)[0] == 200
+
+
+@behave.given('two direct hosts before a store, 2 keyed and 2 plain servers')
+def start(context):
+    context.processes = behave.use_fixture(deployment, context)
+    _until(
+        lambda: all(
+            _is_served(context, host, key) for host in (1, 2) for key in _KEYS
+        )
+    )
+    context.before = len(_runs(context))
+
+
+@behave.given('plain servers break off requests after they began')
+def break_off(context):
+    _change_plain(context, 'reset')
+
+
+@behave.given('plain servers answer another request')
+def answer_other(context):
+    _change_plain(context, 'extra')
+
+
+def _change_plain(context, failure):
+    for number in (0, 1):
+        _test(
+            context, 'server', server_id=f'i-plain-{number}', failure=failure
+        )
+
+
+@behave.given('plain server 0 turns requests away')
+def turn_away(context):
+    _test(context, 'server', server_id='i-plain-0', failure='shed')
+
+
+@behave.when('keys 5, 30000 and 65535 are looked up at both hosts')
+def look_up(context):
+    context.lookups = {
+        (host, key): _lookup(context, host, key)
+        for host in (1, 2)
+        for key in _KEYS
+    }
+    context.answers = list(context.lookups.values())
+
+
+@behave.when('a payment "{request_id}" is sent to host {host:d}')
+def pay(context, request_id, host):
+    context.answers = [_request(context, host, 'POST', '/p/x', request_id)]
+
+
+@behave.when('{count:d} payments are sent to host {host:d}')
+def pay_many(context, count, host):
+    context.before = len(_runs(context))
+    context.answers = [
+        _request(context, host, 'POST', '/p/x') for _ in range(count)
+    ]
+
+
+@behave.when('{count:d} lookups are sent to host 1 on one connection at once')
+def pipeline(context, count):
+    context.sent = [f'pipe{number}' for number in range(count)]
+    data = b''.join(
+        f'GET /k/{name} HTTP/1.1\r\nHost: example\r\nX-Request-Id: {name}\r\n'
+        f'X-Deadline-Ms: 6000\r\nX-Shard-Key: {number * 9000}\r\n\r\n'.encode()
+        for number, name in enumerate(context.sent)
+    )
+    port = context.processes.port('host1', 'callers')
+    with socket.create_connection(('127.0.0.1', port), 20) as sock:
+        sock.sendall(data)
+        context.received = []
+        file = sock.makefile('rb')
+        for _ in range(count):
+            status = file.readline().split()[1].decode()
+            fields = dict(
+                line.decode().strip().lower().split(': ', 1)
+                for line in iter(file.readline, b'\r\n')
+            )
+            file.read(int(fields['content-length']))
+            context.received.append((status, fields['x-request-id']))
+
+
+@behave.when('{kind:w} server {number:d} announces that it leaves')
+def leave(context, kind, number):
+    _test(
+        context,
+        'server',
+        server_id=f'i-{kind}-{number}',
+        state='draining',
+    )
+
+
+@behave.when('{seconds:g} seconds pass')
+def wait(context, seconds):
+    time.sleep(seconds)
+
+
+@behave.when('configuration {first:d} is put and then configuration {last:d}')
+def configure(context, first, last):
+    _test(context, 'configure', version=first)
+    time.sleep(0.5)
+    _test(context, 'configure', version=last)
+
+
+@behave.when('the store is away')
+def store_away(context):
+    _test(context, 'store', is_down=True)
+
+
+@behave.when('the granting host is killed')
+def kill_granter(context):
+    granter = _until(
+        lambda: next(
+            (n for n in _NAMES if _state(context, n)['is_granter']), None
+        )
+    )
+    context.processes.signal(granter, signal.SIGKILL)
+    context.other = next(name for name in _NAMES if name != granter)
+
+
+@behave.when(
+    'a slow payment "{request_id}" is under way at host 1 and it is stopped'
+)
+def stop_under_way(context, request_id):
+    for number in (0, 1):
+        _test(context, 'server', server_id=f'i-plain-{number}', work_s=1.0)
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        answer = pool.submit(_request, context, 1, 'POST', '/p/x', request_id)
+        _until(
+            lambda: any(e[2].get('id') == request_id for e in _runs(context))
+        )
+        context.processes.signal('host1', signal.SIGTERM)
+        context.answers = [answer.result()]
+
+
+@behave.when('host 1 gets a request with {problem}')
+def bad_request(context, problem):
+    fields = {
+        'Host': 'Host: example',
+        'path': '/k/x',
+        'more': ['X-Shard-Key: 5'],
+    }
+    if problem == 'two framings':
+        fields['more'] += ['Content-Length: 5', 'Transfer-Encoding: chunked']
+    elif problem == 'no host':
+        fields['Host'] = 'X-Other: 1'
+    elif problem == 'a key that is no key':
+        fields['more'] = ['X-Shard-Key: 70000']
+    elif problem == 'an unknown path':
+        fields['path'] = '/other/x'
+    elif problem == 'an unknown host':
+        fields['Host'] = 'Host: other'
+    else:
+        fields['more'] += ['X-Long: ' + 'a' * 20000]
+    lines = [
+        f'GET {fields["path"]} HTTP/1.1',
+        fields['Host'],
+        'X-Request-Id: bad',
+        *fields['more'],
+    ]
+    data = ('\r\n'.join(lines) + '\r\n\r\n').encode()
+    port = context.processes.port('host1', 'callers')
+    with socket.create_connection(('127.0.0.1', port), 20) as sock:
+        sock.sendall(data)
+        status = int(sock.makefile('rb').readline().split()[1])
+    context.answers = [(status, {}, b'')]
+
+
+@behave.then('each answer is 200 with a signature')
+@behave.then('the answer is 200 with a signature')
+def served(context):
+    assert context.answers
+    for status, headers, _ in context.answers:
+        assert status == 200, status
+        assert 'x-response-signature' in headers, headers
+
+
+@behave.then('the answer is {status:d} without a signature')
+def failed(context, status):
+    ((found, headers, body),) = context.answers
+    assert found == status, (found, body)
+    assert 'x-response-signature' not in headers, headers
+
+
+@behave.then('both hosts name the same owner for each key')
+def same_owner(context):
+    for key in _KEYS:
+        bodies = {context.lookups[host, key][2] for host in (1, 2)}
+        assert len(bodies) == 1, bodies
+
+
+@behave.then('"{request_id}" has run once')
+def ran_once(context, request_id):
+    found = [e for e in _runs(context) if e[2]['id'] == request_id]
+    assert len(found) == 1, found
+
+
+@behave.then('{count:d} answers come in the order of the requests')
+def in_order(context, count):
+    assert context.received == [('200', name) for name in context.sent]
+
+
+@behave.then('plain server 0 has run none of them')
+def ran_none(context):
+    found = _runs(context)[context.before :]
+    assert found
+    assert all(event[1] != 'i-plain-0' for event in found), found
+
+
+@behave.then('keys 5, 30000 and 65535 are served by keyed server 1')
+def served_by(context):
+    for key in _KEYS:
+        status, _, body = _lookup(context, 1, key)
+        assert status == 200
+        assert body.endswith(b'i-keyed-1'), body
+
+
+@behave.then('both hosts have configuration {version:d} in force')
+def in_force(context, version):
+    found = {_state(context, name)['configuration'] for name in _NAMES}
+    assert found == {version}, found
+
+
+@behave.then('the other host grants')
+def other_grants(context):
+    assert _state(context, context.other)['is_granter']
+
+
+@behave.then('keys 5, 30000 and 65535 are served at the other host')
+def served_at_other(context):
+    host = int(context.other[-1])
+    assert all(_is_served(context, host, key) for key in _KEYS)
+
+
+@behave.then('host 1 is not ready')
+def not_ready(context):
+    port = context.processes.port('host1', 'ready')
+    assert _call(port, 'GET', '/api/ready')[0] == 503
+
+
+@behave.then('host 1 ends within {seconds:d} seconds')
+def ends(context, seconds):
+    assert context.processes.wait_ended('host1', seconds) == 0
+
+
+@behave.then('no server has run anything')
+def ran_nothing(context):
+    assert len(_runs(context)) == context.before
--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -178,3 +178,16 @@
     for found in context.granter.ranges:
         counts[found.owner] += found.end - found.start + 1
     assert max(counts.values()) <= ratio * key_map.KEY_COUNT / len(counts)
+
+
+@behave.when('a server joins')
+def join(context):
+    life = ('new', 1)
+    context.speeds[life] = 1.0
+    context.capacities.append(placement.Capacity(life, SLOTS / WORK_S))
+
+
+@behave.then('the new server owns between {least:d} and {most:d} ranges')
+def new_owns(context, least, most):
+    owned = [f for f in context.granter.ranges if f.owner == ('new', 1)]
+    assert least <= len(owned) <= most, len(owned)
--- a/packages/radishferry-testing/src/radishferry_testing/processes.py
+++ b/packages/radishferry-testing/src/radishferry_testing/processes.py
@@ -141,6 +141,10 @@
             popen.kill()
             return popen.wait()
 
+    def signal(self, name, number):
+        """Send a signal to a process without waiting for its end."""
+        self._processes[name].popen.send_signal(number)
+
     def pause(self, name):
         """Freeze a process with SIGSTOP."""
         self._processes[name].popen.send_signal(signal.SIGSTOP)
--- a/packages/radishferry-testing/src/radishferry_testing/users_platform.py
+++ b/packages/radishferry-testing/src/radishferry_testing/users_platform.py
@@ -1,9 +1,8 @@
 """Stand in for the users' store and servers, by their published protocol.
 
-Run it with ``python -m radishferry_testing.users_platform``. The servers
-listen on the ports after the one of the store. Paths below ``/test/`` change
-the world: they put a configuration, stop a server's registration, or show
-what the servers have run.
+Run it with ``python -m radishferry_testing.users_platform``. Paths below
+``/test/`` change the world: they put a configuration, stop a server's
+registration, or show what the servers have run.
 """
 
 from __future__ import annotations
@@ -11,7 +10,6 @@
 import asyncio
 import base64
 import binascii
-import itertools
 import json
 import time
 import zlib
@@ -263,14 +261,16 @@
 class World:
     """Hold the store, the servers and what they have done."""
 
-    def __init__(self, port, keyed, plain, work_s):
+    def __init__(self, keyed_ports, plain_ports, work_s):
         self.store = Store()
         self.events = []
-        ports = itertools.count(port + 1)
         self.servers = [
-            Server(n, service, next(ports), 'a', self._note, work_s)
-            for service, count in (('keyed', keyed), ('plain', plain))
-            for n in range(count)
+            Server(number, service, port, 'a', self._note, work_s)
+            for service, ports in (
+                ('keyed', keyed_ports),
+                ('plain', plain_ports),
+            )
+            for number, port in enumerate(ports)
         ]
 
     def _note(self, kind, server, detail):
@@ -360,17 +360,23 @@
             task.cancel()
 
 
-def main(*, port: int, keyed: int = 3, plain: int = 3, work_ms: float = 5.0):
+def main(
+    *,
+    port: int,
+    keyed_ports: list[int],
+    plain_ports: list[int],
+    work_ms: float = 5.0,
+):
     """Serve the store and the servers.
 
-    :param port: Port of the store; the servers use the next ones.
-    :param keyed: Servers of the service that is divided by keys.
-    :param plain: Servers of the other service.
+    :param port: Port of the store.
+    :param keyed_ports: Ports of the service that is divided by keys.
+    :param plain_ports: Ports of the other service.
     :param work_ms: Milliseconds of work of a request.
     """
 
     async def start():
-        world = World(port, keyed, plain, work_ms / 1000)
+        world = World(keyed_ports, plain_ports, work_ms / 1000)
         world.configure(1)
         await run(world, port)
 
--- a/packages/radishferry/src/radishferry/direct/granting.py
+++ b/packages/radishferry/src/radishferry/direct/granting.py
@@ -259,6 +259,11 @@
                 found.handover,
             )
 
+    def renew_all(self, now):
+        """Renew every grant at the next look, whenever it is due."""
+        for found in self._ranges:
+            found.next_at = min(found.next_at, now)
+
     def note_pending(self, order, now):
         """Note that an order is under way, so that it is not repeated.
 
--- a/packages/radishferry/src/radishferry/direct/placement.py
+++ b/packages/radishferry/src/radishferry/direct/placement.py
@@ -210,7 +210,8 @@
         for found in ranges
     ]
     busiest_use, mean_use = room.busiest_use, room.mean_use
-    moves = _move_hot_keys(pieces, room, loads, may_give, now)
+    moves = _fill_empty(pieces, room, loads, may_give, now)
+    moves += _move_hot_keys(pieces, room, loads, may_give, now)
     stuck = set()
     while moves < (MAX_URGENT_MOVES if room.is_short else MAX_MOVES):
         busiest = room.busiest(stuck)
@@ -229,6 +230,41 @@
     return Plan(layout, moves, busiest_use, mean_use)
 
 
+def _fill_empty(pieces, room, loads, may_give, now):
+    """Give servers without keys half of a fair number of busy ranges.
+
+    A server that joins while no other one is short of slots would otherwise
+    stay empty and be cold when it is needed.
+    """
+    counts = collections.Counter(piece[2] for piece in pieces)
+    empty = [life for life in room.lives if not counts[life]]
+    if not empty:
+        return 0
+    wanted = max(1, len(pieces) // (2 * len(room.lives)))
+    candidates = sorted(
+        (
+            piece
+            for piece in pieces
+            if piece[0] < piece[1] and now - piece[3] >= REST_S
+        ),
+        key=lambda piece: -loads.load(piece[0], piece[1]),
+    )
+    moves = 0
+    for piece, target in zip(candidates, itertools.cycle(empty)):
+        start, end, owner, _ = piece
+        if moves >= wanted * len(empty):
+            break
+        # The last range of an owner stays, so that none is emptied.
+        if counts[owner] < 2 or not may_give(target, start, end):
+            continue
+        counts[owner] -= 1
+        piece[2:] = [target, now]
+        room.add(owner, start, end, sign=-1)
+        room.add(target, start, end)
+        moves += 1
+    return moves
+
+
 def _move_hot_keys(pieces, room, loads, may_give, now):
     """Give each hot key to the fastest server that is not busy with one."""
     moves = 0
@@ -335,6 +371,10 @@
         """Tell whether a server has too few slots."""
         return any(self._use(life) > SHORT_USE for life in self._load)
 
+    @property
+    def lives(self):
+        return tuple(self._load)
+
     @property
     def busiest_use(self):
         return max(map(self._use, self._load), default=0.0)
--- a/packages/radishferry/src/radishferry/direct/selection.py
+++ b/packages/radishferry/src/radishferry/direct/selection.py
@@ -28,6 +28,9 @@
 FAR_COST_S = 0.03
 #: Factor on the service time of a server that has just started.
 WARMUP_FACTOR = 2.0
+#: Factor on the cost of a server in the own data centre that has not
+#: answered this host yet, so that servers that join are tried early.
+UNTRIED_FACTOR = 0.2
 #: Waiting requests for each slot above which a server takes no more.
 MAX_WAITING_PER_SLOT = 2.5
 
@@ -162,7 +165,10 @@
         # A failed request costs a second attempt.
         failing = stats.failure_share(now)
         cost = expected / max(0.05, 1 - failing)
-        if server.data_centre != data_centre:
+        is_far = server.data_centre != data_centre
+        if not (is_far or stats.samples or stats.in_flight or failing):
+            cost *= UNTRIED_FACTOR
+        if is_far:
             cost += FAR_COST_S + FAR_COST_S_PER_BYTE * answer_bytes
         if stats.is_full(now):
             cost += 10.0
--- a/packages/radishferryd/src/radishferryd/router/ownership.py
+++ b/packages/radishferryd/src/radishferryd/router/ownership.py
@@ -109,6 +109,7 @@
         self._write_ids = itertools.count(1)
         self._ended_checked = {}
         self._will_step = False
+        self._is_silent = False
         self.desk = orders.OrderDesk(
             poller,
             scheduler,
@@ -203,9 +204,22 @@
             self._publish(service)
 
     def _hold_s(self):
-        # While the store is silent nobody else can move keys, and renewals
-        # end with the right to grant.
-        if self._term.silent_s > SILENT_S:
+        """Return how long new grants hold.
+
+        While the store is silent nobody else can move keys, and renewals
+        end with the right to grant, so all grants are made longer before.
+        """
+        is_silent = self._term.silent_s > SILENT_S
+        if is_silent and not self._is_silent:
+            LOG.warning(
+                'ownership: Grants are renewed for long, since the store is '
+                'silent.',
+                extra={'silent_s': round(self._term.silent_s, 2)},
+            )
+            for service in self._services.values():
+                service.granter.renew_all(self._scheduler.now())
+        self._is_silent = is_silent
+        if is_silent:
             return self._hold_max_s * OUTAGE_HOLD_SHARE
         return granting.HOLD_S
 
