--- /dev/null
+++ b/features/direct_selection.feature
@@ -0,0 +1,50 @@
+Feature: The server of a request is chosen by load, speed and health
+
+  Background:
+    Given servers a1, a2 and b1 in data centres a, a and b
+
+  # Guards against work for slow servers while others are free.
+  Scenario: A slow server gets little
+    Given a2 takes 5 times as long as the others
+    When 100 requests are sent one after the other from data centre a
+    Then a2 gets at most 10 of them
+
+  # Answers the pattern of servers that fail a part of their requests while
+  # their health answers are good.
+  Scenario: A server that fails half of its requests is avoided
+    Given a2 fails every second request
+    When 100 requests are sent one after the other from data centre a
+    Then a2 gets at most 25 of them
+
+  # Guards against bytes between data centres while near servers have room.
+  Scenario: Large answers stay in the data centre
+    When 100 requests with answers of 90000 bytes are sent from data centre a
+    Then b1 gets at most 3 of them
+
+  # Answers the pattern of a crowd that fills the near servers.
+  Scenario: A crowd spills over to the other data centre
+    When 60 requests are sent at once from data centre a
+    Then b1 gets at least 12 of them
+
+  # Guards against requests that wait for a dead server, and against one that
+  # is never tried again.
+  Scenario: An unreachable server is tried again by one request at a time
+    Given a1 and b1 are unreachable
+    When 0.1 seconds go by
+    Then a2 is chosen
+    When 2 seconds go by
+    Then a1 and b1 can be chosen
+    When a request is sent to a1
+    Then a1 cannot be chosen
+
+  # Guards against servers that lose all work because one connection broke.
+  Scenario: A broken connection is no reason for a pause
+    Given a request to a1 lost its connection
+    Then a1 can be chosen
+
+  # Guards against servers that join and get nothing on a quiet day.
+  Scenario: A server that has just joined is tried early
+    Given a1 has answered 50 requests
+    And b1 has answered 50 requests
+    When 3 requests are sent one after the other from data centre a
+    Then a2 gets at least 1 of them
--- a/packages/radishferry/src/radishferry/direct/selection.py
+++ b/packages/radishferry/src/radishferry/direct/selection.py
@@ -19,8 +19,9 @@
 #: First pause after a connection failure, in seconds; doubled with each one
 #: in a row.
 FIRST_PAUSE_S = 0.4
-#: Longest pause after connection failures, in seconds.
-LONGEST_PAUSE_S = 4.0
+#: Longest pause after connection failures, in seconds. The keys of a server
+#: wait for it, and a new attempt costs one connection.
+LONGEST_PAUSE_S = 1.6
 #: Cost of sending to another data centre for each byte of an answer, in
 #: seconds of waiting; 90 kB weigh as much as three usual answers.
 FAR_COST_S_PER_BYTE = 6e-6
@@ -71,6 +72,7 @@
             time tells the speed of the server only when there are none.
         """
         self._connection_failures = 0
+        self._paused_until = -math.inf
         self._note_failure(0.0, now)
         if not waiting:
             self.samples += 1
@@ -81,8 +83,18 @@
         """Count a request that the server failed or turned away."""
         self._note_failure(1.0, now)
 
+    def note_sent(self, now):
+        """Count a request; the first one after a pause goes alone."""
+        self.in_flight += 1
+        if self._connection_failures:
+            self._paused_until = now + FIRST_PAUSE_S
+
     def note_connection_failure(self, now):
-        """Count a broken connection or a silent one, and pause."""
+        """Count an attempt to connect that failed, and pause.
+
+        A connection that breaks is no reason for a pause: servers reset
+        single connections and go on.
+        """
         self._note_failure(1.0, now)
         self._connection_failures += 1
         pause = FIRST_PAUSE_S * 2 ** (self._connection_failures - 1)
--- a/packages/radishferryd/src/radishferryd/router/backends.py
+++ b/packages/radishferryd/src/radishferryd/router/backends.py
@@ -345,7 +345,7 @@
         connection = self._take(is_idempotent)
         if connection is None:
             return False
-        self.stats.in_flight += 1
+        self.stats.note_sent(self._scheduler.now())
         if attempt.key is not None:
             self.key_counts[attempt.key] += 1
         connection.send(attempt)
@@ -377,10 +377,7 @@
             elif not result.is_misdirected:
                 self.stats.note_failure(now)
         elif result is not None:
-            if result.is_connection_lost:
-                self.stats.note_connection_failure(now)
-            else:
-                self.stats.note_failure(now)
+            self.stats.note_failure(now)
 
     last_waiting = 0
 
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -14,9 +14,6 @@
 
 #: Seconds after which callers may return to a host without configuration.
 STARTING_RETRY_S = 0.5
-#: Seconds above which an answered request gets a log line of its own; the
-#: others are counted.
-SLOW_ANSWER_S = 1.0
 
 
 class Gateway:
@@ -223,7 +220,7 @@
             },
         )
 
-    def finished(self, request, status, outcome, detail, elapsed_s=None):
+    def finished(self, request, status, outcome, detail):
         """Note the end of a request."""
         self.open_requests -= 1
         now = self.now()
@@ -231,8 +228,8 @@
         self._metrics.count_request(
             request.service, request.route.name, outcome, took_s
         )
-        if outcome == 'answered' and status < 500 and took_s < SLOW_ANSWER_S:
-            return
+        in_time = took_s <= request.route.target_latency_s
+        configuration = self._knowledge.configuration
         LOG.info(
             'request: Ended.',
             extra={
@@ -244,7 +241,10 @@
                 'outcome': outcome,
                 'detail': detail,
                 'took_s': round(took_s, 4),
+                **request.decision,
                 'registry_age_s': round(self.registry.age(now), 3),
+                'configuration': configuration.version,
+                'routine': outcome == 'answered' and status < 500 and in_time,
             },
         )
 
--- a/packages/radishferryd/src/radishferryd/router/log_output.py
+++ b/packages/radishferryd/src/radishferryd/router/log_output.py
@@ -10,6 +10,8 @@
 LINES_PER_S = 120.0
 #: Lines that may be written at once after a quiet time.
 BURST_LINES = 600.0
+#: Part of the burst that routine lines leave for the others.
+ROUTINE_RESERVE = 0.5
 #: Bytes that wait for a slow reader; lines beyond are dropped.
 MAX_WAITING_BYTES = 262144
 
@@ -17,7 +19,8 @@
 class BoundedStream:
     """Be the stream of a log handler; drop and count what is too much.
 
-    Warnings and errors are written also when the rate is used up.
+    Warnings and errors are written also when the rate is used up, and lines
+    with a true attribute ``routine`` only while much of it is left.
     """
 
     def __init__(self, fd, now):
@@ -43,7 +46,10 @@
             BURST_LINES, self._allowance + (now - self._at) * LINES_PER_S
         )
         self._at = now
-        if self._allowance < 1 and record.levelno < logging.WARNING:
+        needed = 1.0
+        if getattr(record, 'routine', False):
+            needed = BURST_LINES * ROUTINE_RESERVE
+        if self._allowance < needed and record.levelno < logging.WARNING:
             self.dropped += 1
             self._unreported += 1
             return False
--- a/packages/radishferryd/src/radishferryd/router/orders.py
+++ b/packages/radishferryd/src/radishferryd/router/orders.py
@@ -153,6 +153,18 @@
                 is_first = granter.note_granted(order, sent_at, now)
                 if is_first:
                     self._desk.on_freed()
+                    LOG.info(
+                        'orders: %s holds keys %d to %d.',
+                        order.segment.owner[0],
+                        order.segment.start,
+                        order.segment.end,
+                        extra={
+                            'fence': order.segment.fence,
+                            'with_state': bool(order.handover),
+                            'hold_s': order.hold_s,
+                            'routine': True,
+                        },
+                    )
             else:
                 granter.note_released(order, result.handover)
                 self._desk.on_freed()
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -86,6 +86,7 @@
         self._attempt = None
         self._tried = []
         self._attempts = 0
+        self._choice = {}
         self._was_sent = False
         self._is_waiting = False
         self._is_done = False
@@ -101,6 +102,11 @@
         """Tell whether the request may run more than once."""
         return self.route.kind.is_idempotent
 
+    @property
+    def decision(self):
+        """Return what decided the last choice of a server, for the log."""
+        return {'attempts': self._attempts, **self._choice}
+
     @property
     def fingerprint(self):
         """Identify equal requests."""
@@ -215,9 +221,7 @@
             len(result.body), elapsed, attempt.backend.last_waiting
         )
         self._end()
-        self._gateway.finished(
-            self, status, 'answered', attempt.server.server_id, elapsed
-        )
+        self._gateway.finished(self, status, 'answered', '')
         if result.is_streamed:
             self._slot.end_stream()
         else:
@@ -259,6 +263,7 @@
         expected = stats.expected_s(usual, now)
         if server.warmup_s > 0:
             expected *= selection.WARMUP_FACTOR
+        self._note_choice(server, stats, expected, now, segment.fence)
         if stats.load(now) >= stats.slots and backend.key_counts[
             self.key
         ] >= self._key_limit(stats, usual):
@@ -306,6 +311,12 @@
                 self._spread(0.5),
             )
             return
+        self._note_choice(
+            choice.server,
+            gateway.backends.stats(choice.server),
+            choice.expected_s,
+            now,
+        )
         if not self._is_admitted(choice.expected_s, now):
             self._refuse_busy(
                 results.Reason.OVERLOADED,
@@ -315,6 +326,16 @@
             return
         self._send(gateway.backends.get(choice.server), now)
 
+    def _note_choice(self, server, stats, expected_s, now, fence=None):
+        self._choice = {
+            'server': server.server_id,
+            'load': round(stats.load(now), 1),
+            'slots': stats.slots,
+            'expected_s': round(expected_s, 3),
+            'left_s': round(self._until - now, 3),
+            'fence': fence,
+        }
+
     def _is_admitted(self, expected_s, now):
         share = ADMISSION_SHARE - PRIORITY_STEP * min(
             4, max(0, self.route.priority - 1)
