--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -160,7 +160,7 @@
         name = request.route.name, request.service
         found = self._stats.get(name)
         if found is None:
-            found = self._stats[name] = requests.RouteStats()
+            found = self._stats[name] = requests.RouteStats(request.route.kind)
         return found
 
     def owner(self, service, key):
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -8,6 +8,7 @@
 
 import xxhash
 
+from radishferry.direct import configuration as configuration_module
 from radishferry.direct import key_map
 from radishferry.direct import selection
 from radishferryd import http_message
@@ -44,13 +45,18 @@
 ROUTE_WEIGHT = 0.05
 #: Service time assumed before the first answer, in seconds.
 DEFAULT_SERVICE_S = 0.1
+#: Size assumed for the answers of downloads before the first one, in bytes;
+#: the users' guides and certificates have about 90 kB.
+DOWNLOAD_BYTES = 90000.0
 
 
 class RouteStats:
     """Follow the answers of one part of a route."""
 
-    def __init__(self):
-        self.answer_bytes = 0.0
+    def __init__(self, kind):
+        """Begin with what is usual for a kind of request."""
+        is_download = kind is configuration_module.Kind.DOWNLOAD
+        self.answer_bytes = DOWNLOAD_BYTES if is_download else 0.0
         self.service_s = DEFAULT_SERVICE_S
 
     def note(self, size, elapsed_s, waiting):
