--- a/packages/radishferryd/src/radishferryd/router/backends.py
+++ b/packages/radishferryd/src/radishferryd/router/backends.py
@@ -478,12 +478,11 @@
         """Return the statistics of a server."""
         return self.get(server).stats
 
-    def forget(self, servers):
-        """Drop servers that are gone."""
-        for server in servers:
-            backend = self._by_life.pop(server.life, None)
-            if backend is not None:
-                backend.close_idle()
+    def keep(self, servers):
+        """Drop all servers but the given ones, former lives included."""
+        lives = {server.life for server in servers}
+        for life in [life for life in self._by_life if life not in lives]:
+            self._by_life.pop(life).close_idle()
 
     def close_old(self):
         """Close connections that have been idle for long."""
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -265,7 +265,7 @@
             self.backends.configure(configuration.services, self.host_count)
 
     def _on_servers(self, change):
-        self.backends.forget(change.gone)
+        self.backends.keep(self.registry.all())
         for service in {s.service for s in change.added}:
             self._on_owners(service)
 
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -27,6 +27,8 @@
 TIMEOUT_SLACK_S = 0.08
 #: Seconds left below which another attempt has no prospect.
 MIN_ATTEMPT_S = 0.03
+#: Most servers that a request tries to connect to in vain.
+MAX_UNREACHABLE = 3
 #: Longest wait for an owner whose keys are being moved, in seconds.
 OWNER_WAIT_S = 0.6
 #: Part of the target latency that a request may be expected to take; above
@@ -91,6 +93,7 @@
         self.key = None
         self._attempt = None
         self._tried = []
+        self._unreachable = 0
         self._attempts = 0
         self._choice = {}
         self._was_sent = False
@@ -194,6 +197,7 @@
                 self._slot.break_off()
                 return
         else:
+            self._unreachable += result.is_unreachable
             self._gateway.attempt_refused(self, attempt, result)
         if self._may_retry(result):
             self._next()
@@ -429,13 +433,14 @@
             return False
         if self._until - now < MIN_ATTEMPT_S:
             return False
-        if not self.is_keyed and len(self._tried) >= self.route.max_attempts:
+        # A server that could not be reached has not had the request.
+        reached = len(self._tried) - self._unreachable
+        if not self.is_keyed and reached >= self.route.max_attempts:
             return False
-        if self._attempts > self.route.max_attempts:
+        if self._attempts - self._unreachable > self.route.max_attempts:
             return False
         if isinstance(result, results.NotRun) and result.is_unreachable:
-            # Nothing has reached a server, so the budget is not touched.
-            return True
+            return self._unreachable <= MAX_UNREACHABLE
         return gateway.budget.allows(self.service, now)
 
     def _give_up(self, result):
--- a/packages/radishferryd/src/radishferryd/router/term.py
+++ b/packages/radishferryd/src/radishferryd/router/term.py
@@ -107,7 +107,8 @@
         if not self.holds:
             return
         self._holds = False
-        self._write('', 0.0, ())
+        if not self._is_busy:
+            self._write('', 0.0, ())
         LOG.info('term: Gave up the right to grant.')
 
     # Another host's term.
@@ -255,7 +256,11 @@
 
     def _adopt(self, term, version, sent_at):
         self._version = version
-        if not term.host or self._is_ending:
+        if not term.host:
+            return
+        if self._is_ending:
+            # A renewal was under way when the right was given up.
+            self._write('', 0.0, ())
             return
         self._valid_until = sent_at + leadership.TERM_S - leadership.SAFETY_S
         self._renew_at = sent_at + leadership.RENEW_S
