--- a/packages/radishferryd/src/radishferryd/router/backends.py
+++ b/packages/radishferryd/src/radishferryd/router/backends.py
@@ -329,6 +329,8 @@
         self.speed_s = 0.0
         self.speed_count = 0
         self.key_counts = collections.Counter()
+        #: Requests that waited at the server at its last answer.
+        self.last_waiting = 0
         self._idle = []
         self._open = set()
 
@@ -379,8 +381,6 @@
         elif result is not None:
             self.stats.note_failure(now)
 
-    last_waiting = 0
-
     def note_load(self, head):
         """Take the load that the server tells in an answer."""
         load = headers.parse_load(head.header(headers.LOAD))
--- a/packages/radishferryd/src/radishferryd/router/hub.py
+++ b/packages/radishferryd/src/radishferryd/router/hub.py
@@ -10,16 +10,14 @@
 
 
 class Hub:
-    """Serve the links of the other hosts.
-
-    :ivar poison: Crash counts by fingerprint, merged from all hosts.
-    """
+    """Serve the links of the other hosts."""
 
     def __init__(self, scheduler, knowledge, ownership, poison):
         """Begin without links.
 
         :param ownership: A :class:`~radishferryd.router.ownership.Ownership`.
-        :param poison: A :class:`~radishferryd.router.crashes.CrashCounts`.
+        :param poison: The
+            :class:`~radishferryd.router.crashes.CrashCounts` of this host.
         """
         self._scheduler = scheduler
         self._knowledge = knowledge
--- a/packages/radishferryd/src/radishferryd/router/orders.py
+++ b/packages/radishferryd/src/radishferryd/router/orders.py
@@ -15,6 +15,8 @@
 GRANT_TIMEOUT_S = 0.8
 #: The same for a release, which answers when the work on the keys has ended.
 RELEASE_TIMEOUT_S = 2.0
+#: Orders in a row that failed after which a server counts as unreachable.
+UNREACHABLE_FAILURES = 2
 #: Orders under way at one server, each on a connection of its own.
 MAX_PARALLEL = 3
 #: Seconds for which a server whose connection broke gets no grant, unless
@@ -53,10 +55,10 @@
             found = self._servers[server.life] = _ServerOrders(self, server)
         found.add(order, granter)
 
-    def is_unreachable(self, life, now) -> bool:
-        """Tell whether orders to a server have failed lately."""
+    def is_unreachable(self, life) -> bool:
+        """Tell whether the last orders to a server have failed."""
         found = self._servers.get(life)
-        return found is not None and found.failures >= 2
+        return found is not None and found.failures >= UNREACHABLE_FAILURES
 
     def drop(self, life):
         """Forget a server that is over."""
--- a/packages/radishferryd/src/radishferryd/router/ownership.py
+++ b/packages/radishferryd/src/radishferryd/router/ownership.py
@@ -284,7 +284,7 @@
     def _plan(self, service, now):
         """Return a new layout, or None to leave all keys where they are."""
         granter = service.granter
-        servers = self._candidates(granter.service, now)
+        servers = self._candidates(granter.service)
         if not servers:
             return None
         if not granter.ranges:
@@ -292,7 +292,7 @@
                 return None
             return placement.initial([server.life for server in servers])
         service.rates.advance(now)
-        losing = self._losing(service, servers, now)
+        losing = self._losing(service, now)
         loads = placement.LoadMap(service.rates.rates)
         capacities = self._capacities(servers)
 
@@ -329,14 +329,14 @@
         )
         return plan.layout
 
-    def _candidates(self, service, now):
+    def _candidates(self, service):
         return [
             server
             for server in self._knowledge.registry.usable(service)
-            if not self.desk.is_unreachable(server.life, now)
+            if not self.desk.is_unreachable(server.life)
         ]
 
-    def _losing(self, service, servers, now):
+    def _losing(self, service, now):
         """Return the owners that are to lose all their keys."""
         granter = service.granter
         registry = self._knowledge.registry
@@ -345,7 +345,7 @@
         lapsed = {
             found.owner
             for found in granter.lapsed(now)
-            if self.desk.is_unreachable(found.owner, now)
+            if self.desk.is_unreachable(found.owner)
         }
         return (owners - staying) | lapsed
 
--- a/packages/radishferryd/src/radishferryd/router/term.py
+++ b/packages/radishferryd/src/radishferryd/router/term.py
@@ -31,7 +31,7 @@
     def __init__(self, store, scheduler, owner, name, address, incarnation):
         """Begin without the right.
 
-        :param owner: Offers ``term_taken(rows, conflict)``, ``term_lost()``,
+        :param owner: Offers ``term_taken()``, ``term_lost()``,
             ``granter_known(term)``, ``needs_granter()`` and
             ``note_store(answer)``.
         :param name: Name of this host.
@@ -48,12 +48,12 @@
         self._nonces = itertools.count(1)
         self._version = 0
         self._valid_until = 0.0
+        self._renew_at = 0.0
         self._holds = False
         self._is_busy = False
         self._is_ending = False
         self._look_timer = None
         self._last_success = 0.0
-        self._rows = ()
 
     @property
     def holds(self) -> bool:
@@ -126,7 +126,6 @@
                 return
             now = self._scheduler.now()
             self._clock.note(answer.store_s, answer.sent_at, now)
-            self._rows = answer.rows
             self._judge(answer.rows)
 
         self._store.read(store_reader.OWN_TABLE, take)
@@ -267,7 +266,6 @@
         self._last_success = self._scheduler.now()
         if self._holds:
             return
-        # Rows may have changed since they were read for the decision.
         self._holds = True
         LOG.info(
             'term: This host may grant keys.',
@@ -280,5 +278,3 @@
         LOG.warning('term: This host may not grant keys any more: %s.', reason)
         self._owner.term_lost()
         self._look_again(0.0)
-
-    _renew_at = 0.0
