--- a/features/direct_host.feature
+++ b/features/direct_host.feature
@@ -31,6 +31,15 @@
     When 8 payments are sent to host 1
     Then each answer is 200 with a signature
 
+  # Answers the pattern of servers at their limit of connections, which accept
+  # further ones and reset them at once: payments must go elsewhere, and not
+  # end as ones that may have run.
+  Scenario: A payment is not sent on a connection that is reset at once
+    Given a plain server that resets each new connection
+    When 12 payments are sent to host 1
+    Then each answer is 200 with a signature
+    And the resetting server has accepted a connection and read nothing
+
   # Guards against a second answer that is taken for that of a later request.
   Scenario: An answer to another request is not returned
     Given plain servers answer another request
--- a/features/steps/direct_host_steps.py
+++ b/features/steps/direct_host_steps.py
@@ -8,8 +8,10 @@
 import json
 import signal
 import socket
+import struct
 import sys
 import tempfile
+import threading
 import time
 
 import behave
@@ -28,7 +30,7 @@
     command = (
         sys.executable,
         '-m',
-        'radishferry_testing.users_platform',
+        'radishferry_testing.users.platform',
         *('--port', '{port}', '--work-ms', str(work_ms)),
         *('--keyed-ports', '{k0}', '{k1}'),
         *('--plain-ports', '{p0}', '{p1}'),
@@ -70,6 +72,36 @@
             yield found
 
 
+@behave.fixture
+def resetting_server(context):
+    """Accept connections, reset them at once and keep what was read."""
+    seen = []
+    listener = socket.create_server(('127.0.0.1', 0))
+
+    def accept():
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                return
+            sock.setblocking(False)
+            try:
+                seen.append(sock.recv(65536))
+            except BlockingIOError:
+                seen.append(b'')
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
+            sock.close()
+
+    thread = threading.Thread(target=accept, daemon=True)
+    thread.start()
+    yield listener.getsockname()[1], seen
+    listener.shutdown(socket.SHUT_RDWR)
+    listener.close()
+    thread.join()
+
+
 def _until(condition):
     """Wait for a condition; the limit only ends a hanging test."""
     end = time.monotonic() + _LIMIT_S
@@ -161,6 +193,24 @@
     _test(context, 'server', server_id='i-plain-0', failure='shed')
 
 
+@behave.given('a plain server that resets each new connection')
+def add_resetting(context):
+    port, context.reset_reads = behave.use_fixture(resetting_server, context)
+    _test(context, 'register', port=port)
+    _until(
+        lambda: any(
+            server['server_id'] == 'i-plain-4'
+            for server in _state(context, 'host1')['registry']
+        )
+    )
+
+
+@behave.then('the resetting server has accepted a connection and read nothing')
+def read_nothing(context):
+    assert context.reset_reads
+    assert not any(context.reset_reads), context.reset_reads
+
+
 @behave.when('keys 5, 30000 and 65535 are looked up at both hosts')
 def look_up(context):
     context.lookups = {
--- /dev/null
+++ b/packages/radishferry-testing/src/radishferry_testing/users/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the systems of the users."""
--- /dev/null
+++ b/packages/radishferry-testing/src/radishferry_testing/users/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the users' store and servers, by their published protocol."""
--- /dev/null
+++ b/packages/radishferry-testing/src/radishferry_testing/users/platform/server.py
@@ -0,0 +1,127 @@
+"""Run requests for granted keys as the users' servers do."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+import zlib
+
+from radishferry_testing import http_io
+
+
+class Server:
+    """Run requests for the keys that it has been granted."""
+
+    def __init__(self, number, service, port, data_centre, log, work_s):
+        self.server_id = f'i-{service}-{number}'
+        self.service = service
+        self.port = port
+        self.born_ms = time.time_ns() // 1_000_000
+        self.state = 'ready'
+        self.is_registered = True
+        self.failure = ''
+        self._data_centre = data_centre
+        self._log = log
+        self._work_s = work_s
+        self._grants = []
+        self._seq = 0
+
+    def entry(self):
+        """Return the server's entry in the store."""
+        self._seq += 1
+        return {
+            'service': self.service,
+            'address': f'{http_io.LOOPBACK}:{self.port}',
+            'zone': self._data_centre,
+            'version': 'v1',
+            'slots': 6,
+            'state': self.state,
+            'warmup_left_s': 0,
+            'seq': self._seq,
+            'born': self.born_ms,
+        }
+
+    async def handle(self, request):
+        """Answer a request or an order."""
+        expected = request.headers.get('x-expected-instance')
+        if expected not in (None, self.server_id):
+            await self._refuse(request, 421)
+        elif request.path == '/api/grant':
+            await self._grant(request)
+        elif request.path == '/api/release':
+            await self._release(request)
+        else:
+            await self._run(request)
+
+    async def _refuse(self, request, status):
+        await request.body.read()
+        await request.respond(
+            status,
+            headers=(
+                ('X-Not-Executed', '1'),
+                ('X-Instance-Id', self.server_id),
+            ),
+        )
+
+    async def _grant(self, request):
+        order = json.loads(await request.body.read())
+        keys = range(order['start_key'], order['target'] + 1)
+        self._grants = [
+            g for g in self._grants if g[0] != keys or g[1] >= order['fence']
+        ]
+        if any(
+            g[0].start <= keys[-1]
+            and keys[0] <= g[0][-1]
+            and g[1] > order['fence']
+            for g in self._grants
+        ):
+            await request.respond(409)
+            return
+        until = time.monotonic() + order['hold_s']
+        self._grants.append((keys, order['fence'], until))
+        self._log('grant', self, order)
+        await request.respond(200)
+
+    async def _release(self, request):
+        order = json.loads(await request.body.read())
+        keys = range(order['start_key'], order['target'] + 1)
+        self._grants = [g for g in self._grants if g[0][0] not in keys]
+        self._log('release', self, order)
+        await request.respond(
+            200, headers=(('X-Handover', f'state-{keys[0]}'),)
+        )
+
+    def holds(self, key):
+        """Tell whether the server holds a key now."""
+        now = time.monotonic()
+        return any(key in g[0] and now < g[2] for g in self._grants)
+
+    async def _run(self, request):
+        key = request.headers.get('x-shard-key')
+        if key is not None and not self.holds(int(key)):
+            await self._refuse(request, 421)
+            return
+        if self.failure == 'shed':
+            await self._refuse(request, 503)
+            return
+        body = await request.body.read()
+        request_id = request.headers['x-request-id']
+        self._log('run', self, {'id': request_id, 'path': request.path})
+        if self.failure == 'reset':
+            request.abort()
+            return
+        await asyncio.sleep(self._work_s)
+        answer = f'{request.method} {request.path} {self.server_id}'.encode()
+        if self.failure == 'extra':
+            await request.respond(200, b'stale', (('X-Request-Id', 'other'),))
+            return
+        await request.respond(
+            200,
+            answer + body,
+            (
+                ('X-Request-Id', request_id),
+                ('X-Response-Signature', f'{zlib.crc32(answer):x}'),
+                ('X-Server-Load', '1,0,6'),
+            ),
+        )
--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -260,6 +260,16 @@
             'registry_age_s': knowledge.registry.age(now),
             'open_requests': self._gateway.open_requests,
             'store_calls': self._store.calls,
+            'registry': [
+                {
+                    'server_id': server.server_id,
+                    'born_ms': server.born_ms,
+                    'service': server.service,
+                    'address': '{}:{}'.format(*server.address),
+                    'is_leaving': server.is_leaving,
+                }
+                for server in knowledge.registry.all()
+            ],
             'servers': [
                 {
                     'id': backend.server.server_id,
