--- a/packages/radishferry/src/radishferry/direct/leadership.py
+++ b/packages/radishferry/src/radishferry/direct/leadership.py
@@ -71,11 +71,6 @@
     def __init__(self):
         self._offset = None
 
-    @property
-    def is_known(self) -> bool:
-        """Tell whether the store has answered."""
-        return self._offset is not None
-
     def note(self, store_s: float, sent_at: float, now: float):
         """Take the time of an answer.
 
--- a/packages/radishferryd/src/radishferryd/router/store_reader.py
+++ b/packages/radishferryd/src/radishferryd/router/store_reader.py
@@ -56,11 +56,6 @@
         self._feed_version = None
         self._is_available = True
 
-    @property
-    def is_available(self) -> bool:
-        """Tell whether the last call was answered."""
-        return self._is_available
-
     def set_reading(self, is_reading: bool, with_owners: bool = False):
         """Begin or end reading.
 
