Read owners when a reading host loses its link

Cause: `StoreReader.set_reading` returned early while the host read already. A host whose list of servers was old, and which then lost the granting host, never began to read owners; a host that became the granting one went on reading them. Servers and owners are now two series of reads that begin and end on their own, and one wrapper drops the answers of an ended series in place of six checks of a generation.

--- a/packages/radishferryd/src/radishferryd/router/store_reader.py
+++ b/packages/radishferryd/src/radishferryd/router/store_reader.py
@@ -38,6 +38,46 @@
 OWNERS_INTERVAL_S = 1.0
 
 
+class _Reading:
+    """Be one series of reads that can be begun and ended."""
+
+    def __init__(self, name, scheduler):
+        self._name = name
+        self._scheduler = scheduler
+        self._generation = 0
+        self.is_active = False
+
+    def set_active(self, is_active) -> bool:
+        """Begin or end the series.
+
+        :returns: Whether it begins now.
+        """
+        if is_active == self.is_active:
+            return False
+        self.is_active = is_active
+        self._generation += 1
+        LOG.info(
+            'store: %s reading the %s.',
+            'Began' if is_active else 'Stopped',
+            self._name,
+        )
+        return is_active
+
+    def guard(self, function):
+        """Wrap a callback so that it does nothing after the series."""
+        generation = self._generation
+
+        def call(*args):
+            if generation == self._generation:
+                function(*args)
+
+        return call
+
+    def call_later(self, delay_s, function):
+        """Plan a call unless the series ends before."""
+        self._scheduler.call_later(delay_s, self.guard(function))
+
+
 class StoreReader:
     """Keep the knowledge of this host fresh from the store."""
 
@@ -51,8 +91,8 @@
         self._scheduler = scheduler
         self._knowledge = knowledge
         self._decoder = documents.ServerDecoder()
-        self._is_reading = False
-        self._generation = 0
+        self._lists = _Reading('servers and the configuration', scheduler)
+        self._owners = _Reading('owners', scheduler)
         self._feed_version = None
         self._is_available = True
 
@@ -61,21 +101,11 @@
 
         :param with_owners: Whether owners are read too.
         """
-        if is_reading == self._is_reading:
-            return
-        self._is_reading = is_reading
-        self._generation += 1
-        LOG.info(
-            'store: %s reading the store.',
-            'Began' if is_reading else 'Stopped',
-        )
-        if not is_reading:
-            return
-        generation = self._generation
-        self._read_servers(generation)
-        self._read_configuration(generation)
-        if with_owners:
-            self._read_owners(generation)
+        if self._lists.set_active(is_reading):
+            self._read_servers()
+            self._read_configuration()
+        if self._owners.set_active(is_reading and with_owners):
+            self._read_owners()
 
     def note(self, answer) -> bool:
         """Note whether the store answers.
@@ -100,18 +130,11 @@
                 )
         return is_usable
 
-    def _again(self, generation, delay_s, function):
-        if generation == self._generation:
-            self._scheduler.call_later(delay_s, lambda: function(generation))
-
-    def _read_servers(self, generation):
-        if generation != self._generation:
-            return
-
+    def _read_servers(self):
         def take(answer):
-            if generation != self._generation:
-                return
+            delay_s = RETRY_S
             if self.note(answer):
+                delay_s = SERVERS_INTERVAL_S
                 services = None
                 if self._knowledge.configuration is not None:
                     services = self._knowledge.configuration.services
@@ -120,46 +143,37 @@
                     answer.sent_at,
                     'store',
                 )
-                self._again(generation, SERVERS_INTERVAL_S, self._read_servers)
-            else:
-                self._again(generation, RETRY_S, self._read_servers)
-
-        self._store.read(documents.SERVER_TABLE, take)
+            self._lists.call_later(delay_s, self._read_servers)
 
-    def _read_configuration(self, generation):
-        if generation != self._generation:
-            return
+        self._store.read(documents.SERVER_TABLE, self._lists.guard(take))
 
+    def _read_configuration(self):
         def take(answer):
-            if generation != self._generation:
-                return
             if not self.note(answer):
-                self._again(generation, RETRY_S, self._read_configuration)
+                self._lists.call_later(RETRY_S, self._read_configuration)
                 return
             self._adopt(answer)
-            self._follow(generation)
-
-        self._store.read(documents.OPERATOR_TABLE, take)
+            self._follow()
 
-    def _follow(self, generation):
-        if generation != self._generation:
-            return
+        self._store.read(documents.OPERATOR_TABLE, self._lists.guard(take))
 
+    def _follow(self):
         def take(answer):
-            if generation != self._generation:
-                return
             if isinstance(answer, store_module.HistoryLost):
-                self._read_configuration(generation)
+                self._read_configuration()
             elif not self.note(answer):
                 # What the feed would have told may be missed; read anew.
-                self._again(generation, RETRY_S, self._read_configuration)
+                self._lists.call_later(RETRY_S, self._read_configuration)
             else:
                 self._adopt(answer)
-                pause = FEED_PAUSE_S if answer.rows else 0.0
-                self._again(generation, pause, self._follow)
+                pause_s = FEED_PAUSE_S if answer.rows else 0.0
+                self._lists.call_later(pause_s, self._follow)
 
         self._store.follow(
-            documents.OPERATOR_TABLE, self._feed_version, FEED_WAIT_S, take
+            documents.OPERATOR_TABLE,
+            self._feed_version,
+            FEED_WAIT_S,
+            self._lists.guard(take),
         )
 
     def _adopt(self, answer):
@@ -168,18 +182,13 @@
             if row.key == documents.CONFIGURATION_KEY and not row.is_deleted:
                 self._knowledge.apply_document(row.value, 'store')
 
-    def _read_owners(self, generation):
-        if generation != self._generation:
-            return
-
+    def _read_owners(self):
         def take(answer):
-            if generation != self._generation:
-                return
             if self.note(answer):
                 self.adopt_owners(answer.rows)
-            self._again(generation, OWNERS_INTERVAL_S, self._read_owners)
+            self._owners.call_later(OWNERS_INTERVAL_S, self._read_owners)
 
-        self._store.read(OWN_TABLE, take)
+        self._store.read(OWN_TABLE, self._owners.guard(take))
 
     def adopt_owners(self, rows):
         """Adopt rows with owners.
