Send a payment only on a connection that has stayed open for 5 ms

Cause: a server above its limit of connections accepts another one and resets it at once. A payment sent with the connect ended as 502, although no server had it. On a new connection such a request is now held for SETTLE_S after the connect; a reset before that counts as "not run", and another server gets it. Requests that may run again still go out with the connect. The connection of an attempt moved to a module of its own.

--- a/packages/radishferryd/src/radishferryd/router/backends.py
+++ b/packages/radishferryd/src/radishferryd/router/backends.py
@@ -1,317 +1,24 @@
-"""Hold the connections to servers and send single attempts."""
+"""Hold the connections to servers and choose the one for an attempt."""
 
 from __future__ import annotations
 
 import collections
-import logging
-import typing
 
 from radishferry.direct import selection
-from radishferryd import http_message
-from radishferryd import net
 from radishferryd.platform import headers
+from radishferryd.router import connections
 from radishferryd.router import results
 
-LOG = logging.getLogger(__name__)
-
-#: Seconds after which an attempt to connect has failed. Two data centres
-#: are about 1 ms apart, so only an unreachable server takes this long.
-CONNECT_TIMEOUT_S = 0.35
-#: Seconds without acknowledgement after which a connection counts as
-#: silent, so that requests do not wait for their deadline at a cut server.
-UNACKED_LIMIT_S = 0.7
-#: Seconds for which an idle connection is reused. Servers close theirs
-#: after about 10 s, and a request must not cross that close.
-IDLE_LIMIT_S = 6.0
-#: The same for requests that may run only once, since a server that closes
-#: an idle connection leaves it open whether such a request has run.
+#: Seconds for which an idle connection is reused for requests that may run
+#: only once, since a server that closes an idle connection leaves it open
+#: whether such a request has run.
 CAUTIOUS_IDLE_LIMIT_S = 2.5
-#: Bytes of an answer kept back until it is complete. A broken answer that
-#: was kept back can be replaced by another attempt.
-BUFFER_BYTES = 786432
 #: Part of the connections of a server that all hosts together open.
 CONNECTION_SHARE = 0.85
 #: Connections that a host may always open to a server.
 MIN_CONNECTIONS = 4
 
 
-class Sink(typing.Protocol):
-    """Receive the result of one attempt."""
-
-    def on_result(self, attempt, result) -> None:
-        """Take how the attempt ended."""
-
-    def on_stream_head(self, attempt, head) -> None:
-        """Take the head of an answer that is too large to be kept back."""
-
-    def on_stream_body(self, attempt, data) -> None:
-        """Take a part of its body."""
-
-
-class Attempt:
-    """Be one request on its way at one server."""
-
-    def __init__(self, backend, request_id, method, sink, data, key=None):
-        self.backend = backend
-        self.key = key
-        self.request_id = request_id
-        self.method = method
-        self.sink = sink
-        self.data = data
-        self.sent_at = None
-        self.connection = None
-        self._is_done = False
-
-    @property
-    def server(self):
-        """Return the server."""
-        return self.backend.server
-
-    def finish(self, result):
-        """Report the result once."""
-        if self._is_done:
-            return
-        self._is_done = True
-        self.backend.ended(self, result)
-        self.sink.on_result(self, result)
-
-    def cancel(self):
-        """Break the request off without a report."""
-        if self._is_done:
-            return
-        self._is_done = True
-        self.backend.ended(self, None)
-        if self.connection is not None:
-            self.connection.abort()
-
-    def pause(self):
-        """Leave the rest of the answer with the server for now."""
-        if self.connection is not None:
-            self.connection.pause_reading()
-
-    def resume(self):
-        """Take more of the answer."""
-        if self.connection is not None:
-            self.connection.resume_reading()
-
-
-class _Connection:
-    """Carry one request at a time to a server."""
-
-    def __init__(self, backend, poller, scheduler):
-        self._backend = backend
-        self._scheduler = scheduler
-        self._attempt = None
-        self._head = None
-        self._parts = []
-        self._size = 0
-        self._is_foreign = False
-        self._is_streaming = False
-        self._ends_with_close = False
-        self._keep_alive = True
-        self.idle_since = scheduler.now()
-        self.idle_limit_s = IDLE_LIMIT_S
-        self.is_connected = False
-        self._parser = http_message.MessageParser(
-            self, is_request=False, max_head_bytes=65536
-        )
-        self._connection = net.connect(
-            poller, backend.server.address, self, UNACKED_LIMIT_S
-        )
-        self._timer = scheduler.call_later(
-            CONNECT_TIMEOUT_S, self._on_connect_timeout
-        )
-
-    @property
-    def is_open(self):
-        return self._connection.is_open
-
-    def send(self, attempt):
-        self._attempt = attempt
-        attempt.connection = self
-        attempt.sent_at = self._scheduler.now()
-        self._head = None
-        self._connection.write(attempt.data)
-
-    def abort(self):
-        self._attempt = None
-        self._connection.abort()
-
-    def close(self):
-        self._connection.close()
-
-    def pause_reading(self):
-        self._connection.pause_reading()
-
-    def resume_reading(self):
-        self._connection.resume_reading()
-
-    # From the network.
-
-    def connected(self, connection):
-        self.is_connected = True
-        self._timer.cancel()
-
-    def received(self, data):
-        if self._attempt is None:
-            # Bytes that belong to no request, such as a second answer.
-            self._connection.abort()
-            return
-        try:
-            self._parser.feed(data)
-        except (
-            http_message.BadMessageError,
-            http_message.HeadTooLargeError,
-        ) as exc:
-            self._fail(results.Unknown(f'the answer is no HTTP: {exc}'))
-            self._connection.abort()
-
-    def pause_producing(self):
-        """Ignore a server that reads slowly: the request is queued whole."""
-
-    def resume_producing(self):
-        """See :meth:`pause_producing`."""
-
-    def closed(self, error):
-        self._timer.cancel()
-        if (
-            error is None
-            and self._ends_with_close
-            and self._head is not None
-            and self._attempt is not None
-        ):
-            self._complete()
-        elif self._attempt is not None:
-            if self.is_connected:
-                detail = str(error) if error else 'connection closed'
-                self._fail(results.Unknown(detail, is_connection_lost=True))
-            else:
-                self._fail(
-                    results.NotRun(
-                        f'no connection: {error}', is_unreachable=True
-                    )
-                )
-        self._backend.connection_closed(self)
-
-    def _on_connect_timeout(self):
-        if not self.is_connected:
-            self._fail(
-                results.NotRun('connect timed out', is_unreachable=True)
-            )
-            self._connection.abort()
-
-    # From the parser.
-
-    def on_head(self, head):
-        attempt = self._attempt
-        if attempt is None or head.status < 200:
-            return
-        echoed = head.header(headers.REQUEST_ID)
-        # A late second answer to an earlier request comes first.
-        self._is_foreign = bool(echoed) and echoed != attempt.request_id
-        if self._is_foreign:
-            self._keep_alive = False
-            return
-        self._head = head
-        self._parts = []
-        self._size = 0
-        self._is_streaming = False
-        self._keep_alive = self._keep_alive and head.keep_alive
-        has_length = head.header('content-length') or head.header(
-            'transfer-encoding'
-        )
-        self._ends_with_close = not has_length and head.status not in (
-            204,
-            304,
-        )
-        if attempt.method == 'HEAD':
-            self._keep_alive = False
-            self._complete()
-
-    def on_body(self, data):
-        if self._attempt is None or self._is_foreign or self._head is None:
-            return
-        if self._is_streaming:
-            self._attempt.sink.on_stream_body(self._attempt, data)
-            return
-        self._parts.append(data)
-        self._size += len(data)
-        if self._size > BUFFER_BYTES and not self._problem():
-            self._is_streaming = True
-            self._attempt.sink.on_stream_head(self._attempt, self._head)
-            if self._attempt is not None:
-                self._attempt.sink.on_stream_body(
-                    self._attempt, b''.join(self._parts)
-                )
-            self._parts = []
-
-    def on_end(self):
-        if self._is_foreign or self._head is None:
-            return
-        if self._attempt is not None and not self._ends_with_close:
-            self._complete()
-
-    def _problem(self):
-        """Return why the answer cannot be one to this request, or None."""
-        head = self._head
-        if head.header('content-encoding'):
-            return 'the answer has an encoding that nobody asked for'
-        if 200 <= head.status < 300 and not head.header(headers.SIGNATURE):
-            return 'a success without a signature'
-        return None
-
-    def _complete(self):
-        attempt, self._attempt = self._attempt, None
-        head, body = self._head, b''.join(self._parts)
-        self._head, self._parts = None, []
-        result = self._result(attempt, head, body)
-        # The rest of a request that was answered early must not be sent
-        # where the next request is expected.
-        if self._connection.queued or not self._keep_alive:
-            self._connection.abort()
-        elif self._connection.is_open:
-            self._connection.resume_reading()
-            self.idle_since = self._scheduler.now()
-            self.idle_limit_s = _idle_limit(head)
-            self._backend.connection_idle(self)
-        attempt.finish(result)
-
-    def _result(self, attempt, head, body):
-        self._head = head
-        problem = self._problem()
-        self._head = None
-        if problem:
-            return results.Unknown(
-                problem, has_begun_answer=self._is_streaming
-            )
-        self._backend.note_load(head)
-        if head.header(headers.NOT_RUN) or head.status == (
-            headers.MISDIRECTED
-        ):
-            return results.NotRun(
-                f'the server answered {head.status}',
-                is_misdirected=head.status == headers.MISDIRECTED,
-            )
-        return results.Answered(head, body, self._is_streaming)
-
-    def _fail(self, result):
-        attempt, self._attempt = self._attempt, None
-        if attempt is None:
-            return
-        if self._is_streaming and isinstance(result, results.Unknown):
-            result = results.Unknown(result.detail, True, True)
-        attempt.finish(result)
-
-
-def _idle_limit(head):
-    for field in head.header('keep-alive').split(','):
-        name, _, value = field.strip().partition('=')
-        if name == 'timeout' and value.isdigit():
-            # One second less, so that the server does not close first.
-            return min(IDLE_LIMIT_S, int(value) - 1.0)
-    return IDLE_LIMIT_S
-
-
 class Backend:
     """Hold the connections and the statistics of one server."""
 
@@ -350,7 +57,7 @@
         self.stats.note_sent(self._scheduler.now())
         if attempt.key is not None:
             self.key_counts[attempt.key] += 1
-        connection.send(attempt)
+        connection.send(attempt, is_idempotent)
         return True
 
     def ended(self, attempt, result):
@@ -419,7 +126,11 @@
 
     def _take(self, is_idempotent):
         now = self._scheduler.now()
-        limit_s = IDLE_LIMIT_S if is_idempotent else CAUTIOUS_IDLE_LIMIT_S
+        limit_s = (
+            connections.IDLE_LIMIT_S
+            if is_idempotent
+            else CAUTIOUS_IDLE_LIMIT_S
+        )
         if self._idle:
             # The one used last; the others grow old and are closed.
             connection = self._idle[-1]
@@ -430,7 +141,9 @@
             if not self._idle:
                 return None
             self._idle.pop(0).close()
-        connection = _Connection(self, self._poller, self._scheduler)
+        connection = connections.Connection(
+            self, self._poller, self._scheduler
+        )
         self._open.add(connection)
         return connection
 
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -13,7 +13,7 @@
 from radishferry.direct import selection
 from radishferryd import http_message
 from radishferryd.platform import headers
-from radishferryd.router import backends
+from radishferryd.router import connections
 from radishferryd.router import results
 
 LOG = logging.getLogger(__name__)
@@ -170,17 +170,17 @@
     # From the attempt.
 
     def on_stream_head(self, attempt, head):
-        """See :class:`radishferryd.router.backends.Sink`."""
+        """See :class:`radishferryd.router.connections.Sink`."""
         if not self._is_done:
             self._slot.begin_stream(head)
 
     def on_stream_body(self, attempt, data):
-        """See :class:`radishferryd.router.backends.Sink`."""
+        """See :class:`radishferryd.router.connections.Sink`."""
         if not self._is_done:
             self._slot.stream(data)
 
     def on_result(self, attempt, result):
-        """See :class:`radishferryd.router.backends.Sink`."""
+        """See :class:`radishferryd.router.connections.Sink`."""
         if self._is_done:
             return
         self._attempt = None
@@ -361,7 +361,7 @@
         if self._attempts:
             gateway.budget.note_resend(self.service, now)
         server = backend.server
-        attempt = backends.Attempt(
+        attempt = connections.Attempt(
             backend,
             self.request_id,
             self._head.method,
