Keep the granting host able to renew its right on large deployments

Each change made all hosts read the store: owners twice (for the term and for the map), servers every 0.7 s, and the configuration anew whenever their list became fresh and old again by turns.

Change: large messages between hosts are compressed, once for all links; a host with a slow link tries for the right 0.4 s later than the others; a host without the granting host takes the owners from the row of the term's table that it reads anyhow; hosts read servers for themselves every 1.3 s, and go on until the granting host's own news are fresh.

The write now needs the version that was judged.

--- /dev/null
+++ b/features/steps/direct_links_steps.py
@@ -0,0 +1,88 @@
+"""Steps for the messages between hosts that send directly."""
+
+from __future__ import annotations
+
+import zlib
+
+import behave
+
+from radishferryd import peer_codec
+from radishferryd.gen.router import ttypes
+from radishferryd.router import links
+
+
+@behave.given(
+    'the owners of {ranges:d} ranges at {servers:d} servers as a message'
+)
+def owners(context, ranges, servers):
+    width = 65536 // ranges
+    context.name = 'key_map_push'
+    context.message = ttypes.KeyMapPush(
+        'stock',
+        [
+            ttypes.Owner(f'i-{n * 7919:010x}', 1700000000000 + n)
+            for n in range(servers)
+        ],
+        [n % servers for n in range(ranges)],
+        [n * width for n in range(ranges)],
+        [(n + 1) * width - 1 for n in range(ranges)],
+        [1] * ranges,
+        [],
+    )
+
+
+@behave.given('a beat as a message')
+def beat(context):
+    context.name = 'beat'
+    context.message = ttypes.Beat(67, 0.4, False)
+
+
+@behave.when('the message is encoded for a link')
+def encode(context):
+    context.data = links.encode(context.name, context.message)
+
+
+def _decode(data):
+    buffer = peer_codec.FrameBuffer(links._CODEC)
+    buffer.allow_large()
+    return [
+        message
+        for frame in buffer.feed(data)
+        for message in links.decode(*frame)
+    ]
+
+
+@behave.then('it takes less than half of its bytes')
+def smaller(context):
+    plain = links._CODEC.encode(context.name, context.message)
+    assert len(context.data) < len(plain) / 2, len(context.data)
+
+
+@behave.then('it is not compressed')
+def plain(context):
+    assert context.data == links._CODEC.encode(context.name, context.message)
+
+
+@behave.then('it is decoded to the same message')
+def same(context):
+    assert _decode(context.data) == [(context.name, context.message)]
+
+
+@behave.given('a compressed frame that is {problem}')
+def bad_frame(context, problem):
+    data = {
+        'too large': zlib.compress(bytes(links.MAX_UNPACKED_BYTES + 1)),
+        'cut': zlib.compress(bytes(5000))[:-4],
+        'no zlib': b'no zlib',
+    }[problem]
+    context.data = links._CODEC.encode('packed', ttypes.Packed(data))
+
+
+@behave.then('decoding it fails with a clear error')
+def fails(context):
+    try:
+        _decode(context.data)
+    except peer_codec.FrameError as exc:
+        assert 'compress' in str(exc), exc
+    else:
+        raise AssertionError('the frame was taken')
--- a/packages/radishferryd/idl/router.thrift
+++ b/packages/radishferryd/idl/router.thrift
@@ -84,6 +84,11 @@
   1: map<i64, i32> crashes
 }
 
+/* A large frame with its length, compressed by zlib. */
+struct Packed {
+  1: binary frame
+}
+
 struct Frame {
   1: optional Hello hello
   2: optional Beat beat
@@ -92,4 +97,5 @@
   5: optional KeyMapPush key_map_push
   6: optional LoadReport load_report
   7: optional PoisonPush poison_push
+  8: optional Packed packed
 }
--- a/packages/radishferryd/src/radishferryd/gen/router/ttypes.py
+++ b/packages/radishferryd/src/radishferryd/gen/router/ttypes.py
@@ -972,6 +972,63 @@
         return not (self == other)
 
 
+class Packed(object):
+    """
+    Attributes:
+     - frame
+
+    """
+
+
+    def __init__(self, frame=None,):
+        self.frame = frame
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.frame = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Packed')
+        if self.frame is not None:
+            oprot.writeFieldBegin('frame', TType.STRING, 1)
+            oprot.writeBinary(self.frame)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -982,11 +1039,12 @@
      - key_map_push
      - load_report
      - poison_push
+     - packed
 
     """
 
 
-    def __init__(self, hello=None, beat=None, configuration_push=None, servers_push=None, key_map_push=None, load_report=None, poison_push=None,):
+    def __init__(self, hello=None, beat=None, configuration_push=None, servers_push=None, key_map_push=None, load_report=None, poison_push=None, packed=None,):
         self.hello = hello
         self.beat = beat
         self.configuration_push = configuration_push
@@ -994,6 +1052,7 @@
         self.key_map_push = key_map_push
         self.load_report = load_report
         self.poison_push = poison_push
+        self.packed = packed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1046,6 +1105,12 @@
                     self.poison_push.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.packed = Packed()
+                    self.packed.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1084,6 +1149,10 @@
             oprot.writeFieldBegin('poison_push', TType.STRUCT, 7)
             self.poison_push.write(oprot)
             oprot.writeFieldEnd()
+        if self.packed is not None:
+            oprot.writeFieldBegin('packed', TType.STRUCT, 8)
+            self.packed.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1175,6 +1244,11 @@
     None,  # 0
     (1, TType.MAP, 'crashes', (TType.I64, None, TType.I32, None, False), None, ),  # 1
 )
+all_structs.append(Packed)
+Packed.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'frame', 'BINARY', None, ),  # 1
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -1185,6 +1259,7 @@
     (5, TType.STRUCT, 'key_map_push', [KeyMapPush, None], None, ),  # 5
     (6, TType.STRUCT, 'load_report', [LoadReport, None], None, ),  # 6
     (7, TType.STRUCT, 'poison_push', [PoisonPush, None], None, ),  # 7
+    (8, TType.STRUCT, 'packed', [Packed, None], None, ),  # 8
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -86,6 +86,7 @@
             settings.host_name,
             '{}:{}'.format(*settings.listen_links),
             time.time_ns(),
+            settings.host_link_mbps,
         )
         self._ownership = ownership_module.Ownership(
             self._poller,
@@ -157,6 +158,10 @@
         """Tell whether this host has no link to a granting host."""
         return not self._spoke.is_linked
 
+    def owners_read(self, rows):
+        """Adopt the owners that a host without granting host has read."""
+        self._reader.adopt_owners(rows)
+
     def granter_known(self, term):
         """Connect to the host that may grant."""
         self._spoke.connect(term.address)
--- a/packages/radishferryd/src/radishferryd/router/hub.py
+++ b/packages/radishferryd/src/radishferryd/router/hub.py
@@ -5,6 +5,7 @@
 import logging
 
 from radishferryd.gen.router import ttypes
+from radishferryd.router import links
 
 LOG = logging.getLogger(__name__)
 
@@ -161,8 +162,10 @@
             self._send_all('poison_push', ttypes.PoisonPush(counts))
 
     def _send_all(self, name, message):
-        for link in self._links:
-            link.send(name, message)
+        if self._links:
+            data = links.encode(name, message)
+            for link in self._links:
+                link.write(data)
 
 
 def _server_entry(server):
--- a/packages/radishferryd/src/radishferryd/router/links.py
+++ b/packages/radishferryd/src/radishferryd/router/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import zlib
 
 from radishferryd import net
 from radishferryd import peer_codec
@@ -17,10 +18,53 @@
 SILENCE_S = 1.2
 #: Seconds after which an attempt to connect has failed.
 CONNECT_TIMEOUT_S = 0.5
+#: Size above which a frame is compressed, in bytes. The first messages to a
+#: host make some 50 kB, and a granting host behind 10 Mbit/s needs two
+#: seconds to send them to 66 others.
+PACK_BYTES = 2048
+#: Effort of the compression, 1 to 9; higher levels save little here.
+PACK_LEVEL = 1
+
+#: Largest frame with its length, in bytes.
+MAX_UNPACKED_BYTES = peer_codec.MAX_FRAME_BYTES + 4
 
 _CODEC = peer_codec.Codec(ttypes.Frame, ('beat', 'load_report'))
 
 
+def encode(name, message) -> bytes:
+    """Return the bytes of a message, compressed if it is large.
+
+    :param name: Field of the frame.
+    :param message: The thrift struct.
+    :raises peer_codec.FrameError: The message is too large.
+    """
+    data = _CODEC.encode(name, message)
+    if len(data) <= PACK_BYTES:
+        return data
+    packed = ttypes.Packed(zlib.compress(data, PACK_LEVEL))
+    return _CODEC.encode('packed', packed)
+
+
+def decode(name, message):
+    """Yield name and struct of a message, taken out of its compression.
+
+    :raises peer_codec.FrameError: The bytes are no frame.
+    """
+    if name != 'packed':
+        yield name, message
+        return
+    unpacker = zlib.decompressobj()
+    try:
+        data = unpacker.decompress(message.frame, MAX_UNPACKED_BYTES)
+    except zlib.error as exc:
+        raise peer_codec.FrameError(f'malformed compression: {exc}') from exc
+    if unpacker.unconsumed_tail or not unpacker.eof:
+        raise peer_codec.FrameError('a compressed frame is too large or cut')
+    buffer = peer_codec.FrameBuffer(_CODEC)
+    buffer.allow_large()
+    yield from buffer.feed(data)
+
+
 class Link:
     """Be one connection to another host."""
 
@@ -53,8 +97,12 @@
 
     def send(self, name, message):
         """Send a message; dropped when the link is closed."""
+        self.write(encode(name, message))
+
+    def write(self, data):
+        """Send bytes of :func:`encode`; dropped when the link is closed."""
         if self._is_open:
-            self._connection.write(_CODEC.encode(name, message))
+            self._connection.write(data)
 
     def is_silent(self, now) -> bool:
         """Tell whether the other host has not been heard for long."""
@@ -82,8 +130,9 @@
         """See :class:`radishferryd.net.Handler`."""
         self.heard_at = self._scheduler.now()
         try:
-            for name, message in self._buffer.feed(data):
-                self._owner.link_message(self, name, message)
+            for frame in self._buffer.feed(data):
+                for name, message in decode(*frame):
+                    self._owner.link_message(self, name, message)
         except peer_codec.FrameError as exc:
             LOG.error('link: Closed the link to %s: %s.', self.host, exc)
             self._connection.abort()
--- a/packages/radishferryd/src/radishferryd/router/settings.py
+++ b/packages/radishferryd/src/radishferryd/router/settings.py
@@ -28,6 +28,7 @@
     grants_hold_max_s: float
     stop_grace_s: float
     host_is_first_start: bool = False
+    host_link_mbps: float = 1000.0
     retry_hosts: int = 4
     log_level: str = 'info'
     log_format: str = 'json'
@@ -63,6 +64,15 @@
         'Whether the whole system starts for the first time.',
         'false',
     ),
+    _option(
+        'host',
+        'link_mbps',
+        'number',
+        setting_readers.read_number,
+        'Bandwidth of the link of this host in Mbit/s. A host with a slow '
+        'link grants keys only if no other host does.',
+        '1000',
+    ),
     _option(
         'listen',
         'callers',
--- a/packages/radishferryd/src/radishferryd/router/spoke.py
+++ b/packages/radishferryd/src/radishferryd/router/spoke.py
@@ -8,11 +8,12 @@
 from radishferry.direct import registry as registry_module
 from radishferryd.gen.router import ttypes
 from radishferryd.router import links
+from radishferryd.router import store_reader
 
 LOG = logging.getLogger(__name__)
 
-#: Age of the list of servers above which this host reads the store itself,
-#: in seconds. The granting host reads every 0.7 s.
+#: Age of the granting host's list of servers above which this host reads the
+#: store itself, in seconds. The granting host reads every 0.7 s.
 STALE_SERVERS_S = 1.35
 #: Seconds between looks at the age of what this host knows.
 TICK_S = 0.2
@@ -44,6 +45,7 @@
         self._is_heard = False
         self._address = None
         self._registry_read_at = None
+        self._granter_read_at = scheduler.now()
         self._alone_since = scheduler.now()
         self._is_granter = False
 
@@ -102,19 +104,21 @@
         """Drop a silent link, and read the store where that is needed."""
         now = self._scheduler.now()
         if self._is_granter:
-            self._reader.set_reading(True)
+            self._reader.set_reading(True, store_reader.GRANTER_INTERVAL_S)
             return
         if self._link is not None and self._link.is_silent(now):
             LOG.warning('spoke: The granting host is silent.')
             self._drop()
         if self.is_linked:
+            # The own list would grow fresh by the first read, and old again
+            # after it, with a read of the configuration each time.
             is_stale = (
-                self._knowledge.registry.age(now) > STALE_SERVERS_S
+                now - self._granter_read_at > STALE_SERVERS_S
                 and now - self._alone_since > PATIENCE_S
             )
             self._reader.set_reading(is_stale)
         elif now - self._alone_since > PATIENCE_S:
-            self._reader.set_reading(True, with_owners=True)
+            self._reader.set_reading(True)
 
     def _drop(self):
         link, self._link = self._link, None
@@ -165,6 +169,7 @@
         self._owner.set_host_count(message.hosts)
         registry = self._knowledge.registry
         read_at = now - message.registry_age_s
+        self._granter_read_at = read_at
         # Nothing has changed since the last push, or it would have come.
         if registry.read_at is not None and registry.read_at < read_at:
             if self._registry_read_at is not None:
--- a/packages/radishferryd/src/radishferryd/router/store_reader.py
+++ b/packages/radishferryd/src/radishferryd/router/store_reader.py
@@ -22,10 +22,12 @@
 #: Beginning of the keys of rows with the owners of a service.
 KEYS_PREFIX = 'keys/'
 
-#: Seconds between reads of the list of servers. A server that leaves must
-#: get no work two seconds after it has said so, and the news have to be
-#: passed on.
-SERVERS_INTERVAL_S = 0.7
+#: Seconds between reads of the list of servers by the granting host. A
+#: server that leaves must get no work two seconds after it has said so, and
+#: the news have to be passed on.
+GRANTER_INTERVAL_S = 0.7
+#: The same for a host that reads for itself alone.
+OWN_INTERVAL_S = 1.3
 #: Seconds that a feed waits at the store; a silent connection is found out
 #: within this time.
 FEED_WAIT_S = 2.5
@@ -34,8 +36,6 @@
 FEED_PAUSE_S = 0.2
 #: Pause after a failed call.
 RETRY_S = 0.4
-#: Seconds between reads of the owners by a host without the granting host.
-OWNERS_INTERVAL_S = 1.0
 
 
 class _Reading:
@@ -91,21 +91,23 @@
         self._scheduler = scheduler
         self._knowledge = knowledge
         self._decoder = documents.ServerDecoder()
-        self._lists = _Reading('servers and the configuration', scheduler)
-        self._owners = _Reading('owners', scheduler)
+        self._reading = _Reading('servers and the configuration', scheduler)
+        self._interval_s = OWN_INTERVAL_S
         self._feed_version = None
         self._is_available = True
 
-    def set_reading(self, is_reading: bool, with_owners: bool = False):
+    def set_reading(self, is_reading, interval_s=OWN_INTERVAL_S):
         """Begin or end reading.
 
-        :param with_owners: Whether owners are read too.
+        :param interval_s: Seconds between reads of the list of servers.
         """
-        if self._lists.set_active(is_reading):
+        if interval_s < self._interval_s:
+            # The next read may be too far off for the shorter interval.
+            self._reading.set_active(False)
+        self._interval_s = interval_s
+        if self._reading.set_active(is_reading):
             self._read_servers()
             self._read_configuration()
-        if self._owners.set_active(is_reading and with_owners):
-            self._read_owners()
 
     def note(self, answer) -> bool:
         """Note whether the store answers.
@@ -134,7 +136,7 @@
         def take(answer):
             delay_s = RETRY_S
             if self.note(answer):
-                delay_s = SERVERS_INTERVAL_S
+                delay_s = self._interval_s
                 services = None
                 if self._knowledge.configuration is not None:
                     services = self._knowledge.configuration.services
@@ -143,19 +145,19 @@
                     answer.sent_at,
                     'store',
                 )
-            self._lists.call_later(delay_s, self._read_servers)
+            self._reading.call_later(delay_s, self._read_servers)
 
-        self._store.read(documents.SERVER_TABLE, self._lists.guard(take))
+        self._store.read(documents.SERVER_TABLE, self._reading.guard(take))
 
     def _read_configuration(self):
         def take(answer):
             if not self.note(answer):
-                self._lists.call_later(RETRY_S, self._read_configuration)
+                self._reading.call_later(RETRY_S, self._read_configuration)
                 return
             self._adopt(answer)
             self._follow()
 
-        self._store.read(documents.OPERATOR_TABLE, self._lists.guard(take))
+        self._store.read(documents.OPERATOR_TABLE, self._reading.guard(take))
 
     def _follow(self):
         def take(answer):
@@ -163,17 +165,17 @@
                 self._read_configuration()
             elif not self.note(answer):
                 # What the feed would have told may be missed; read anew.
-                self._lists.call_later(RETRY_S, self._read_configuration)
+                self._reading.call_later(RETRY_S, self._read_configuration)
             else:
                 self._adopt(answer)
                 pause_s = FEED_PAUSE_S if answer.rows else 0.0
-                self._lists.call_later(pause_s, self._follow)
+                self._reading.call_later(pause_s, self._follow)
 
         self._store.follow(
             documents.OPERATOR_TABLE,
             self._feed_version,
             FEED_WAIT_S,
-            self._lists.guard(take),
+            self._reading.guard(take),
         )
 
     def _adopt(self, answer):
@@ -182,14 +184,6 @@
             if row.key == documents.CONFIGURATION_KEY and not row.is_deleted:
                 self._knowledge.apply_document(row.value, 'store')
 
-    def _read_owners(self):
-        def take(answer):
-            if self.note(answer):
-                self.adopt_owners(answer.rows)
-            self._owners.call_later(OWNERS_INTERVAL_S, self._read_owners)
-
-        self._store.read(OWN_TABLE, self._owners.guard(take))
-
     def adopt_owners(self, rows):
         """Adopt rows with owners.
 
--- a/packages/radishferryd/src/radishferryd/router/term.py
+++ b/packages/radishferryd/src/radishferryd/router/term.py
@@ -15,6 +15,13 @@
 #: Longest random pause before a host tries to take the right, in seconds,
 #: so that not all of them call the store at the same moment.
 SPREAD_S = 0.25
+#: Bandwidth below which a host leaves the right to others, in Mbit/s. The
+#: granting host sends what it knows to each other host: some 50 kB, or 15 kB
+#: compressed, at once to all of them after a change.
+FAST_LINK_MBPS = 100.0
+#: Seconds for which a host with a slow link waits before it tries to take
+#: the right: the longest pause of the others, and their call to the store.
+SLOW_LINK_WAIT_S = 0.4
 #: Seconds between looks at the row while the granting host cannot be
 #: reached.
 LOOK_S = 1.0
@@ -28,15 +35,25 @@
 class TermKeeper:
     """Follow the row of the right to grant, and hold it when it is free."""
 
-    def __init__(self, store, scheduler, owner, name, address, incarnation):
+    def __init__(
+        self,
+        store,
+        scheduler,
+        owner,
+        name,
+        address,
+        incarnation,
+        link_mbps,
+    ):
         """Begin without the right.
 
         :param owner: Offers ``term_taken()``, ``term_lost()``,
-            ``granter_known(term)``, ``needs_granter()`` and
-            ``note_store(answer)``.
+            ``granter_known(term)``, ``needs_granter()``,
+            ``owners_read(rows)`` and ``note_store(answer)``.
         :param name: Name of this host.
         :param address: Address of this host for links, as ``ip:port``.
         :param incarnation: Distinguishes restarts of this host.
+        :param link_mbps: Bandwidth of this host in Mbit/s.
         """
         self._store = store
         self._scheduler = scheduler
@@ -44,6 +61,7 @@
         self._name = name
         self._address = address
         self._incarnation = incarnation
+        self._wait_s = SLOW_LINK_WAIT_S if link_mbps < FAST_LINK_MBPS else 0.0
         self._clock = leadership.StoreClock()
         self._nonces = itertools.count(1)
         self._version = 0
@@ -126,6 +144,8 @@
                 return
             now = self._scheduler.now()
             self._clock.note(answer.store_s, answer.sent_at, now)
+            # The owners stand in the same table, and nobody else tells them.
+            self._owner.owners_read(answer.rows)
             self._judge(answer.rows)
 
         self._store.read(store_reader.OWN_TABLE, take)
@@ -137,7 +157,9 @@
         now = self._scheduler.now()
         store_s = self._clock.estimate(now)
         if term is None or term.has_ended(store_s) or self._is_former(term):
-            self._scheduler.call_later(random.uniform(0, SPREAD_S), self._take)
+            pause_s = self._wait_s + random.uniform(0, SPREAD_S)
+            judged = self._version
+            self._scheduler.call_later(pause_s, lambda: self._take(judged))
             return
         self._owner.granter_known(term)
         rest = term.until_store_s - store_s + END_MARGIN_S
@@ -152,9 +174,13 @@
     def _look_again(self, delay_s):
         self.look_soon(delay_s + random.uniform(0, SPREAD_S))
 
-    def _take(self):
+    def _take(self, judged):
         if self._holds or self._is_busy or self._is_ending:
             return
+        if self._version != judged:
+            # Another host has taken the right during the pause. A write
+            # with the newer version would end that term while it lasts.
+            return
         if not self._owner.needs_granter():
             return
         self._write(self._name, leadership.TERM_S, ())
