Hold every request until its new connection has stayed open for 5 ms

A server with a long queue resets new connections below its limit too, and a lookup sent with the connect ended as one that may have run.

--- a/packages/radishferryd/src/radishferryd/router/backends.py
+++ b/packages/radishferryd/src/radishferryd/router/backends.py
@@ -61,7 +61,7 @@
         self.stats.note_sent(self._scheduler.now())
         if attempt.key is not None:
             self.key_counts[attempt.key] += 1
-        connection.send(attempt, is_idempotent)
+        connection.send(attempt)
         return True
 
     def ended(self, attempt, result):
--- a/packages/radishferryd/src/radishferryd/router/connections.py
+++ b/packages/radishferryd/src/radishferryd/router/connections.py
@@ -15,8 +15,8 @@
 #: are about 1 ms apart, so only an unreachable server takes this long.
 CONNECT_TIMEOUT_S = 0.35
 #: Seconds for which a new connection has to stay open before it carries a
-#: request that may run only once. A server with too many connections accepts
-#: another one and resets it at once; data centres are about 1 ms apart.
+#: request. A server with a long queue or too many connections accepts another
+#: one and resets it at once; data centres are about 1 ms apart.
 SETTLE_S = 0.005
 #: Seconds without acknowledgement after which a connection counts as
 #: silent, so that requests do not wait for their deadline at a cut server.
@@ -120,7 +120,7 @@
     def is_open(self):
         return self._connection.is_open
 
-    def send(self, attempt, is_idempotent):
+    def send(self, attempt):
         """Send an attempt, at once or when the connection has settled."""
         self._attempt = attempt
         attempt.connection = self
@@ -128,7 +128,7 @@
         attempt.sent_at = now
         self._idle_s = now - self.idle_since if self.is_connected else None
         self._head = None
-        if self.is_connected or is_idempotent:
+        if self.is_connected:
             self._connection.write(attempt.data)
         else:
             self._held = attempt.data
@@ -190,11 +190,7 @@
         elif self._attempt is not None:
             detail = str(error) if error else 'connection closed'
             if self.is_connected and self._held:
-                self._fail(
-                    results.NotRun(
-                        f'nothing was sent: {detail}', is_unreachable=True
-                    )
-                )
+                self._fail(results.NotRun(f'nothing was sent: {detail}'))
             elif self.is_connected:
                 if self._idle_s is not None and self._head is None:
                     took_s = self._scheduler.now() - self._attempt.sent_at
