Pause before asking the same server again that turned a request away

Cause: a keyed request that its owner refused, for a full queue or a key that it did not hold yet, was sent again to the same server at once, up to three times within some milliseconds. It now waits 30 to 90 ms, doubled with each attempt, and goes on at once when its key gets another owner. A request that ends while it waits is forgotten; before, the list of waiting requests kept it until the next change of owners.

--- /dev/null
+++ b/features/direct_requests.feature
@@ -0,0 +1,43 @@
+Feature: Attempts of one request by a host that sends directly
+
+  Background:
+    Given a request for a key of server "a" that may run more than once
+
+  # Answers the pattern of a server whose queue is full for a moment: a second
+  # attempt at once meets the same queue, and takes the place of another one.
+  Scenario: A server that turned a request away gets it again after a pause
+    When server "a" turns the request away
+    And 0.02 seconds pass for the request
+    Then the request has been sent to "a"
+    When 0.1 seconds pass for the request
+    Then the request has been sent to "a, a"
+
+  # Answers the pattern of keys that move while requests for them are under
+  # way: the new owner is known some milliseconds after the old one refuses.
+  Scenario: A request follows its key at once
+    When server "a" turns the request away
+    And the key moves to server "b"
+    Then the request has been sent to "a, b"
+    When 1 seconds pass for the request
+    Then the request has been sent to "a, b"
+
+  # Guards against requests that each change of another key sends again.
+  Scenario: A change of other keys does not end the pause
+    When server "a" turns the request away
+    And other keys move
+    Then the request has been sent to "a"
+
+  # Guards against memory that requests take after they have ended.
+  Scenario: A request that ends while it waits is forgotten
+    When server "a" turns the request away
+    And its caller leaves
+    And 1 seconds pass for the request
+    Then the request has been sent to "a"
+    And no request waits
+
+  # Guards against callers that wait for what has no prospect.
+  Scenario: A request without time for a pause is refused at once as not run
+    Given the caller of the request leaves it 0.12 seconds
+    When 0.08 seconds pass for the request
+    And server "a" turns the request away
+    Then the request is refused with status 503
--- /dev/null
+++ b/features/steps/direct_requests_steps.py
@@ -0,0 +1,198 @@
+"""Steps for the attempts of one request."""
+
+from __future__ import annotations
+
+import collections
+import types
+
+import behave
+import load_fixtures
+
+from radishferry.direct import budget
+from radishferry.direct import configuration
+from radishferry.direct import key_map
+from radishferry.direct import registry
+from radishferry.direct import selection
+from radishferryd import http_message
+from radishferryd.platform import headers
+from radishferryd.router import requests
+from radishferryd.router import results
+
+_SERVICE = configuration.Service('stock', '/health', 64, True, 1.0)
+_ROUTE = configuration.Route(
+    'lookup',
+    'stock.example',
+    '/',
+    configuration.Kind.SAFE,
+    (configuration.Part('stock', 1.0),),
+    timeout_s=5.0,
+    target_latency_s=1.0,
+    max_attempts=3,
+    priority=1,
+)
+
+
+class _Backend:
+    """Keep the attempts at one server."""
+
+    def __init__(self, server, sent):
+        self.server = server
+        self.stats = selection.ServerStats(server.slots)
+        self.key_counts = collections.Counter()
+        self._sent = sent
+
+    def send(self, attempt, is_idempotent):
+        self._sent.append(attempt)
+        return True
+
+    def ended(self, attempt, result):
+        """Ignore the end of an attempt."""
+
+
+class _Gateway:
+    """Be the host of one request."""
+
+    host_count = 1
+
+    def __init__(self, scheduler):
+        self.scheduler = scheduler
+        self.now = scheduler.now
+        self.sent = []
+        self.waiting = {}
+        self.backends = self
+        self.budget = budget.RetryBudget(0.2, 10, 10.0)
+        self._stats = requests.RouteStats(configuration.Kind.SAFE)
+        self._servers = {
+            name: registry.Server(
+                name, 1, 'stock', ('127.0.0.1', 1), 'x', 4, False, 0.0
+            )
+            for name in ('a', 'b')
+        }
+        self._backends = {
+            name: _Backend(server, self.sent)
+            for name, server in self._servers.items()
+        }
+        self.owner_name = 'a'
+
+    def get(self, server):
+        return self._backends[server.server_id]
+
+    def owner(self, service, key):
+        server = self._servers[self.owner_name]
+        return key_map.Segment(0, 65535, server.life, 1), server
+
+    def is_moving(self, service, key):
+        return False
+
+    def is_poison(self, request):
+        return False
+
+    def route_stats(self, request):
+        return self._stats
+
+    def wait_for_owner(self, request):
+        self.waiting[request] = None
+
+    def stop_waiting(self, request):
+        self.waiting.pop(request, None)
+
+    def note_key(self, service, key):
+        """Ignore the load."""
+
+    def attempt_refused(self, request, attempt, result):
+        """Ignore what is only logged."""
+
+    def finished(self, request, status, outcome, detail):
+        """Ignore what is only logged."""
+
+
+class _Slot:
+    """Take the answer to the caller."""
+
+    body = ()
+
+    def __init__(self, now, remaining_ms):
+        self.arrived_at = now
+        self.refusal = None
+        self.head = http_message.Head(
+            'GET',
+            '/',
+            0,
+            (
+                ('host', 'stock.example'),
+                (headers.KEY, '7'),
+                (headers.REQUEST_ID, 'r1'),
+                (headers.REMAINING_MS, str(remaining_ms)),
+            ),
+            True,
+        )
+
+    def refuse(self, refusal):
+        self.refusal = refusal
+
+
+def _start(context, remaining_ms):
+    context.gateway = _Gateway(load_fixtures.Scheduler())
+    context.slot = _Slot(context.gateway.now(), remaining_ms)
+    context.request = requests.Request(
+        context.gateway,
+        context.slot,
+        _ROUTE,
+        'stock',
+        types.SimpleNamespace(services={'stock': _SERVICE}),
+    )
+    context.request.start()
+
+
+@behave.given('a request for a key of server "a" that may run more than once')
+def request(context):
+    _start(context, 4000)
+
+
+@behave.given('the caller of the request leaves it {seconds:g} seconds')
+def little_time(context, seconds):
+    _start(context, int(seconds * 1000))
+
+
+@behave.when('server "a" turns the request away')
+def turned_away(context):
+    context.gateway.sent[-1].finish(results.NotRun('the server answered 503'))
+
+
+@behave.when('the key moves to server "b"')
+def key_moves(context):
+    context.gateway.owner_name = 'b'
+    for waiting in list(context.gateway.waiting):
+        waiting.owner_changed()
+
+
+@behave.when('other keys move')
+def other_keys_move(context):
+    for waiting in list(context.gateway.waiting):
+        waiting.owner_changed()
+
+
+@behave.when('its caller leaves')
+def caller_leaves(context):
+    context.request.cancel()
+
+
+@behave.when('{seconds:g} seconds pass for the request')
+def go_by(context, seconds):
+    context.gateway.scheduler.advance(seconds)
+
+
+@behave.then('the request has been sent to "{names}"')
+def sent_to(context, names):
+    sent = [attempt.server.server_id for attempt in context.gateway.sent]
+    assert sent == names.split(', '), sent
+
+
+@behave.then('no request waits')
+def none_waits(context):
+    assert not context.gateway.waiting
+
+
+@behave.then('the request is refused with status {status:d}')
+def refused(context, status):
+    assert context.slot.refusal.status == status, context.slot.refusal
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -43,7 +43,7 @@
         self._metrics = metrics
         self._stats = {}
         self._keys = collections.defaultdict(list)
-        self._waiting = collections.defaultdict(list)
+        self._waiting = collections.defaultdict(dict)
         self.open_requests = 0
         self.set_host_count(self.host_count)
         knowledge.on_configuration.append(self._on_configuration)
@@ -175,7 +175,11 @@
 
     def wait_for_owner(self, request):
         """Tell a request when the owners of its service change."""
-        self._waiting[request.service].append(request)
+        self._waiting[request.service][request] = None
+
+    def stop_waiting(self, request):
+        """Undo :meth:`wait_for_owner`."""
+        self._waiting[request.service].pop(request, None)
 
     def is_poison(self, request):
         """Tell whether equal requests have crashed servers."""
@@ -270,6 +274,5 @@
             self._on_owners(service)
 
     def _on_owners(self, service):
-        waiting, self._waiting[service] = self._waiting[service], []
-        for request in waiting:
+        for request in list(self._waiting[service]):
             request.owner_changed()
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -31,6 +31,10 @@
 MAX_UNREACHABLE = 3
 #: Longest wait for an owner whose keys are being moved, in seconds.
 OWNER_WAIT_S = 0.6
+#: Mean pause before a request goes again to the server that has just turned
+#: it away and alone may run it, in seconds; doubled with each attempt. With 3
+#: to 8 slots and 200 to 400 ms of work a slot becomes free about as often.
+TURNED_AWAY_PAUSE_S = 0.06
 #: Part of the target latency that a request may be expected to take; above
 #: it is refused while there is time to come back.
 ADMISSION_SHARE = 1.0
@@ -98,6 +102,10 @@
         self._choice = {}
         self._was_sent = False
         self._is_waiting = False
+        self._wait_timer = None
+        #: Life of the server that has turned the request away and is asked
+        #: again after a pause.
+        self._turned_away_by = None
         self._is_done = False
         self._last = None
         self._timer = gateway.scheduler.call_later(
@@ -163,9 +171,31 @@
 
     def owner_changed(self):
         """Try again after a change of the key map."""
-        if self._is_waiting and not self._is_done:
+        if self._turned_away_by is not None:
+            _, server = self._gateway.owner(self.service, self.key)
+            if server is not None and server.life == self._turned_away_by:
+                return
+        self._resume_next()
+
+    def _resume_next(self):
+        self._stop_waiting()
+        self._next()
+
+    def _wait(self, delay_s):
+        """Go on after a delay, or earlier when the owner changes."""
+        gateway = self._gateway
+        self._is_waiting = True
+        gateway.wait_for_owner(self)
+        self._wait_timer = gateway.scheduler.call_later(
+            delay_s, self._resume_next
+        )
+
+    def _stop_waiting(self):
+        if self._is_waiting:
             self._is_waiting = False
-            self._next()
+            self._turned_away_by = None
+            self._wait_timer.cancel()
+            self._gateway.stop_waiting(self)
 
     # From the attempt.
 
@@ -199,10 +229,30 @@
         else:
             self._unreachable += result.is_unreachable
             self._gateway.attempt_refused(self, attempt, result)
-        if self._may_retry(result):
-            self._next()
-        else:
+        if not self._may_retry(result):
             self._give_up(result)
+        elif (
+            self.is_keyed
+            and isinstance(result, results.NotRun)
+            and not result.is_unreachable
+        ):
+            self._next_after_pause(attempt.server)
+        else:
+            self._next()
+
+    def _next_after_pause(self, server):
+        """Ask a server again when it may have room or the keys.
+
+        Another server gets the request at once when the keys move to it.
+        """
+        gateway = self._gateway
+        pause_s = TURNED_AWAY_PAUSE_S * 2 ** (self._attempts - 1)
+        pause_s *= random.uniform(0.5, 1.5)
+        if self._until - gateway.now() < pause_s + MIN_ATTEMPT_S:
+            self._give_up(self._last)
+            return
+        self._turned_away_by = server.life
+        self._wait(pause_s)
 
     def _answer(self, attempt, result):
         status = result.head.status
@@ -418,9 +468,7 @@
             and gateway.is_moving(self.service, self.key)
             and not self._is_waiting
         ):
-            self._is_waiting = True
-            gateway.wait_for_owner(self)
-            gateway.scheduler.call_later(patience - now, self.owner_changed)
+            self._wait(patience - now)
             return
         self._refuse(503, reason, detail, self._spread(0.45))
 
@@ -502,3 +550,4 @@
     def _end(self):
         self._is_done = True
         self._timer.cancel()
+        self._stop_waiting()
