Expect the usual load of a server between its reports; read at once on restart

A host hears of a server every half second or less, and took its queue for gone in between. The load of others now fades towards the usual one instead of zero.

A host that starts again waits 0.08 s.

--- a/features/direct_reading.feature
+++ b/features/direct_reading.feature
@@ -40,6 +40,14 @@
     When the news of the granting host are fresh again
     Then the host has stopped reading
 
+  # Answers the pattern of a loss of power that takes all hosts: each of them
+  # is up again and refused its callers for half a second, since it waited for
+  # news of a granting host that was gone as well.
+  Scenario: A host that starts again reads the store almost at once
+    Given a host that waits 0.08 seconds for the granting host
+    When 0.1 seconds of reading pass
+    Then the host has begun to read once
+
   # Answers the pattern of a granting host behind 10 Mbit/s, which cannot
   # renew its right while it sends its 66 followers what it knows.
   Scenario: A host with a slow link leaves the right to grant to others
--- a/features/direct_selection.feature
+++ b/features/direct_selection.feature
@@ -48,3 +48,22 @@
     And b1 has answered 50 requests
     When 3 requests are sent one after the other from data centre a
     Then a2 gets at least 1 of them
+
+  # Answers the pattern of a crowd that comes through many hosts: each of them
+  # hears of a server's queue now and then, and took it for gone in between.
+  Scenario: A queue that was long in all reports is expected between them
+    Given a1 reports 18 waiting requests every 0.6 seconds for 3 seconds
+    When 0.5 seconds go by
+    Then a request to a1 is expected to take at least 0.3 seconds
+
+  # Guards against a server that is avoided for a queue of long ago.
+  Scenario: The queue of a server that nobody hears of is forgotten
+    Given a1 reports 18 waiting requests every 0.6 seconds for 3 seconds
+    When 10 seconds go by
+    Then a request to a1 is expected to take at most 0.11 seconds
+
+  # Guards against a queue that is expected after it has gone.
+  Scenario: One report of an empty queue counts at once
+    Given a1 reports 18 waiting requests every 0.6 seconds for 3 seconds
+    And a1 reports 0 waiting requests
+    Then a request to a1 is expected to take at most 0.11 seconds
--- a/features/steps/direct_reading_steps.py
+++ b/features/steps/direct_reading_steps.py
@@ -234,8 +234,7 @@
             self.changes.append(is_reading)
 
 
-@behave.given('a host that hears the granting host')
-def hearing(context):
+def _add_spoke(context):
     context.time = load_fixtures.Scheduler()
     context.reader = _Reader()
     knowledge = knowledge_module.Knowledge(context.time.now)
@@ -243,6 +242,17 @@
     context.spoke = spoke_module.Spoke(
         None, context.time, knowledge, context.reader, ('a', 'x'), _Host()
     )
+
+
+@behave.given('a host that waits {seconds:g} seconds for the granting host')
+def waiting_spoke(context, seconds):
+    _add_spoke(context)
+    context.spoke.wait_for_granter(seconds)
+
+
+@behave.given('a host that hears the granting host')
+def hearing(context):
+    _add_spoke(context)
     with unittest.mock.patch.object(links, 'Link', _Link):
         context.spoke.connect('127.0.0.1:1')
     _beats(context, 2.0, itself_read=False, age_s=lambda: 0.3)
--- a/features/steps/direct_selection_steps.py
+++ b/features/steps/direct_selection_steps.py
@@ -144,3 +144,41 @@
 @behave.when('{seconds:g} seconds go by')
 def go_by(context, seconds):
     context.now += seconds
+
+
+def _report(context, waiting):
+    stats = context.stats['a1']
+    running = stats.slots if waiting else 0
+    stats.note_report(running, waiting, stats.slots, context.now)
+
+
+@behave.given(
+    'a1 reports {waiting:d} waiting requests every {gap_s:g} seconds for '
+    '{seconds:g} seconds'
+)
+def reports(context, waiting, gap_s, seconds):
+    end = context.now + seconds
+    while context.now < end:
+        context.now += gap_s
+        _report(context, waiting)
+
+
+@behave.given('a1 reports {waiting:d} waiting requests')
+def reports_once(context, waiting):
+    _report(context, waiting)
+
+
+def _expected(context):
+    return context.stats['a1'].expected_s(_WORK_S, context.now)
+
+
+@behave.then(
+    'a request to a1 is expected to take at least {seconds:g} seconds'
+)
+def expected_at_least(context, seconds):
+    assert _expected(context) >= seconds, _expected(context)
+
+
+@behave.then('a request to a1 is expected to take at most {seconds:g} seconds')
+def expected_at_most(context, seconds):
+    assert _expected(context) <= seconds, _expected(context)
--- a/packages/radishferry/src/radishferry/direct/selection.py
+++ b/packages/radishferry/src/radishferry/direct/selection.py
@@ -16,6 +16,11 @@
 #: Seconds after which a reported load counts half; a report is the state of
 #: the queue at one moment, and jobs last some 100 ms.
 REPORT_HALF_LIFE_S = 0.25
+#: Seconds between two reports after which the newer one makes half of the
+#: usual load; the troubles that fill queues last some seconds.
+USUAL_HALF_LIFE_S = 1.0
+#: Seconds without a report after which the usual load counts half.
+USUAL_FADING_S = 2.0
 #: First pause after a connection failure, in seconds; doubled with each one
 #: in a row.
 FIRST_PAUSE_S = 0.4
@@ -51,18 +56,21 @@
     samples: int = 0
     _failure: float = 0.0
     _failure_at: float = 0.0
-    _reported: float = 0.0
+    _others: float = 0.0
+    _usual_others: float = 0.0
     _reported_at: float = -math.inf
-    _reported_in_flight: int = 0
     _connection_failures: int = 0
     _paused_until: float = -math.inf
 
     def note_report(self, running, waiting, slots, now):
         """Take the load that the server told with an answer."""
         self.slots = slots or self.slots
-        self._reported = running + waiting
+        others = max(0.0, running + waiting - self.in_flight)
+        gap = now - self._reported_at
+        weight = min(0.5, 1 - 0.5 ** (gap / USUAL_HALF_LIFE_S))
+        self._usual_others += weight * (others - self._usual_others)
+        self._others = others
         self._reported_at = now
-        self._reported_in_flight = self.in_flight
 
     def note_answer(self, elapsed_s, waiting, now):
         """Count an answer.
@@ -112,12 +120,14 @@
     def load(self, now) -> float:
         """Return the estimated number of requests at the server.
 
-        The reported load fades, and the requests that this host has sent
-        since then are added to it.
+        The reported load of other hosts fades towards the usual one: a queue
+        that was long in all reports is long between them too. The requests
+        of this host are added.
         """
         age = max(0.0, now - self._reported_at)
-        others = max(0.0, self._reported - self._reported_in_flight)
-        others *= 0.5 ** (age / REPORT_HALF_LIFE_S)
+        usual = self._usual_others * 0.5 ** (age / USUAL_FADING_S)
+        news = self._others - usual
+        others = usual + news * 0.5 ** (age / REPORT_HALF_LIFE_S)
         return others + self.in_flight
 
     def expected_s(self, usual_s, now) -> float:
--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -43,6 +43,9 @@
 #: Seconds for which hosts that start together wait for the granting host
 #: before they read the store themselves.
 FIRST_START_PATIENCE_S = 2.0
+#: The same for a host that starts again: it finds and hears a granting host
+#: in some 20 ms, and callers are refused while it knows nothing.
+RESTART_PATIENCE_S = 0.08
 
 
 class App(Component):
@@ -131,8 +134,11 @@
         scheduler.call_every(links.BEAT_S, self._hub.tick)
         scheduler.call_every(spoke_module.REPORT_S, self._report)
         scheduler.call_every(SWEEP_S, self._sweep)
-        if settings.host_is_first_start:
-            self._spoke.set_granter(False, FIRST_START_PATIENCE_S)
+        self._spoke.wait_for_granter(
+            FIRST_START_PATIENCE_S
+            if settings.host_is_first_start
+            else RESTART_PATIENCE_S
+        )
         self._term.look_soon()
         LOG.info(
             'app: Started.',
--- a/packages/radishferryd/src/radishferryd/router/spoke.py
+++ b/packages/radishferryd/src/radishferryd/router/spoke.py
@@ -59,14 +59,22 @@
             and not link.is_silent(self._scheduler.now())
         )
 
-    def set_granter(self, is_granter, patience_s=PATIENCE_S):
+    def set_granter(self, is_granter):
         """Note whether this host is the one that grants."""
         self._is_granter = is_granter
         if is_granter:
             self._drop()
-        self._alone_since = self._scheduler.now() + patience_s - PATIENCE_S
+        self._alone_since = self._scheduler.now()
         self.tick()
 
+    def wait_for_granter(self, patience_s):
+        """Read the store unless the granting host is heard in time.
+
+        :param patience_s: Seconds from now.
+        """
+        self._alone_since = self._scheduler.now() + patience_s - PATIENCE_S
+        self._scheduler.call_later(patience_s, self.tick)
+
     def connect(self, address):
         """Open a link to the granting host.
 
@@ -117,7 +125,7 @@
                 and now - self._alone_since > PATIENCE_S
             )
             self._reader.set_reading(is_stale)
-        elif now - self._alone_since > PATIENCE_S:
+        elif now - self._alone_since >= PATIENCE_S:
             self._reader.set_reading(True)
 
     def _drop(self):
