--- a/features/steps/direct_reading_steps.py
+++ b/features/steps/direct_reading_steps.py
@@ -56,7 +56,7 @@
         rows = store_module.Rows((), 1, self._time.now(), self._time.now())
         self._time.call_later(wait_s, lambda: done(rows))
 
-    def transact(self, conditions, writes, done):
+    def transact(self, conditions, writes, done, timeout_s):
         def answer():
             rows = [self.rows.get((c.table, c.key)) for c in conditions]
             found = [row.version if row else 0 for row in rows]
--- a/packages/radishferry/src/radishferry/direct/granting.py
+++ b/packages/radishferry/src/radishferry/direct/granting.py
@@ -18,11 +18,11 @@
 from radishferry.direct import key_map
 
 #: Seconds for which a grant holds. It bridges a change of the granting host
-#: (three seconds of its right, and the takeover), and is the outage of a
+#: (two seconds of its right, and the takeover), and is the outage of a
 #: server's keys when it dies without a sign.
-HOLD_S = 5.0
+HOLD_S = 4.0
 #: Seconds between renewals of a grant.
-RENEW_S = 1.5
+RENEW_S = 1.2
 #: Seconds between attempts at an order that got no answer.
 REPEAT_S = 0.35
 #: Factor by which the clock of a server may run slow.
--- a/packages/radishferry/src/radishferry/direct/leadership.py
+++ b/packages/radishferry/src/radishferry/direct/leadership.py
@@ -12,10 +12,12 @@
 
 import orjson
 
-#: Seconds for which the right to grant lasts.
-TERM_S = 3.0
-#: Seconds between renewals.
-RENEW_S = 1.0
+#: Seconds for which the right to grant lasts. A holder that the store turns
+#: away cannot move keys, and nobody else can until this time is over; a store
+#: that is slow answers within 0.3 s.
+TERM_S = 2.0
+#: Seconds between renewals; leaves time for a second attempt.
+RENEW_S = 0.6
 #: Seconds by which the holder stops before its right ends, for the drift of
 #: clocks and for orders on their way.
 SAFETY_S = 0.4
--- a/packages/radishferryd/src/radishferryd/platform/store.py
+++ b/packages/radishferryd/src/radishferryd/platform/store.py
@@ -172,13 +172,14 @@
         timeout_s = wait_s + FEED_MARGIN_S
         self._call('GET', 'rows-feed', query, None, timeout_s, take)
 
-    def transact(self, conditions, writes, done):
+    def transact(self, conditions, writes, done, timeout_s=CALL_TIMEOUT_S):
         """Write rows if their versions are as expected.
 
         :param conditions: :class:`Condition` entries.
         :param writes: Tuples of table, key and value in bytes.
         :param done: Called with :class:`Written`, :class:`Conflict` or
             :class:`Unavailable`.
+        :param timeout_s: Seconds after which the write has failed.
         """
         body = {
             'precondition': [
@@ -206,7 +207,7 @@
             'rows-tx',
             {},
             body,
-            CALL_TIMEOUT_S,
+            timeout_s,
             lambda answer: done(_written(answer)),
         )
 
--- a/packages/radishferryd/src/radishferryd/router/ownership.py
+++ b/packages/radishferryd/src/radishferryd/router/ownership.py
@@ -30,8 +30,8 @@
 #: Part of the longest hold that grants get when the store is silent.
 OUTAGE_HOLD_SHARE = 0.95
 #: Seconds without an accepted renewal after which the store counts as
-#: silent.
-SILENT_S = 1.7
+#: silent: a renewal has failed, and half a second of the right is left.
+SILENT_S = 1.1
 #: Seconds of answers averaged for the speed of a server, as a number of
 #: answers.
 SPEED_ANSWERS = 60.0
--- a/packages/radishferryd/src/radishferryd/router/term.py
+++ b/packages/radishferryd/src/radishferryd/router/term.py
@@ -25,8 +25,11 @@
 #: Seconds between looks at the row while the granting host cannot be
 #: reached.
 LOOK_S = 1.0
+#: Seconds after which a renewal without an answer has failed, so that
+#: another one is sent before the right ends. A slow store takes up to 0.3 s.
+WRITE_TIMEOUT_S = 0.45
 #: Pause after a renewal that failed, in seconds.
-RENEW_RETRY_S = 0.3
+RENEW_RETRY_S = 0.15
 #: Seconds before the end of another host's term is looked at again, beside
 #: the rest of the term.
 END_MARGIN_S = 0.15
@@ -215,6 +218,7 @@
                 *writes,
             ),
             lambda answer: self._written(term, now, answer, done),
+            WRITE_TIMEOUT_S,
         )
 
     def _written(self, term, sent_at, answer, done):
