Part admission and key rates from the modules that had grown long

`requests.py` (590 lines) decided admission, the limit of one key and the time to return itself; these are functions without I/O now, in `radishferry.direct.admission`. `KeyRates` and `LoadMap` moved out of `placement.py`.

--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -9,6 +9,7 @@
 
 from radishferry.direct import granting
 from radishferry.direct import key_map
+from radishferry.direct import key_rates
 from radishferry.direct import placement
 
 #: Seconds of work of a request on a server of usual speed.
@@ -22,7 +23,7 @@
 
 @behave.given('key {key:d} is asked for {count:d} times')
 def asked(context, key, count):
-    context.rates = placement.KeyRates()
+    context.rates = key_rates.KeyRates()
     context.rates.note([key] * count)
 
 
@@ -104,7 +105,7 @@
         plan = placement.rebalance(
             context.granter.ranges,
             context.capacities,
-            placement.LoadMap(context.rates),
+            key_rates.LoadMap(context.rates),
             _always,
             context.now,
         )
@@ -119,7 +120,7 @@
         context.granter.ranges,
         {life},
         [c for c in context.capacities if c.life != life],
-        placement.LoadMap({}),
+        key_rates.LoadMap({}),
         _always,
     )
     context.granter.commit(layout, 2, context.now)
@@ -127,7 +128,7 @@
 
 def _loads(context):
     loads = dict.fromkeys(context.speeds, 0.0)
-    found = placement.LoadMap(context.rates)
+    found = key_rates.LoadMap(context.rates)
     for each in context.granter.ranges:
         loads[each.owner] += found.load(each.start, each.end)
     return loads
--- a/features/steps/direct_requests_steps.py
+++ b/features/steps/direct_requests_steps.py
@@ -8,6 +8,7 @@
 import behave
 import load_fixtures
 
+from radishferry.direct import admission
 from radishferry.direct import budget
 from radishferry.direct import configuration
 from radishferry.direct import key_map
@@ -61,7 +62,7 @@
         self.waiting = {}
         self.backends = self
         self.budget = budget.RetryBudget(0.2, 10, 10.0)
-        self._stats = requests.RouteStats(configuration.Kind.SAFE)
+        self._stats = admission.RouteStats(configuration.Kind.SAFE)
         self._servers = {
             name: registry.Server(
                 name, 1, 'stock', ('127.0.0.1', 1), 'x', 4, False, 0.0
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -5,6 +5,7 @@
 import collections
 import logging
 
+from radishferry.direct import admission
 from radishferry.direct import budget as budget_module
 from radishferryd.router import backends as backends_module
 from radishferryd.router import requests
@@ -160,7 +161,9 @@
         name = request.route.name, request.service
         found = self._stats.get(name)
         if found is None:
-            found = self._stats[name] = requests.RouteStats(request.route.kind)
+            found = self._stats[name] = admission.RouteStats(
+                request.route.kind
+            )
         return found
 
     def owner(self, service, key):
--- a/packages/radishferryd/src/radishferryd/router/ownership.py
+++ b/packages/radishferryd/src/radishferryd/router/ownership.py
@@ -8,6 +8,7 @@
 import logging
 
 from radishferry.direct import granting
+from radishferry.direct import key_rates
 from radishferry.direct import key_rows
 from radishferry.direct import placement
 from radishferryd.platform import store as store_module
@@ -69,7 +70,7 @@
 
     def __init__(self, name, hold_max_s):
         self.granter = granting.KeyGranter(name, hold_max_s)
-        self.rates = placement.KeyRates()
+        self.rates = key_rates.KeyRates()
         self.row_version = 0
         self.revision = 0
         self.known = {}
@@ -293,7 +294,7 @@
             return placement.initial([server.life for server in servers])
         service.rates.advance(now)
         losing = self._losing(service, now)
-        loads = placement.LoadMap(service.rates.rates)
+        loads = key_rates.LoadMap(service.rates.rates)
         capacities = self._capacities(servers)
 
         def may_give(life, start, end):
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import logging
-import math
 import random
 
 import xxhash
 
-from radishferry.direct import configuration as configuration_module
+from radishferry.direct import admission
 from radishferry.direct import key_map
 from radishferry.direct import selection
 from radishferryd import http_message
@@ -35,41 +34,6 @@
 #: it away and alone may run it, in seconds; doubled with each attempt. With 3
 #: to 8 slots and 200 to 400 ms of work a slot becomes free about as often.
 TURNED_AWAY_PAUSE_S = 0.06
-#: Part of the target latency that a request may be expected to take; above
-#: it is refused while there is time to come back.
-ADMISSION_SHARE = 1.0
-#: The same for each rank of priority below the highest.
-PRIORITY_STEP = 0.12
-#: Part of the target latency that the requests of one key may fill at its
-#: server, so that the requests of other keys are still in time there.
-HOT_KEY_SHARE = 0.8
-#: Shortest and longest time after which refused callers may return, in
-#: seconds.
-MIN_RETRY_AFTER_S = 0.15
-MAX_RETRY_AFTER_S = 0.9
-#: Weight of a new sample in the moving averages of a route.
-ROUTE_WEIGHT = 0.05
-#: Service time assumed before the first answer, in seconds.
-DEFAULT_SERVICE_S = 0.1
-#: Size assumed for the answers of downloads before the first one, in bytes;
-#: the users' guides and certificates have about 90 kB.
-DOWNLOAD_BYTES = 90000.0
-
-
-class RouteStats:
-    """Follow the answers of one part of a route."""
-
-    def __init__(self, kind):
-        """Begin with what is usual for a kind of request."""
-        is_download = kind is configuration_module.Kind.DOWNLOAD
-        self.answer_bytes = DOWNLOAD_BYTES if is_download else 0.0
-        self.service_s = DEFAULT_SERVICE_S
-
-    def note(self, size, elapsed_s, waiting):
-        """Count one answer."""
-        self.answer_bytes += ROUTE_WEIGHT * (size - self.answer_bytes)
-        if not waiting:
-            self.service_s += ROUTE_WEIGHT * (elapsed_s - self.service_s)
 
 
 class Request:
@@ -326,7 +290,7 @@
         self._note_choice(server, stats, expected, now, segment.fence)
         if stats.load(now) >= stats.slots and backend.key_counts[
             self.key
-        ] >= self._key_limit(stats, usual):
+        ] >= admission.key_limit(self.route, stats, usual, gateway.host_count):
             self._refuse_busy(
                 results.Reason.HOT_KEY, expected, 'The key is overloaded.'
             )
@@ -340,14 +304,6 @@
             return
         self._send(backend, now)
 
-    def _key_limit(self, stats, usual_s):
-        """Return how many requests of one key this host may have there."""
-        service_s = stats.service_s or usual_s
-        in_time = HOT_KEY_SHARE * self.route.target_latency_s / service_s
-        return max(
-            1, math.ceil(stats.slots * in_time / self._gateway.host_count)
-        )
-
     def _next_server(self, now):
         gateway = self._gateway
         stats = gateway.route_stats(self)
@@ -368,7 +324,7 @@
                 503,
                 results.Reason.NO_SERVER,
                 f'No server of {self.service} can be reached.',
-                self._spread(0.5),
+                admission.retry_after_s(0.5),
             )
             return
         chosen = gateway.backends.stats(choice.server)
@@ -393,19 +349,14 @@
         }
 
     def _is_admitted(self, stats, expected_s, now):
-        left_s = self._until - now
-        if stats.load(now) < stats.slots:
-            # Without a queue a refusal spares nobody, and a server that was
-            # slow shows only by an answer that it has recovered.
-            return expected_s <= left_s
-        share = ADMISSION_SHARE - PRIORITY_STEP * min(
-            4, max(0, self.route.priority - 1)
-        )
-        allowed = max(
-            self.route.target_latency_s * share,
-            1.5 * self._gateway.route_stats(self).service_s,
+        return admission.is_admitted(
+            self.route,
+            stats,
+            self._gateway.route_stats(self).service_s,
+            expected_s=expected_s,
+            left_s=self._until - now,
+            now=now,
         )
-        return expected_s <= min(allowed, left_s)
 
     def _send(self, backend, now):
         gateway = self._gateway
@@ -471,7 +422,7 @@
         ):
             self._wait(patience - now)
             return
-        self._refuse(503, reason, detail, self._spread(0.45))
+        self._refuse(503, reason, detail, admission.retry_after_s(0.45))
 
     # End of the request.
 
@@ -508,7 +459,10 @@
         else:
             detail = result.detail if result else 'no time is left'
             self._refuse(
-                503, results.Reason.NOT_RUN, detail, self._spread(0.3)
+                503,
+                results.Reason.NOT_RUN,
+                detail,
+                admission.retry_after_s(0.3),
             )
 
     def _on_timeout(self):
@@ -532,12 +486,7 @@
         if self._was_sent and not self.is_idempotent:
             self._give_up(self._last)
             return
-        self._refuse(503, reason, detail, self._spread(expected_s))
-
-    def _spread(self, wait_s):
-        """Return a time to return, spread so that callers come evenly."""
-        wait_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
-        return wait_s * random.uniform(0.7, 1.3)
+        self._refuse(503, reason, detail, admission.retry_after_s(expected_s))
 
     def _refuse(self, status, reason, detail, retry_after_s=None):
         self._end()
