Count the hosts known before a change of the granting host

Cause: a new granting host told the first ones that found it that there are two hosts, and hosts that start together assumed four. The number known before holds for three seconds now, and hosts assume 16 at their start.

--- a/features/direct_links.feature
+++ b/features/direct_links.feature
@@ -15,6 +15,15 @@
     Then it is decoded to the same message
     And it is not compressed
 
+  # Answers the pattern of a change of the granting host under load: the first
+  # hosts that found the new one were told that there are two, and opened half
+  # of the connections of each server.
+  Scenario: A new granting host counts the hosts that it knew before
+    Given a host that knows 12 hosts and begins to grant
+    Then it tells that there are 12 hosts
+    When nobody connects for 4 seconds
+    Then it tells that there are 1 hosts
+
   # Guards against memory that a few received bytes can take.
   Scenario Outline: A compressed frame that is <problem> is refused
     Given a compressed frame that is <problem>
--- a/features/steps/direct_links_steps.py
+++ b/features/steps/direct_links_steps.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import types
 import zlib
 
 import behave
+import load_fixtures
 
 from radishferryd import peer_codec
 from radishferryd.gen.router import ttypes
+from radishferryd.router import crashes
+from radishferryd.router import hub
+from radishferryd.router import knowledge
 from radishferryd.router import links
 
 
@@ -86,3 +91,25 @@
         assert 'compress' in str(exc), exc
     else:
         raise AssertionError('the frame was taken')
+
+
+@behave.given('a host that knows {count:d} hosts and begins to grant')
+def granting(context, count):
+    context.scheduler = load_fixtures.Scheduler()
+    context.hub = hub.Hub(
+        context.scheduler,
+        knowledge.Knowledge(context.scheduler.now),
+        types.SimpleNamespace(on_segments=[]),
+        crashes.CrashCounts(),
+    )
+    context.hub.begin(count)
+
+
+@behave.when('nobody connects for {seconds:g} seconds')
+def nobody_connects(context, seconds):
+    context.scheduler.advance(seconds)
+
+
+@behave.then('it tells that there are {count:d} hosts')
+def tells_hosts(context, count):
+    assert context.hub.host_count == count, context.hub.host_count
--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -182,7 +182,7 @@
             self._ticker = self._scheduler.call_every(
                 ownership_module.TICK_S, self._on_tick
             )
-        self._hub.begin()
+        self._hub.begin(self._gateway.host_count)
         self._spoke.set_granter(True)
         self._begin_ownership()
 
--- a/packages/radishferryd/src/radishferryd/router/hub.py
+++ b/packages/radishferryd/src/radishferryd/router/hub.py
@@ -9,6 +9,11 @@
 
 LOG = logging.getLogger(__name__)
 
+#: Seconds for which a new granting host counts the hosts that it knew of
+#: before. The others find it within about a second, and each host takes its
+#: share of the connections of a server by this number.
+GATHER_S = 3.0
+
 
 class Hub:
     """Serve the links of the other hosts."""
@@ -26,7 +31,8 @@
         self._poison = poison
         self._links = set()
         self._is_active = False
-        self._sent_servers = {}
+        self._known_hosts = 1
+        self._gathers_until = 0.0
         knowledge.on_configuration.append(self._on_configuration)
         knowledge.on_servers.append(self._on_servers)
         ownership.on_segments.append(self._on_segments)
@@ -35,11 +41,19 @@
     @property
     def host_count(self) -> int:
         """Return the number of hosts, this one included."""
-        return 1 + len(self._links)
+        linked = 1 + len(self._links)
+        if self._scheduler.now() < self._gathers_until:
+            return max(linked, self._known_hosts)
+        return linked
+
+    def begin(self, known_hosts):
+        """Accept links.
 
-    def begin(self):
-        """Accept links."""
+        :param known_hosts: Hosts of the deployment as far as this one knows.
+        """
         self._is_active = True
+        self._known_hosts = known_hosts
+        self._gathers_until = self._scheduler.now() + GATHER_S
 
     def end(self):
         """Close all links, so that the hosts look for another granter."""
--- a/packages/radishferryd/src/radishferryd/router/settings.py
+++ b/packages/radishferryd/src/radishferryd/router/settings.py
@@ -29,7 +29,7 @@
     stop_grace_s: float
     host_is_first_start: bool = False
     host_link_mbps: float = 1000.0
-    retry_hosts: int = 4
+    retry_hosts: int = 16
     log_level: str = 'info'
     log_format: str = 'json'
 
@@ -134,8 +134,9 @@
         'hosts',
         'integer',
         setting_readers.read_count,
-        'Hosts assumed before the granting host tells their number.',
-        '4',
+        'Hosts assumed before the granting host tells their number. A low '
+        'number makes hosts that start together open too many connections.',
+        '16',
     ),
     _option(
         'grants',
