--- a/features/steps/direct_host_steps.py
+++ b/features/steps/direct_host_steps.py
@@ -8,18 +8,16 @@
 import json
 import signal
 import socket
-import struct
 import sys
 import tempfile
-import threading
 import time
 
 import behave
+import process_fixtures
 
 from radishferry_testing import process_specs
 from radishferry_testing import processes as processes_module
 
-_LIMIT_S = 60.0
 _KEYS = (5, 30000, 65535)
 _NAMES = ('host1', 'host2')
 _ids = itertools.count()
@@ -72,47 +70,6 @@
             yield found
 
 
-@behave.fixture
-def resetting_server(context):
-    """Accept connections, reset them at once and keep what was read."""
-    seen = []
-    listener = socket.create_server(('127.0.0.1', 0))
-
-    def accept():
-        while True:
-            try:
-                sock, _ = listener.accept()
-            except OSError:
-                return
-            sock.setblocking(False)
-            try:
-                seen.append(sock.recv(65536))
-            except BlockingIOError:
-                seen.append(b'')
-            sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
-            )
-            sock.close()
-
-    thread = threading.Thread(target=accept, daemon=True)
-    thread.start()
-    yield listener.getsockname()[1], seen
-    listener.shutdown(socket.SHUT_RDWR)
-    listener.close()
-    thread.join()
-
-
-def _until(condition):
-    """Wait for a condition; the limit only ends a hanging test."""
-    end = time.monotonic() + _LIMIT_S
-    while True:
-        found = condition()
-        if found:
-            return found
-        assert time.monotonic() < end, 'the condition did not come true'
-        time.sleep(0.02)
-
-
 def _call(port, method, path, headers=(), body=None):
     connection = http.client.HTTPConnection('127.0.0.1', port, timeout=20)
     try:
@@ -163,7 +120,7 @@
 @behave.given('two direct hosts before a store, 2 keyed and 2 plain servers')
 def start(context):
     context.processes = behave.use_fixture(deployment, context)
-    _until(
+    process_fixtures.until(
         lambda: all(
             _is_served(context, host, key) for host in (1, 2) for key in _KEYS
         )
@@ -195,9 +152,11 @@
 
 @behave.given('a plain server that resets each new connection')
 def add_resetting(context):
-    port, context.reset_reads = behave.use_fixture(resetting_server, context)
+    port, context.reset_reads = behave.use_fixture(
+        process_fixtures.resetting_server, context
+    )
     _test(context, 'register', port=port)
-    _until(
+    process_fixtures.until(
         lambda: any(
             server['server_id'] == 'i-plain-4'
             for server in _state(context, 'host1')['registry']
@@ -286,7 +245,7 @@
 
 @behave.when('the granting host is killed')
 def kill_granter(context):
-    granter = _until(
+    granter = process_fixtures.until(
         lambda: next(
             (n for n in _NAMES if _state(context, n)['is_granter']), None
         )
@@ -303,7 +262,7 @@
         _test(context, 'server', server_id=f'i-plain-{number}', work_s=1.0)
     with concurrent.futures.ThreadPoolExecutor() as pool:
         answer = pool.submit(_request, context, 1, 'POST', '/p/x', request_id)
-        _until(
+        process_fixtures.until(
             lambda: any(e[2].get('id') == request_id for e in _runs(context))
         )
         context.processes.signal('host1', signal.SIGTERM)
