Let an early answer reach a caller that is still sending

An ending connection now shuts its side down, drops what still comes, and closes with the peer or after two seconds. The new scenario of poller.feature failed before.

--- a/features/poller.feature
+++ b/features/poller.feature
@@ -25,3 +25,16 @@
     Given a loop with a callback echo server and a component echo server
     When a server writes parts of 10, 0, 70000, 5, 9000000, 7 bytes and closes
     Then all parts arrive in order
+
+  # Guards against a refusal that its caller never sees, because the rest of
+  # the body resets the connection: the caller could not tell it from a crash.
+  Scenario: An answer reaches a peer that is still sending
+    Given a loop with a callback echo server and a component echo server
+    When a server answers the first bytes of 8 MB and ends the connection
+    Then the peer has read the answer
+
+  # Guards against connections that peers keep open for ever.
+  Scenario: A peer that never closes is closed
+    Given a loop with a callback echo server and a component echo server
+    When a server ends a connection whose peer goes on sending
+    Then the connection is closed within 5 seconds
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -203,6 +203,9 @@
     def close(self):
         pass
 
+    def end(self, call_later):
+        """Ignore the end of the connection."""
+
     pause_reading = resume_reading = abort = close
 
 
@@ -229,6 +232,9 @@
     def is_stopping(self):
         return False
 
+    def call_later(self, delay_s, callback):
+        """Ignore planned calls."""
+
     def begin(self, request, answer):
         self.request = _Request(request)
         self.answer = answer
--- a/features/steps/poller_steps.py
+++ b/features/steps/poller_steps.py
@@ -7,6 +7,7 @@
 import socket
 import struct
 import threading
+import time
 
 import behave
 from circuits.core import Manager
@@ -17,6 +18,7 @@
 from features.steps import admin_fixtures
 from radishferryd import net
 from radishferryd import poller
+from radishferryd import scheduler
 
 
 class _Echo:
@@ -52,6 +54,7 @@
 def echo_loop(context):
     manager = Manager()
     context.poller = poller.SocketPoller().register(manager)
+    context.scheduler = scheduler.Scheduler().register(manager)
     context.caller = admin_fixtures.Caller().register(manager)
     context.component = _ComponentEcho(('127.0.0.1', 0)).register(manager)
     listener = net.Listener(context.poller, ('127.0.0.1', 0), _Echo)
@@ -178,3 +181,65 @@
 
     context.caller.fire(admin_fixtures.call(run))
     assert done.wait(admin_fixtures.PATIENCE_S)
+
+
+class _EarlyAnswer:
+    """Answer the first bytes and end the connection."""
+
+    def __init__(self, call_later):
+        self._call_later = call_later
+
+    def connected(self, connection):
+        self._connection = connection
+
+    def received(self, data):
+        self._connection.write(b'too large')
+        self._connection.end(self._call_later)
+
+    def closed(self, error):
+        """Ignore the end of the connection."""
+
+
+def _answer_early(context):
+    listener = net.Listener(
+        context.poller,
+        ('127.0.0.1', 0),
+        lambda: _EarlyAnswer(context.scheduler.call_later),
+    )
+    context.add_cleanup(listener.close)
+    return _connect(listener.address)
+
+
+@behave.when(
+    'a server answers the first bytes of {size:d} MB and ends the connection'
+)
+def answer_early(context, size):
+    with contextlib.closing(_answer_early(context)) as sock:
+        for _ in range(size * 16):
+            sock.sendall(bytes(65536))
+        sock.shutdown(socket.SHUT_WR)
+        context.read = sock.makefile('rb').read()
+
+
+@behave.then('the peer has read the answer')
+def has_read(context):
+    assert context.read == b'too large', context.read
+
+
+@behave.when('a server ends a connection whose peer goes on sending')
+def send_for_ever(context):
+    sock = _answer_early(context)
+    context.add_cleanup(sock.close)
+    context.peer = sock
+
+
+@behave.then('the connection is closed within {seconds:g} seconds')
+def closed_within(context, seconds):
+    end = time.monotonic() + seconds
+    try:
+        while time.monotonic() < end:
+            context.peer.sendall(b'x')
+            time.sleep(0.05)
+    except OSError:
+        return
+    raise AssertionError('the peer can still send')
--- a/packages/radishferryd/src/radishferryd/gateway.py
+++ b/packages/radishferryd/src/radishferryd/gateway.py
@@ -64,6 +64,10 @@
         """See :class:`radishferryd.http_server.Gateway`."""
         return self._app.is_stopping
 
+    def call_later(self, delay_s, callback):
+        """See :class:`radishferryd.http_server.Gateway`."""
+        self._app.scheduler.call_later(delay_s, callback)
+
     def begin(self, request, answer):
         """See :class:`radishferryd.http_server.Gateway`."""
         found = entry.EntryRequest(
--- a/packages/radishferryd/src/radishferryd/http_server.py
+++ b/packages/radishferryd/src/radishferryd/http_server.py
@@ -55,6 +55,9 @@
     def cancelled(self, request) -> None:
         """Note that the caller of a request has gone."""
 
+    def call_later(self, delay_s: float, callback) -> None:
+        """Plan a call."""
+
     def connection_opened(self, connection: CallerConnection) -> None:
         """Note a connection."""
 
@@ -352,10 +355,12 @@
         request, self._request = self._request, None
         self._is_open_answer = False
         self._gateway.finished(request, status, refusal)
-        if not self._keep_alive:
+        if self._keep_alive:
+            self._connection.resume_reading()
+        elif self._body_done:
             self._connection.close()
         else:
-            self._connection.resume_reading()
+            self._connection.end(self._gateway.call_later)
 
 
 class _CallerAnswer:
--- a/packages/radishferryd/src/radishferryd/net.py
+++ b/packages/radishferryd/src/radishferryd/net.py
@@ -18,6 +18,9 @@
 READ_SIZE = 65536
 #: Bytes queued for writing that are sent at once, and most that are joined.
 FLUSH_BYTES = 65536
+#: Seconds for which an ending connection waits for the close of its peer:
+#: some round trips, and the rest of a body on a slow link.
+LINGER_S = 2.0
 #: Bytes queued for writing above which the producer is paused.
 HIGH_WATER = 262144
 #: Bytes queued for writing below which the producer is resumed.
@@ -66,6 +69,7 @@
         self._will_flush = False
         self._paused_producer = False
         self._closing = False
+        self._is_ending = False
         self._is_open = True
 
     @property
@@ -112,7 +116,7 @@
 
         :param data: Bytes to send; dropped when the connection is closed.
         """
-        if not self._is_open or self._closing or not data:
+        if not self._is_open or self._closing or self._is_ending or not data:
             return
         self._queue.append(data)
         self._queued += len(data)
@@ -141,6 +145,28 @@
             self._close(None)
         self._closing = True
 
+    def end(self, call_later):
+        """Close after everything queued, once the peer has closed too.
+
+        A close with unread bytes resets the connection, and a peer that is
+        still sending may lose the answer. What it sends is dropped.
+
+        :param call_later: Plans the close of a peer that goes on sending.
+        """
+        if not self._is_open or self._is_ending:
+            return
+        self._is_ending = True
+        call_later(LINGER_S, lambda: self._close(None))
+        self.resume_reading()
+        if not self._queue:
+            self._shut_down()
+
+    def _shut_down(self):
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError as exc:
+            self._close(exc)
+
     def abort(self):
         """Close at once with a reset, dropping what is queued."""
         if self._is_open:
@@ -188,10 +214,10 @@
         except OSError as exc:
             self._close(exc)
             return
-        if data:
-            self._handler.received(data)
-        else:
+        if not data:
             self._close(None)
+        elif not self._is_ending:
+            self._handler.received(data)
 
     def _send(self, data):
         try:
@@ -240,6 +266,8 @@
             self._close(None)
         else:
             self._set_interest(writing=False)
+            if self._is_ending:
+                self._shut_down()
 
     def _close(self, error):
         if not self._is_open:
--- a/packages/radishferryd/src/radishferryd/router/callers.py
+++ b/packages/radishferryd/src/radishferryd/router/callers.py
@@ -150,7 +150,7 @@
         """Begin.
 
         :param gateway: Offers ``now``, ``limits``, ``begin``,
-            ``is_stopping`` and the set ``connections``.
+            ``is_stopping``, ``scheduler`` and the set ``connections``.
         """
         self._gateway = gateway
         self._connection = None
@@ -243,7 +243,10 @@
         # Requests behind a closing answer count as not read.
         self._cancel_all()
         self._is_closing = True
-        self._connection.close()
+        if self._parser.is_between_messages:
+            self._connection.close()
+        else:
+            self._connection.end(self._gateway.scheduler.call_later)
 
     # From the network.
 
