Let radishferryctl check and show what hosts that send directly use

`check-configuration` and `check-settings` work offline and name every finding with its place; `store-status`, `store-servers` and `store-ranges` read the platform's store through the client of the hosts.

--- a/features/direct_host.feature
+++ b/features/direct_host.feature
@@ -13,6 +13,13 @@
     Then the answer is 200 with a signature
     And "p1" has run once
 
+  # Guards against operators who cannot see who may grant and who owns a key.
+  Scenario: The command line shows what the store holds
+    When an operator asks the store for its status
+    Then it names a granting host and 2 servers of each service
+    When an operator asks the store for its ranges
+    Then the ranges hold all keys without a gap
+
   # Guards against answers that change places on a pipelined connection.
   Scenario: Pipelined requests are answered in order
     When 6 lookups are sent to host 1 on one connection at once
--- a/packages/radishferryctl/src/radishferryctl/commands.py
+++ b/packages/radishferryctl/src/radishferryctl/commands.py
@@ -76,7 +76,7 @@
     :param json: Print JSON.
     """
     found = _dump(host, token).get('servers', [])
-    _show(found, json, 'no servers')
+    output.print_list(found, json, 'no servers')
 
 
 def ranges(
@@ -95,7 +95,7 @@
     :param json: Print JSON.
     """
     found = _of_service(_dump(host, token), 'ranges', service)
-    _show(found, json, 'no ranges')
+    output.print_list(found, json, 'no ranges')
 
 
 def hot_keys(
@@ -114,7 +114,7 @@
     :param json: Print JSON.
     """
     found = _of_service(_dump(host, token), 'hot_keys', service)
-    _show(found, json, 'no hot keys')
+    output.print_list(found, json, 'no hot keys')
 
 
 def dump(*, host: list[str] = (), token: str = ''):
@@ -137,7 +137,7 @@
     """
     response = make_client(host, token).first('GET', '/v1/poison')
     found = expect(response, 200).json().get('poison', [])
-    _show(found, json, 'no poison requests')
+    output.print_list(found, json, 'no poison requests')
 
 
 def _dump(host, token):
@@ -154,10 +154,3 @@
             f'there is no service "{service}"; the host knows: {known}',
         )
     return by_service[service]
-
-
-def _show(found, json, empty):
-    if json:
-        output.print_json(found)
-    else:
-        output.print_rows(found, empty)
--- a/packages/radishferryctl/src/radishferryctl/main.py
+++ b/packages/radishferryctl/src/radishferryctl/main.py
@@ -9,6 +9,7 @@
 from radishferryctl import commands
 from radishferryctl import errors
 from radishferryctl import manifest_commands
+from radishferryctl import store_commands
 
 #: All subcommands.
 COMMANDS = (
@@ -23,6 +24,11 @@
     commands.hot_keys,
     commands.dump,
     commands.poison,
+    store_commands.check_configuration,
+    store_commands.check_settings,
+    store_commands.store_status,
+    store_commands.store_servers,
+    store_commands.store_ranges,
 )
 
 
--- a/packages/radishferryctl/src/radishferryctl/output.py
+++ b/packages/radishferryctl/src/radishferryctl/output.py
@@ -35,6 +35,17 @@
         print(empty)
 
 
+def print_list(found, is_json, empty):
+    """Print a list as JSON or as a table.
+
+    :param empty: What is printed instead of a table without rows.
+    """
+    if is_json:
+        print_json(found)
+    else:
+        print_rows(found, empty)
+
+
 def print_fields(value):
     """Print an object, one field a line."""
     for name, item in value.items():
