Read and report input files of commands in one place

`store_commands.py` read a file, listed findings and worded the error again beside `manifest_commands.py`; both call `input_file` now. The check of a configuration loses an assignment that nothing read and a nested chain. The hosts load neither module.

--- a/packages/radishferryctl/src/radishferryctl/manifest_commands.py
+++ b/packages/radishferryctl/src/radishferryctl/manifest_commands.py
@@ -11,6 +11,7 @@
 from radishferryctl import client as client_module
 from radishferryctl import commands
 from radishferryctl import errors
+from radishferryctl import input_file
 from radishferryctl import output
 
 ExitCode = errors.ExitCode
@@ -85,7 +86,9 @@
     found = manifest_diff.transition_findings(old, new)
     if json:
         rows = [{'place': c.place, 'text': c.text} for c in changes]
-        output.print_json({'changes': rows, 'findings': _rows(found)})
+        output.print_json(
+            {'changes': rows, 'findings': input_file.rows(found)}
+        )
     else:
         for change in changes:
             print(change)
@@ -93,7 +96,8 @@
             print('no changes')
     if found:
         raise errors.CommandError(
-            ExitCode.REFUSED, _lines('the manifest would be refused:', found)
+            ExitCode.REFUSED,
+            input_file.lines('the manifest would be refused:', found),
         )
 
 
@@ -161,20 +165,11 @@
 
 
 def _read(file):
-    try:
-        text = file.read_bytes()
-    except OSError as exc:
-        raise errors.CommandError(
-            ExitCode.BAD_INPUT, f'{file} cannot be read: {exc.strerror}'
-        ) from exc
+    text = input_file.read(file)
     try:
         return text, manifest_parser.parse(text)
     except findings.FindingsError as exc:
-        raise errors.CommandError(
-            ExitCode.BAD_INPUT,
-            _lines(f'{file} is not valid:', exc.findings),
-            'correct the named places',
-        ) from exc
+        raise input_file.invalid(file, exc.findings) from exc
 
 
 def _parse_in_force(response):
@@ -183,7 +178,7 @@
     except findings.FindingsError as exc:
         raise errors.CommandError(
             ExitCode.REFUSED,
-            _lines(
+            input_file.lines(
                 f'this program cannot read the manifest in force at '
                 f'{response.host}:',
                 exc.findings,
@@ -192,14 +187,6 @@
         ) from exc
 
 
-def _lines(first, found):
-    return '\n'.join([first, *(f'  {finding}' for finding in found)])
-
-
-def _rows(found):
-    return [{'place': f.place, 'message': f.message} for f in found]
-
-
 def _submit_error(response, value):
     detail = value.get('error', f'status {response.status}')
     if response.status == 409:
@@ -215,7 +202,9 @@
             for f in value.get('findings', ())
         ]
         return errors.CommandError(
-            ExitCode.REFUSED, _lines(detail, found), 'correct these places'
+            ExitCode.REFUSED,
+            input_file.lines(detail, found),
+            'correct these places',
         )
     if response.status == 503:
         return errors.CommandError(
--- a/packages/radishferryctl/src/radishferryctl/store_commands.py
+++ b/packages/radishferryctl/src/radishferryctl/store_commands.py
@@ -8,6 +8,7 @@
 from radishferry import findings
 from radishferry.direct import leadership
 from radishferryctl import errors
+from radishferryctl import input_file
 from radishferryctl import output
 from radishferryctl import store_reader
 from radishferryd.platform import configuration_check
@@ -24,11 +25,7 @@
     :param file: The document, as operators put it into the store.
     :param json: Print JSON.
     """
-    try:
-        value = file.read_bytes()
-    except OSError as exc:
-        raise errors.CommandError(ExitCode.BAD_INPUT, str(exc)) from exc
-    _report(file, configuration_check.check(value), json)
+    _report(file, configuration_check.check(input_file.read(file)), json)
 
 
 def check_settings(file: pathlib.Path, *, json: bool = False):
@@ -161,13 +158,8 @@
 
 def _report(file, found, json):
     if json:
-        output.print_json(
-            [{'place': f.place, 'message': f.message} for f in found]
-        )
+        output.print_json(input_file.rows(found))
     elif not found:
         print(f'{file}: valid')
     if found:
-        lines = '\n'.join(str(finding) for finding in found)
-        raise errors.CommandError(
-            ExitCode.BAD_INPUT, f'{file} is not valid:\n{lines}'
-        )
+        raise input_file.invalid(file, found)
--- a/packages/radishferryd/src/radishferryd/platform/configuration_check.py
+++ b/packages/radishferryd/src/radishferryd/platform/configuration_check.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import collections
-import itertools
 
 import orjson
 
@@ -33,7 +32,6 @@
         entries = document.get(part)
         if not isinstance(entries, dict):
             found.append(Finding(part, 'expected an object'))
-            document[part] = {}
             continue
         for name, fields in entries.items():
             one = {**empty, part: {name: fields}}
@@ -55,14 +53,13 @@
 
 def _between(configuration):
     """Yield what is wrong between entries that are valid alone."""
-    for route, part in itertools.chain.from_iterable(
-        ((route, part) for part in route.parts)
-        for route in configuration.routes
-    ):
-        if part.service not in configuration.services:
-            yield Finding(
-                f'routes.{route.name}', f'there is no service {part.service}'
-            )
+    for route in configuration.routes:
+        for part in route.parts:
+            if part.service not in configuration.services:
+                yield Finding(
+                    f'routes.{route.name}',
+                    f'there is no service {part.service}',
+                )
     places = collections.defaultdict(list)
     for route in configuration.routes:
         places[(route.virtual_host, route.prefix)].append(route.name)
