--- a/features/direct_host.feature
+++ b/features/direct_host.feature
@@ -66,6 +66,40 @@
     And 2 seconds pass
     Then keys 5, 30000 and 65535 are served by keyed server 1
 
+  # Guards against work for a server that leaves and tells only its callers.
+  Scenario: A server that says in its answers that it leaves gets nothing more
+    When plain server 0 says in its answers that it leaves
+    And 6 payments are sent to host 1
+    And 1 seconds pass
+    And 10 payments are sent to host 1
+    And 10 payments are sent to host 2
+    Then plain server 0 has run none of them
+    And no answer names what concerns only the server
+
+  # Guards against keys that stay with a server that tells only its orders.
+  Scenario: The keys of a server that says that it leaves move to the other one
+    When keyed server 0 says in its answers that it leaves
+    And 4 seconds pass
+    Then keys 5, 30000 and 65535 are served by keyed server 1
+
+  # Guards against requests to a server that has asked for a pause.
+  Scenario: A server that wants a pause gets nothing until it is over
+    Given plain server 0 turns requests away for "3" seconds
+    When 8 payments are sent to host 1
+    Then each answer is 200 with a signature
+    When 1 seconds pass
+    And 12 payments are sent to host 1
+    Then each answer is 200 with a signature
+    And plain server 0 has turned 1 requests away
+
+  # Guards against callers that return before a server takes requests.
+  Scenario: Callers learn when servers that want a pause take requests again
+    Given plain server 0 turns requests away for "3" seconds
+    And plain server 1 turns requests away for "3" seconds
+    When 3 payments are sent to host 1
+    Then each answer is 503 and tells to return after 2.5 to 4 seconds
+    And plain server 0 has turned 1 requests away
+
   # Guards against an older configuration after a newer one, and a slow one.
   Scenario: A newer configuration is in force at both hosts within 2 seconds
     When configuration 9 is put and then configuration 4
--- a/features/direct_requests.feature
+++ b/features/direct_requests.feature
@@ -62,3 +62,25 @@
     When server "a" begins an answer that is passed on as it comes
     And 5 seconds pass for the request
     Then the answer to the caller is broken off
+
+  # Answers the pattern of a server that turns requests away and says for how
+  # long it wants none: callers were told to return after 0.3 seconds, and the
+  # server was asked again after 60 ms.
+  Scenario: The owner of a key wants a pause
+    When server "a" turns the request away and wants a pause of 4 seconds
+    Then the request is refused with status 503
+    And the caller is told to return after 4 to 5 seconds
+    When 3.9 seconds pass for the request
+    And another request for the key comes
+    Then the request is refused with status 503
+    And the caller is told to return after 0.1 to 1.1 seconds
+    And the request has been sent to "a"
+
+  # Answers the pattern of all callers that were refused during a pause and
+  # come back together.
+  Scenario: One request tries a server after its pause
+    When server "a" turns the request away and wants a pause of 4 seconds
+    And 4.1 seconds pass for the request
+    And 20 further requests for the key come
+    Then the request has been sent to "a, a"
+    And the request is refused with status 503
--- /dev/null
+++ b/features/steps/direct_announcements_steps.py
@@ -0,0 +1,297 @@
+"""Steps for what servers announce in their answers."""
+
+from __future__ import annotations
+
+import dataclasses
+import types
+
+import behave
+import load_fixtures
+
+from radishferry.direct import announcements
+from radishferry.direct import pause_shares
+from radishferry.direct import registry
+from radishferry.direct import selection
+from radishferryd import http_client
+from radishferryd import http_message
+from radishferryd.gen.router import ttypes
+from radishferryd.platform import headers
+from radishferryd.platform import orders
+from radishferryd.router import crashes
+from radishferryd.router import hub as hub_module
+from radishferryd.router import knowledge as knowledge_module
+
+#: 2026-12-04 12:00:00 UTC, when the answers of these scenarios are made.
+_CLOCK_S = 1796385600.0
+_DATE = 'Fri, 04 Dec 2026 12:00:00 GMT'
+_SERVERS = {
+    name: registry.Server(
+        name, 1000, 'stock', ('10.0.0.1', port), 'x', 4, False
+    )
+    for name, port in (('a', 1), ('b', 2))
+}
+
+
+@behave.when('a server answers {status:d} with "{text}" to come back')
+def come_back(context, status, text):
+    context.head = http_message.Head(
+        '',
+        '',
+        status,
+        ((headers.RETRY_AFTER, text), (headers.DATE, _DATE)),
+        True,
+    )
+
+
+@behave.then('it wants a pause of {pause}')
+def wants_pause(context, pause):
+    expected = None if pause == 'none' else float(pause)
+    # The clock of the host is wrong; the answer's own date counts.
+    found = headers.wanted_pause_s(context.head, _CLOCK_S - 3600)
+    assert found == expected, found
+
+
+@behave.then('its announcement is malformed')
+def malformed(context):
+    try:
+        found = headers.wanted_pause_s(context.head, _CLOCK_S)
+    except ValueError:
+        return
+    raise AssertionError(found)
+
+
+@behave.given('a server that has asked for a pause of {seconds:g} seconds')
+def asked(context, seconds):
+    context.stats = selection.ServerStats(6)
+    context.stats.note_sent(100.0)
+    context.stats.note_asked_pause(seconds, 100.0)
+
+
+@behave.when('it answers an earlier request')
+def answers_earlier(context):
+    context.stats.note_answer(0.1, 0, 100.2)
+
+
+@behave.then('it is left alone after {seconds:g} seconds')
+def left_alone(context, seconds):
+    assert context.stats.is_paused(100.0 + seconds)
+
+
+@behave.then('it is not left alone after {seconds:g} seconds')
+def not_left_alone(context, seconds):
+    assert not context.stats.is_paused(100.0 + seconds)
+
+
+def _know(context, servers):
+    context.scheduler = load_fixtures.Scheduler()
+    context.knowledge = knowledge_module.Knowledge(context.scheduler.now)
+    context.changes = []
+    context.knowledge.on_servers.append(context.changes.append)
+    if servers:
+        _read(context, servers)
+
+
+def _read(context, servers):
+    context.scheduler.advance(1.0)
+    context.knowledge.apply_servers(
+        servers, context.scheduler.now(), 'the store'
+    )
+
+
+@behave.given('a host that knows servers a and b')
+def knows(context):
+    _know(context, _SERVERS.values())
+
+
+@behave.given('a host that knows no servers')
+def knows_none(context):
+    _know(context, ())
+
+
+@behave.when('an answer of server a says that it leaves')
+def says_leaving(context):
+    life = _SERVERS['a'].life
+    context.knowledge.note_leaving(life, 0.0, 'an answer')
+    (found,) = context.changes[-1].leaving
+    assert found.life == life, found
+
+
+@behave.when('another host reports that server a leaves')
+def reported(context):
+    context.knowledge.note_leaving(_SERVERS['a'].life, 0.2, 'host2')
+
+
+@behave.when('the list of servers is read again')
+def read_again(context):
+    _read(context, _SERVERS.values())
+
+
+@behave.when('the entry of server a is away for one reading')
+def away(context):
+    _read(context, [_SERVERS['b']])
+    _read(context, _SERVERS.values())
+
+
+@behave.when('server a is replaced by {what}')
+def replaced(context, what):
+    changes = (
+        {'born_ms': 2000}
+        if 'same id' in what
+        else {'server_id': 'c', 'born_ms': 2000}
+    )
+    context.new = dataclasses.replace(_SERVERS['a'], **changes)
+    _read(context, [context.new, _SERVERS['b']])
+
+
+def _usable(context):
+    return context.knowledge.registry.usable('stock')
+
+
+@behave.then('only server b takes requests')
+def only_b(context):
+    assert _usable(context) == [_SERVERS['b']], _usable(context)
+
+
+@behave.then('the new server takes requests')
+def new_usable(context):
+    assert context.new in _usable(context), _usable(context)
+
+
+@behave.given(
+    'a host that was told of a pause of {seconds:g} seconds by server a'
+)
+def told_pause(context, seconds):
+    context.now = 100.0
+    context.announcements = announcements.Announcements()
+    context.announcements.note_pause(('a', 1), seconds, context.now)
+
+
+@behave.given('it was told that server b leaves')
+def told_leaving(context):
+    assert context.announcements.note_leaving(('b', 1), context.now)
+    assert not context.announcements.note_leaving(('b', 1), context.now)
+
+
+@behave.then('its report names "{names}"')
+@behave.then('its report names ""')
+def report_names(context, names=''):
+    context.notices = context.announcements.take_new(context.now)
+    found = ', '.join(
+        f'{n.life[0]} {"leaving" if n.is_leaving else "paused"}'
+        for n in context.notices
+    )
+    assert found == names, found
+
+
+@behave.when('it finds a new granting host {seconds:g} seconds later')
+def new_granting_host(context, seconds):
+    context.now += seconds
+    context.announcements.repeat_all()
+
+
+@behave.then(
+    'the pause of server a is reported with {left:g} seconds left, '
+    '{age:g} seconds old'
+)
+def reported_left(context, left, age):
+    notice = context.notices[0]
+    assert (notice.pause_s, notice.age_s) == (left, age), notice
+
+
+@behave.given('a host that was told that {count:d} servers leave')
+def told_many(context, count):
+    context.announcements = announcements.Announcements()
+    for number in range(count):
+        context.announcements.note_leaving((f'i-{number}', 1), number)
+
+
+@behave.then('its report names at most {count:d} servers')
+def names_few(context, count):
+    assert len(context.announcements.take_new(6000.0)) <= count
+    context.announcements.repeat_all()
+    assert len(context.announcements.take_new(6000.0)) <= count
+
+
+@behave.given(
+    '{hosts:d} hosts of which {told:d} were told of a pause of {seconds:g} '
+    'seconds by server a'
+)
+def hosts_told(context, hosts, told, seconds):
+    context.now = 100.0
+    context.hosts = hosts
+    context.shares = pause_shares.PauseShares()
+    _tell(context, told, seconds)
+
+
+def _tell(context, count, seconds):
+    for number in range(count):
+        context.shares.note(('a', 1), f'host{number}', context.now + seconds)
+
+
+@behave.when(
+    '{passed:g} seconds pass and {count:d} hosts are told of a pause of '
+    '{seconds:g} seconds'
+)
+def pass_and_tell(context, passed, count, seconds):
+    context.now += passed
+    _tell(context, count, seconds)
+
+
+@behave.then('server a wants nothing from {share:d} in 100 hosts')
+def wants_nothing(context, share):
+    found = context.shares.share(('a', 1), context.hosts, context.now)
+    assert found == share / 100, found
+
+
+@behave.given('a server whose answers to orders say that it leaves')
+def orders_say(context):
+    class Client:
+        def call(self, method, target, body, timeout_s, done):
+            done(
+                http_client.JsonAnswer(
+                    context.status, {}, 0.0, 0.0, ((headers.LEAVING, '1'),)
+                )
+            )
+
+    context.client = Client()
+
+
+@behave.then('the granting host is told that it leaves')
+def granting_told(context):
+    segment = types.SimpleNamespace(start=0, end=1, fence=1)
+    for context.status in (200, 409):
+        results = []
+        orders.grant(context.client, segment, 4.0, '', 1.0, results.append)
+        orders.release(context.client, segment, 1.0, results.append)
+        assert all(result.is_leaving for result in results), results
+
+
+class _Ownership:
+    """Take what the hub reports."""
+
+    def __init__(self):
+        self.on_segments = []
+        self.keys = None
+
+    def note_load(self, keys, speeds):
+        self.keys = keys
+
+
+@behave.given('a report of load without announcements')
+def old_report(context):
+    context.report = ttypes.LoadReport({'stock': [1]}, [], [])
+
+
+@behave.then('the granting host takes it')
+def takes_report(context):
+    scheduler = load_fixtures.Scheduler()
+    ownership = _Ownership()
+    hub = hub_module.Hub(
+        scheduler,
+        knowledge_module.Knowledge(scheduler.now),
+        ownership,
+        crashes.CrashCounts(),
+    )
+    link = types.SimpleNamespace(host='host2')
+    hub.link_message(link, 'load_report', context.report)
+    assert ownership.keys == {'stock': [1]}
--- a/features/steps/direct_granting_steps.py
+++ b/features/steps/direct_granting_steps.py
@@ -220,7 +220,12 @@
     patch.start()
     context.add_cleanup(patch.stop)
     context.desk = orders.OrderDesk(
-        None, context.scheduler, None, lambda: True, lambda: None
+        None,
+        context.scheduler,
+        None,
+        lambda: True,
+        lambda: None,
+        lambda server: None,
     )
     context.server = registry.Server(
         'A', 1, 's', ('127.0.0.1', 1), 'x', 4, False
--- a/features/steps/direct_host_steps.py
+++ b/features/steps/direct_host_steps.py
@@ -55,6 +55,19 @@
     )
 
 
+@behave.given(
+    'plain server {number:d} turns requests away for "{text}" seconds'
+)
+def turn_away_for(context, number, text):
+    direct_host_fixtures.test(
+        context,
+        'server',
+        server_id=f'i-plain-{number}',
+        failure='shed',
+        retry_after=text,
+    )
+
+
 @behave.given('a plain server that resets each new connection')
 def add_resetting(context):
     port, context.reset_reads = behave.use_fixture(
@@ -136,6 +149,16 @@
     )
 
 
+@behave.when('{kind:w} server {number:d} says in its answers that it leaves')
+def say_leaving(context, kind, number):
+    direct_host_fixtures.test(
+        context,
+        'server',
+        server_id=f'i-{kind}-{number}',
+        says_leaving=True,
+    )
+
+
 @behave.when('{seconds:g} seconds pass')
 def wait(context, seconds):
     time.sleep(seconds)
@@ -247,6 +270,32 @@
     assert 'x-response-signature' not in headers, headers
 
 
+@behave.then('no answer names what concerns only the server')
+def hop_headers_kept(context):
+    for _, headers, _ in context.answers:
+        assert 'server-leaving' not in {name.lower() for name in headers}
+
+
+@behave.then('plain server {number:d} has turned {count:d} requests away')
+def turned_away(context, number, count):
+    found = [
+        e
+        for e in direct_host_fixtures.test(context, 'events')
+        if e[:2] == ['shed', f'i-plain-{number}']
+    ]
+    assert len(found) == count, found
+
+
+@behave.then(
+    'each answer is 503 and tells to return after {least:g} to {most:g} '
+    'seconds'
+)
+def tells_to_return(context, least, most):
+    for status, headers, _ in context.answers:
+        assert status == 503, status
+        assert least <= float(headers['Retry-After']) <= most, headers
+
+
 @behave.then('both hosts name the same owner for each key')
 def same_owner(context):
     for key in direct_host_fixtures.KEYS:
--- a/features/steps/direct_requests_steps.py
+++ b/features/steps/direct_requests_steps.py
@@ -36,18 +36,20 @@
 class _Backend:
     """Keep the attempts at one server."""
 
-    def __init__(self, server, sent):
+    def __init__(self, server, sent, now):
         self.server = server
         self.stats = selection.ServerStats(server.slots)
         self.key_counts = collections.Counter()
         self._sent = sent
+        self._now = now
 
     def send(self, attempt, is_idempotent):
         self._sent.append(attempt)
+        self.stats.note_sent(self._now())
         return True
 
     def ended(self, attempt, result):
-        """Ignore the end of an attempt."""
+        self.stats.in_flight -= 1
 
 
 class _Gateway:
@@ -70,7 +72,7 @@
             for name in ('a', 'b')
         }
         self._backends = {
-            name: _Backend(server, self.sent)
+            name: _Backend(server, self.sent, scheduler.now)
             for name, server in self._servers.items()
         }
         self.owner_name = 'a'
@@ -97,6 +99,9 @@
     def stop_waiting(self, request):
         self.waiting.pop(request, None)
 
+    def paused_for_s(self, service):
+        return 0.0
+
     def note_key(self, service, key):
         """Ignore the load."""
 
@@ -194,6 +199,30 @@
     context.gateway.sent[-1].finish(results.NotRun('the server answered 503'))
 
 
+@behave.when(
+    'server "a" turns the request away and wants a pause of {seconds:g} '
+    'seconds'
+)
+def wants_pause(context, seconds):
+    _stats(context).note_asked_pause(seconds, context.gateway.now())
+    turned_away(context)
+
+
+@behave.when('{count:d} further requests for the key come')
+def further(context, count):
+    for _ in range(count):
+        another(context)
+
+
+@behave.then(
+    'the caller is told to return after {least:g} to {most:g} seconds'
+)
+def told_to_return(context, least, most):
+    assert least <= context.slot.refusal.retry_after_s <= most, (
+        context.slot.refusal
+    )
+
+
 @behave.when('server "a" begins an answer that is passed on as it comes')
 def begins_stream(context):
     attempt = context.gateway.sent[-1]
--- a/packages/radishferry-testing/src/radishferry_testing/users/platform/server.py
+++ b/packages/radishferry-testing/src/radishferry_testing/users/platform/server.py
@@ -33,6 +33,10 @@
         self.state = 'ready'
         self.is_registered = True
         self.failure = ''
+        #: Whether its answers say that it is about to stop.
+        self.says_leaving = False
+        #: Text of ``Retry-After`` when it turns a request away.
+        self.retry_after = ''
         self._data_centre = data_centre
         self._log = log
         self._work_s = work_s
@@ -64,6 +68,7 @@
         self._seq = 0
         self.state = 'ready'
         self.is_registered = True
+        self.says_leaving = False
         self._log('restart', self, {})
 
     async def handle(self, request):
@@ -79,16 +84,23 @@
         else:
             await self._run(request)
 
-    async def _refuse(self, request, status):
+    async def _refuse(self, request, status, headers=()):
         await request.body.read()
-        await request.respond(
+        await self._respond(
+            request,
             status,
             headers=(
                 ('X-Not-Executed', '1'),
                 ('X-Instance-Id', self.server_id),
+                *headers,
             ),
         )
 
+    async def _respond(self, request, status, body=b'', headers=()):
+        if self.says_leaving:
+            headers = (*headers, ('Server-Leaving', '1'))
+        await request.respond(status, body, headers)
+
     async def _grant(self, request):
         order = json.loads(await request.body.read())
         keys = range(order['start_key'], order['target'] + 1)
@@ -101,20 +113,20 @@
             and g[1] > order['fence']
             for g in self._grants
         ):
-            await request.respond(409)
+            await self._respond(request, 409)
             return
         until = time.monotonic() + order['hold_s']
         self._grants.append((keys, order['fence'], until))
         self._log('grant', self, order)
-        await request.respond(200)
+        await self._respond(request, 200)
 
     async def _release(self, request):
         order = json.loads(await request.body.read())
         keys = range(order['start_key'], order['target'] + 1)
         self._grants = [g for g in self._grants if g[0][0] not in keys]
         self._log('release', self, order)
-        await request.respond(
-            200, headers=(('X-Handover', f'state-{keys[0]}'),)
+        await self._respond(
+            request, 200, headers=(('X-Handover', f'state-{keys[0]}'),)
         )
 
     def holds(self, key):
@@ -128,7 +140,11 @@
             await self._refuse(request, 421)
             return
         if self.failure == 'shed':
-            await self._refuse(request, 503)
+            self._log('shed', self, {})
+            wanted = self.retry_after
+            await self._refuse(
+                request, 503, (('Retry-After', wanted),) if wanted else ()
+            )
             return
         body = await request.body.read()
         request_id = request.headers['x-request-id']
@@ -141,7 +157,8 @@
         if self.failure == 'extra':
             await request.respond(200, b'stale', (('X-Request-Id', 'other'),))
             return
-        await request.respond(
+        await self._respond(
+            request,
             200,
             answer + body,
             (
--- a/packages/radishferry/src/radishferry/direct/admission.py
+++ b/packages/radishferry/src/radishferry/direct/admission.py
@@ -75,6 +75,14 @@
     return max(1, math.ceil(stats.slots * in_time / hosts))
 
 
+def retry_after_pause_s(pause_s) -> float:
+    """Return a time to return after a server's pause, spread behind its end.
+
+    :param pause_s: Seconds for which the server still wants no request.
+    """
+    return pause_s + random.uniform(MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S) / 2
+
+
 def retry_after_s(wait_s) -> float:
     """Return a time to return, spread so that callers come evenly."""
     wait_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
--- a/packages/radishferry/src/radishferry/direct/registry.py
+++ b/packages/radishferry/src/radishferry/direct/registry.py
@@ -8,6 +8,8 @@
 #: are missing from its list are kept. Entries that lapsed in an outage are
 #: written again by their servers within two seconds of its end.
 RETURN_HOLD_S = 2.2
+#: Most lives remembered as leaving by their own word; the oldest give way.
+MAX_ANNOUNCED = 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -58,6 +60,9 @@
         self._servers = {}
         self._by_service = {}
         self._lives_by_address = {}
+        # Lives that have said themselves that they leave. A dict, since it
+        # keeps the order in which they were added.
+        self._announced = {}
         self._read_at = None
         self._hold_until = 0.0
 
@@ -116,6 +121,23 @@
         if self._hold_until > now + RETURN_HOLD_S:
             self._hold_until = now + RETURN_HOLD_S
 
+    def note_leaving(self, life: tuple[str, int]) -> Change:
+        """Note that a server has said itself that it leaves.
+
+        It stays so for the rest of this life, whatever its entry says, also
+        when the entry is not known yet or comes back after an outage.
+        """
+        self._announced[life] = None
+        if len(self._announced) > MAX_ANNOUNCED:
+            del self._announced[next(iter(self._announced))]
+        known = self._servers.get(life[0])
+        if known is None or known.life != life or known.is_leaving:
+            return Change()
+        leaving = dataclasses.replace(known, is_leaving=True)
+        self._servers[life[0]] = leaving
+        self._index(self._servers.values())
+        return Change(leaving=(leaving,))
+
     def confirm(self, read_at: float):
         """Note that a later reading has brought nothing new."""
         self._read_at = max(self._read_at, read_at)
@@ -128,7 +150,10 @@
         :param is_own: Whether this host has read the list, and not another
             one that knows of outages of its own.
         """
-        fresh = {server.server_id: server for server in servers}
+        fresh = {
+            server.server_id: self._with_announcement(server)
+            for server in servers
+        }
         holds = is_own and read_at < self._hold_until
         for server_id, known in self._servers.items():
             if server_id not in fresh and holds:
@@ -155,11 +180,19 @@
         )
         self._servers = fresh
         self._read_at = read_at
+        self._index(fresh.values())
+        return change
+
+    def _with_announcement(self, server):
+        if server.is_leaving or server.life not in self._announced:
+            return server
+        return dataclasses.replace(server, is_leaving=True)
+
+    def _index(self, servers):
         by_service = {}
-        for server in fresh.values():
+        for server in servers:
             by_service.setdefault(server.service, []).append(server)
             newest = self._lives_by_address.get(server.address, ('', -1))
             if server.born_ms > newest[1]:
                 self._lives_by_address[server.address] = server.life
         self._by_service = {k: tuple(v) for k, v in by_service.items()}
-        return change
--- a/packages/radishferry/src/radishferry/direct/selection.py
+++ b/packages/radishferry/src/radishferry/direct/selection.py
@@ -30,6 +30,10 @@
 #: Longest pause after connection failures, in seconds. The keys of a server
 #: wait for it, and a new attempt costs one connection.
 LONGEST_PAUSE_S = 1.6
+#: Longest pause that a server may ask for, in seconds. A server that asks for
+#: a day by mistake would otherwise be lost until it starts again; after this
+#: time one request tries it.
+LONGEST_ASKED_PAUSE_S = 60.0
 #: Cost of sending to another data centre for each byte of an answer, in
 #: seconds of waiting; 90 kB weigh as much as three usual answers.
 FAR_COST_S_PER_BYTE = 6e-6
@@ -81,6 +85,8 @@
     _reported_at: float = -math.inf
     _connection_failures: int = 0
     _paused_until: float = -math.inf
+    _asked_until: float = -math.inf
+    _needs_trial: bool = False
 
     def note_report(self, running, waiting, slots, now):
         """Take the load that the server told with an answer."""
@@ -101,6 +107,9 @@
         """
         self._connection_failures = 0
         self._paused_until = -math.inf
+        # Requests that were sent before a pause end during it.
+        if now >= self._asked_until:
+            self._needs_trial = False
         self._note_failure(0.0, now)
         if not waiting:
             self.samples += 1
@@ -114,7 +123,7 @@
     def note_sent(self, now):
         """Count a request; the first one after a pause goes alone."""
         self.in_flight += 1
-        if self._connection_failures:
+        if self._connection_failures or self._needs_trial:
             self._paused_until = now + FIRST_PAUSE_S
 
     def note_connection_failure(self, now):
@@ -128,9 +137,25 @@
         pause = FIRST_PAUSE_S * 2 ** (self._connection_failures - 1)
         self._paused_until = now + min(LONGEST_PAUSE_S, pause)
 
+    def note_asked_pause(self, pause_s, now):
+        """Note that the server wants no request for some seconds.
+
+        The first request after it goes alone.
+        """
+        pause_s = min(LONGEST_ASKED_PAUSE_S, pause_s)
+        self._asked_until = max(self._asked_until, now + pause_s)
+        self._needs_trial = True
+
+    def asked_pause_s(self, now) -> float:
+        """Return the seconds for which the server still wants no request."""
+        return max(0.0, self._asked_until - now)
+
     def is_paused(self, now) -> bool:
-        """Tell whether connections to the server failed just now."""
-        return now < self._paused_until
+        """Tell whether the server is to be left alone.
+
+        Connections to it failed just now, or it has asked for a pause.
+        """
+        return now < max(self._paused_until, self._asked_until)
 
     def failure_share(self, now) -> float:
         """Return the part of recent requests that failed, 0 to 1."""
--- a/packages/radishferryd/idl/router.thrift
+++ b/packages/radishferryd/idl/router.thrift
@@ -71,12 +71,24 @@
   3: i32 answers
 }
 
+/* What a server has announced in an answer to a host. */
+struct ServerNotice {
+  1: string server_id
+  2: i64 born_ms
+  3: bool is_leaving
+  /* Seconds for which it wants no request from that host. */
+  4: double pause_s
+  /* Seconds since the answer. */
+  5: double age_s
+}
+
 struct LoadReport {
   /* Key of each request since the last report, by service. */
   1: map<string, list<i32>> keys
   2: list<ServerSpeed> speeds
   /* Fingerprints of requests in flight at crashes of servers. */
   3: list<i64> suspects
+  4: list<ServerNotice> notices
 }
 
 /* Fingerprints of requests that crashed servers, with their counts. */
--- a/packages/radishferryd/src/radishferryd/gen/router/ttypes.py
+++ b/packages/radishferryd/src/radishferryd/gen/router/ttypes.py
@@ -791,20 +791,123 @@
         return not (self == other)
 
 
+class ServerNotice(object):
+    """
+    Attributes:
+     - server_id
+     - born_ms
+     - is_leaving
+     - pause_s
+     - age_s
+
+    """
+
+
+    def __init__(self, server_id=None, born_ms=None, is_leaving=None, pause_s=None, age_s=None,):
+        self.server_id = server_id
+        self.born_ms = born_ms
+        self.is_leaving = is_leaving
+        self.pause_s = pause_s
+        self.age_s = age_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.server_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.is_leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.pause_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.age_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServerNotice')
+        if self.server_id is not None:
+            oprot.writeFieldBegin('server_id', TType.STRING, 1)
+            oprot.writeString(self.server_id.encode('utf-8') if sys.version_info[0] == 2 else self.server_id)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 2)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.is_leaving is not None:
+            oprot.writeFieldBegin('is_leaving', TType.BOOL, 3)
+            oprot.writeBool(self.is_leaving)
+            oprot.writeFieldEnd()
+        if self.pause_s is not None:
+            oprot.writeFieldBegin('pause_s', TType.DOUBLE, 4)
+            oprot.writeDouble(self.pause_s)
+            oprot.writeFieldEnd()
+        if self.age_s is not None:
+            oprot.writeFieldBegin('age_s', TType.DOUBLE, 5)
+            oprot.writeDouble(self.age_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadReport(object):
     """
     Attributes:
      - keys
      - speeds
      - suspects
+     - notices
 
     """
 
 
-    def __init__(self, keys=None, speeds=None, suspects=None,):
+    def __init__(self, keys=None, speeds=None, suspects=None, notices=None,):
         self.keys = keys
         self.speeds = speeds
         self.suspects = suspects
+        self.notices = notices
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -852,6 +955,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.notices = []
+                    (_etype84, _size81) = iprot.readListBegin()
+                    for _i85 in range(_size81):
+                        _elem86 = ServerNotice()
+                        _elem86.read(iprot)
+                        self.notices.append(_elem86)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -865,26 +979,33 @@
         if self.keys is not None:
             oprot.writeFieldBegin('keys', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.LIST, len(self.keys))
-            for kiter81, viter82 in self.keys.items():
-                oprot.writeString(kiter81.encode('utf-8') if sys.version_info[0] == 2 else kiter81)
-                oprot.writeListBegin(TType.I32, len(viter82))
-                for iter83 in viter82:
-                    oprot.writeI32(iter83)
+            for kiter87, viter88 in self.keys.items():
+                oprot.writeString(kiter87.encode('utf-8') if sys.version_info[0] == 2 else kiter87)
+                oprot.writeListBegin(TType.I32, len(viter88))
+                for iter89 in viter88:
+                    oprot.writeI32(iter89)
                 oprot.writeListEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.speeds is not None:
             oprot.writeFieldBegin('speeds', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.speeds))
-            for iter84 in self.speeds:
-                iter84.write(oprot)
+            for iter90 in self.speeds:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 3)
             oprot.writeListBegin(TType.I64, len(self.suspects))
-            for iter85 in self.suspects:
-                oprot.writeI64(iter85)
+            for iter91 in self.suspects:
+                oprot.writeI64(iter91)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.notices is not None:
+            oprot.writeFieldBegin('notices', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.notices))
+            for iter92 in self.notices:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -928,11 +1049,11 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.crashes = {}
-                    (_ktype87, _vtype88, _size86) = iprot.readMapBegin()
-                    for _i90 in range(_size86):
-                        _key91 = iprot.readI64()
-                        _val92 = iprot.readI32()
-                        self.crashes[_key91] = _val92
+                    (_ktype94, _vtype95, _size93) = iprot.readMapBegin()
+                    for _i97 in range(_size93):
+                        _key98 = iprot.readI64()
+                        _val99 = iprot.readI32()
+                        self.crashes[_key98] = _val99
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -949,9 +1070,9 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.MAP, 1)
             oprot.writeMapBegin(TType.I64, TType.I32, len(self.crashes))
-            for kiter93, viter94 in self.crashes.items():
-                oprot.writeI64(kiter93)
-                oprot.writeI32(viter94)
+            for kiter100, viter101 in self.crashes.items():
+                oprot.writeI64(kiter100)
+                oprot.writeI32(viter101)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1232,12 +1353,22 @@
     (2, TType.DOUBLE, 'total_s', None, None, ),  # 2
     (3, TType.I32, 'answers', None, None, ),  # 3
 )
+all_structs.append(ServerNotice)
+ServerNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'server_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born_ms', None, None, ),  # 2
+    (3, TType.BOOL, 'is_leaving', None, None, ),  # 3
+    (4, TType.DOUBLE, 'pause_s', None, None, ),  # 4
+    (5, TType.DOUBLE, 'age_s', None, None, ),  # 5
+)
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
     None,  # 0
     (1, TType.MAP, 'keys', (TType.STRING, 'UTF8', TType.LIST, (TType.I32, None, False), False), None, ),  # 1
     (2, TType.LIST, 'speeds', (TType.STRUCT, [ServerSpeed, None], False), None, ),  # 2
     (3, TType.LIST, 'suspects', (TType.I64, None, False), None, ),  # 3
+    (4, TType.LIST, 'notices', (TType.STRUCT, [ServerNotice, None], False), None, ),  # 4
 )
 all_structs.append(PoisonPush)
 PoisonPush.thrift_spec = (
--- a/packages/radishferryd/src/radishferryd/platform/headers.py
+++ b/packages/radishferryd/src/radishferryd/platform/headers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 #: Identifies one attempt of a caller; echoed by servers.
 REQUEST_ID = 'x-request-id'
@@ -22,6 +23,13 @@
 SERVER_ID = 'x-instance-id'
 #: Load of a server: running, waiting, slots.
 LOAD = 'x-server-load'
+#: ``1`` in all answers of a server that is about to stop.
+LEAVING = 'server-leaving'
+#: In a 503 of a server: seconds, or a date, before which it wants no further
+#: request from the host that got the answer.
+RETRY_AFTER = 'retry-after'
+#: Time of day at which a server made its answer.
+DATE = 'date'
 
 #: Status with which a server says that it is not the expected one, or does
 #: not hold the key; the request was not run.
@@ -32,7 +40,7 @@
 
 #: Headers of a caller that only this system or a server may set.
 _RESERVED = frozenset(
-    (REMAINING_MS, EXPECTED_SERVER, SIGNATURE, NOT_RUN, HANDOVER)
+    (REMAINING_MS, EXPECTED_SERVER, SIGNATURE, NOT_RUN, HANDOVER, LEAVING)
 )
 
 
@@ -63,6 +71,43 @@
     return value if 0 <= value < 86400 else None
 
 
+def is_leaving(head) -> bool:
+    """Tell whether an answer says that its server is about to stop."""
+    return head.header(LEAVING).strip() == '1'
+
+
+def wanted_pause_s(head, clock_s) -> float | None:
+    """Return for how long a server wants no request, None if it does not say.
+
+    :param clock_s: Time of day of this host as Unix seconds, against which
+        a date is read if the answer has none of its own.
+    :raises ValueError: The value is neither seconds nor a date.
+    """
+    text = head.header(RETRY_AFTER).strip()
+    if head.status != 503 or not text:
+        return None
+    try:
+        pause_s = float(text)
+    except ValueError:
+        sent = head.header(DATE)
+        clock_s = _date_s(sent) if sent else clock_s
+        return max(0.0, _date_s(text) - clock_s)
+    if not math.isfinite(pause_s) or pause_s < 0:
+        raise ValueError(f'no number of seconds: {text[:40]!r}')
+    return pause_s
+
+
+def _date_s(text):
+    """Return a date of HTTP as Unix seconds.
+
+    :raises ValueError: The text is no date.
+    """
+    # Few servers send dates, and the module takes memory in each process.
+    from email import utils
+
+    return utils.parsedate_to_datetime(text).timestamp()
+
+
 def is_not_run(head) -> bool:
     """Tell whether an answer proves that the server ran nothing."""
     return bool(head.header(NOT_RUN)) or head.status == MISDIRECTED
--- a/packages/radishferryd/src/radishferryd/platform/orders.py
+++ b/packages/radishferryd/src/radishferryd/platform/orders.py
@@ -28,11 +28,13 @@
     """Hold the answer to an order.
 
     :ivar handover: Token of the state that a release left, empty if none.
+    :ivar is_leaving: Whether the server said that it is about to stop.
     """
 
     status: OrderStatus
     handover: str = ''
     detail: str = ''
+    is_leaving: bool = False
 
 
 def addressed(server_id):
@@ -94,10 +96,15 @@
             OrderStatus.UNKNOWN if answer.was_sent else OrderStatus.NOT_SENT
         )
         return OrderResult(status, detail=answer.detail)
+    is_leaving = headers.is_leaving(answer)
     if answer.status == 200:
-        return OrderResult(OrderStatus.DONE, answer.header(headers.HANDOVER))
+        return OrderResult(
+            OrderStatus.DONE,
+            answer.header(headers.HANDOVER),
+            is_leaving=is_leaving,
+        )
     if answer.status == 409:
-        return OrderResult(OrderStatus.STALE)
+        return OrderResult(OrderStatus.STALE, is_leaving=is_leaving)
     if answer.status == headers.MISDIRECTED:
         answering = answer.header(headers.SERVER_ID)
         if answering:
--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -99,6 +99,7 @@
             self._term,
             settings.grants_hold_max_s,
             settings.host_name,
+            lambda: self._gateway.host_count,
         )
         self._knowledge.on_servers.append(self._ownership.servers_changed)
         self._hub = hub_module.Hub(
@@ -213,6 +214,10 @@
         """Return what this host has seen of load."""
         return self._gateway.take_load()
 
+    def repeat_announcements(self):
+        """Report again what servers have announced to this host."""
+        self._gateway.announcements.repeat_all()
+
     def _begin_ownership(self):
         """Read the owners as of now and take over from them."""
 
@@ -242,8 +247,9 @@
     def _report(self):
         if self._ownership.is_active:
             self.set_host_count(self._hub.host_count)
-            keys, speeds, _ = self._gateway.take_load()
-            self._ownership.note_load(keys, speeds)
+            seen = self._gateway.take_load()
+            self._ownership.note_load(seen.keys, seen.speeds)
+            self._hub.note_notices(self._settings.host_name, seen.notices)
         else:
             self._spoke.report(self._gateway.host_count)
 
@@ -300,6 +306,7 @@
                     'service_s': backend.stats.service_s,
                     'failure_share': backend.stats.failure_share(now),
                     'is_paused': backend.stats.is_paused(now),
+                    'asked_pause_s': backend.stats.asked_pause_s(now),
                     'connections': backend.open_connections,
                 }
                 for backend in self._gateway.backends
--- a/packages/radishferryd/src/radishferryd/router/backends.py
+++ b/packages/radishferryd/src/radishferryd/router/backends.py
@@ -4,6 +4,8 @@
 
 import collections
 import logging
+import time
+import typing
 import zlib
 
 from radishferry.direct import idle_limit
@@ -20,11 +22,31 @@
 MIN_CONNECTIONS = 4
 
 
+class Listener(typing.Protocol):
+    """Take what servers announce in their answers."""
+
+    def server_leaves(self, server) -> None:
+        """Note that a server is about to stop."""
+
+    def server_wants_pause(self, server, pause_s) -> None:
+        """Note that a server wants no request for some seconds."""
+
+    def announcement_malformed(self, server, detail) -> None:
+        """Note an announcement that cannot be read."""
+
+
 class Backend:
     """Hold the connections and the statistics of one server."""
 
     def __init__(
-        self, poller, scheduler, server, limit, idle_limits, host_name=''
+        self,
+        poller,
+        scheduler,
+        server,
+        limit,
+        idle_limits,
+        host_name='',
+        listener=None,
     ):
         """Begin without a connection.
 
@@ -35,7 +57,9 @@
             backends of this host.
         :param host_name: Name of this host, which gives it an order of the
             servers that differs from those of other hosts.
+        :param listener: A :class:`Listener`, None if nobody needs to know.
         """
+        self._listener = listener
         self._idle_limits = idle_limits
         self._poller = poller
         self._scheduler = scheduler
@@ -112,6 +136,22 @@
                 self._scheduler.now(),
             )
 
+    def note_announcements(self, head):
+        """Take what the server says in an answer about requests to come."""
+        if headers.is_leaving(head) and self._listener is not None:
+            self._listener.server_leaves(self.server)
+        try:
+            pause_s = headers.wanted_pause_s(head, time.time())
+        except ValueError as exc:
+            if self._listener is not None:
+                self._listener.announcement_malformed(self.server, str(exc))
+            return
+        if not pause_s:
+            return
+        self.stats.note_asked_pause(pause_s, self._scheduler.now())
+        if self._listener is not None:
+            self._listener.server_wants_pause(self.server, pause_s)
+
     def note_reset(self, idle_s, took_s):
         """Take the reset of a reused connection that brought no answer.
 
@@ -184,8 +224,9 @@
 class Backends:
     """Hold the :class:`Backend` of each server."""
 
-    def __init__(self, poller, scheduler, host_name=''):
+    def __init__(self, poller, scheduler, host_name='', listener=None):
         self._host_name = host_name
+        self._listener = listener
         self._poller = poller
         self._scheduler = scheduler
         self._by_life = {}
@@ -220,6 +261,7 @@
                 self._limit(server.service),
                 self._idle_limits,
                 self._host_name,
+                self._listener,
             )
         found.server = server
         return found
--- a/packages/radishferryd/src/radishferryd/router/callers.py
+++ b/packages/radishferryd/src/radishferryd/router/callers.py
@@ -28,6 +28,7 @@
 _NOT_RETURNED = http_message.HOP_HEADERS | {
     'content-length',
     headers.LOAD,
+    headers.LEAVING,
     headers.SERVER_ID,
     headers.NOT_RUN,
     headers.HANDOVER,
--- a/packages/radishferryd/src/radishferryd/router/connections.py
+++ b/packages/radishferryd/src/radishferryd/router/connections.py
@@ -274,6 +274,7 @@
         if problem:
             self._cut_off(results.Unknown(problem))
             return
+        self._backend.note_announcements(head)
         if attempt.method == 'HEAD':
             self._keep_alive = False
             self._complete()
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import logging
 
 from radishferry.direct import admission
+from radishferry.direct import announcements
 from radishferry.direct import budget as budget_module
 from radishferryd.router import backends as backends_module
 from radishferryd.router import requests
@@ -17,6 +19,23 @@
 STARTING_RETRY_S = 0.5
 
 
+@dataclasses.dataclass(frozen=True)
+class Observations:
+    """Hold what a host has seen since its last report.
+
+    :ivar keys: Keys of requests by service.
+    :ivar speeds: Tuples of server id, seconds and number of answers.
+    :ivar suspects: Fingerprints of requests in flight at crashes.
+    :ivar notices: A :class:`~radishferry.direct.announcements.Notice` for
+        each server that has announced something.
+    """
+
+    keys: dict
+    speeds: list
+    suspects: list
+    notices: list
+
+
 class Gateway:
     """Start the requests of callers and give them what they need."""
 
@@ -36,8 +55,9 @@
         self.host_count = settings.retry_hosts
         self.data_centre = settings.host_data_centre
         self.backends = backends_module.Backends(
-            poller, scheduler, settings.host_name
+            poller, scheduler, settings.host_name, self
         )
+        self.announcements = announcements.Announcements()
         self.budget = budget_module.RetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
@@ -141,8 +161,7 @@
     def take_load(self):
         """Return what has been seen since the last call.
 
-        :returns: Keys by service, tuples of server id, seconds and number of
-            answers, and fingerprints of requests in flight at crashes.
+        :returns: :class:`Observations`.
         """
         keys, self._keys = dict(self._keys), collections.defaultdict(list)
         speeds = []
@@ -156,7 +175,12 @@
                     )
                 )
                 backend.speed_s, backend.speed_count = 0.0, 0
-        return keys, speeds, self._crashes.take_new()
+        return Observations(
+            keys,
+            speeds,
+            self._crashes.take_new(),
+            self.announcements.take_new(self.now()),
+        )
 
     def route_stats(self, request):
         """Return the statistics of the part of a route."""
@@ -229,6 +253,48 @@
             },
         )
 
+    # What servers announce; see radishferryd.router.backends.Listener.
+
+    def server_leaves(self, server):
+        """Send nothing to a server any more that says that it leaves."""
+        if self.announcements.note_leaving(server.life, self.now()):
+            self._metrics.count_announcement('leaving')
+        self._knowledge.note_leaving(server.life, 0.0, 'an answer')
+
+    def server_wants_pause(self, server, pause_s):
+        """Note that a server wants no request for some seconds."""
+        self._metrics.count_announcement('pause')
+        self.announcements.note_pause(server.life, pause_s, self.now())
+        LOG.info(
+            'backends: %s wants no request for %.2f s.',
+            server.server_id,
+            pause_s,
+            extra={'service': server.service, 'born_ms': server.born_ms},
+        )
+
+    def announcement_malformed(self, server, detail):
+        """Note an announcement that cannot be read."""
+        self._metrics.count_announcement('malformed')
+        LOG.warning(
+            'backends: Ignored an announcement of %s: %s.',
+            server.server_id,
+            detail,
+        )
+
+    def paused_for_s(self, service) -> float:
+        """Return when the first server of a service may be asked again.
+
+        :returns: Seconds, 0 unless each server has asked for a pause.
+        """
+        now = self.now()
+        return min(
+            (
+                self.backends.stats(server).asked_pause_s(now)
+                for server in self.registry.usable(service)
+            ),
+            default=0.0,
+        )
+
     def finished(self, request, status, outcome, detail):
         """Note the end of a request."""
         self.open_requests -= 1
--- a/packages/radishferryd/src/radishferryd/router/hub.py
+++ b/packages/radishferryd/src/radishferryd/router/hub.py
@@ -4,6 +4,7 @@
 
 import logging
 
+from radishferry.direct import announcements
 from radishferry.direct import pacing
 from radishferryd.gen.router import ttypes
 from radishferryd.router import knowledge as knowledge_module
@@ -111,6 +112,16 @@
             )
             if message.suspects:
                 self._poison.merge(message.suspects, self._scheduler.now())
+            # A host of an older version sends none.
+            self.note_notices(link.host, map(_notice, message.notices or ()))
+
+    def note_notices(self, host, notices):
+        """Take what servers have announced to a host."""
+        for notice in notices:
+            if notice.is_leaving:
+                self._knowledge.note_leaving(notice.life, notice.age_s, host)
+            if notice.pause_s:
+                self._ownership.note_pause(notice.life, host, notice.pause_s)
 
     def link_closed(self, link, detail):
         """See :class:`radishferryd.router.links.Link`."""
@@ -245,6 +256,15 @@
     )
 
 
+def _notice(message):
+    return announcements.Notice(
+        (message.server_id, message.born_ms),
+        message.is_leaving,
+        message.pause_s,
+        message.age_s,
+    )
+
+
 def _key_map_push(service, segments):
     numbers = {}
     for segment in segments:
--- a/packages/radishferryd/src/radishferryd/router/knowledge.py
+++ b/packages/radishferryd/src/radishferryd/router/knowledge.py
@@ -124,10 +124,22 @@
         read_at = max(read_at, known_at or read_at)
         self._apply(servers, read_at, 'granting host', is_own=False)
 
+    def note_leaving(self, life, age_s, source):
+        """Adopt that a server has said itself that it leaves.
+
+        :param age_s: Seconds since it said so.
+        :param source: Who was told, for the log.
+        """
+        change = self.registry.note_leaving(life)
+        if change:
+            self._changed(change, self._now() - age_s, source)
+
     def _apply(self, servers, read_at, source, *, is_own):
         change = self.registry.apply(servers, read_at, is_own=is_own)
-        if not change:
-            return
+        if change:
+            self._changed(change, read_at, source)
+
+    def _changed(self, change, known_at, source):
         for word, changed in (
             ('came', change.added),
             ('is leaving', change.leaving),
@@ -142,7 +154,7 @@
                         'service': server.service,
                         'born_ms': server.born_ms,
                         'source': source,
-                        'age_s': round(self._now() - read_at, 3),
+                        'age_s': round(self._now() - known_at, 3),
                     },
                 )
         for callback in self.on_servers:
--- a/packages/radishferryd/src/radishferryd/router/metrics.py
+++ b/packages/radishferryd/src/radishferryd/router/metrics.py
@@ -33,6 +33,14 @@
         'Requests answered before they were routed.',
         {'reason': ()},
     ),
+    _METRIC(
+        'announcements',
+        'radishferry_server_announcements_total',
+        'counter',
+        'Announcements of servers: that they leave, that they want a pause, '
+        'and malformed ones.',
+        {'kind': ('leaving', 'pause', 'malformed')},
+    ),
     _METRIC(
         'store_calls',
         'radishferry_store_calls_total',
@@ -94,3 +102,7 @@
     def count_refusal(self, reason):
         """Count a request that was answered before it was routed."""
         self.refusals.inc(reason)
+
+    def count_announcement(self, kind):
+        """Count what a server has announced in an answer."""
+        self.announcements.inc(kind)
--- a/packages/radishferryd/src/radishferryd/router/orders.py
+++ b/packages/radishferryd/src/radishferryd/router/orders.py
@@ -28,14 +28,19 @@
 class OrderDesk:
     """Send orders to servers, a few at a time to each one."""
 
-    def __init__(self, poller, scheduler, registry, may_order, on_freed):
+    def __init__(
+        self, poller, scheduler, registry, may_order, on_freed, on_leaving
+    ):
         """Begin without a connection.
 
         :param registry: Tells the present life of a server.
         :param may_order: Tells whether this host may still give orders.
         :param on_freed: Called after a release or a first grant, which let
             the next step of a move begin.
+        :param on_leaving: Called with a server whose answer says that it is
+            about to stop.
         """
+        self.on_leaving = on_leaving
         self.on_freed = on_freed
         self._poller = poller
         self._scheduler = scheduler
@@ -154,6 +159,8 @@
     def _finish(self, order, granter, sent_at, result):
         now = self._desk._scheduler.now()
         status = result.status
+        if result.is_leaving:
+            self._desk.on_leaving(self._server)
         if status is wire.OrderStatus.DONE:
             self.failures = 0
             if isinstance(order, granting.Grant):
--- a/packages/radishferryd/src/radishferryd/router/ownership.py
+++ b/packages/radishferryd/src/radishferryd/router/ownership.py
@@ -10,7 +10,9 @@
 from radishferry.direct import granting
 from radishferry.direct import key_rates
 from radishferry.direct import key_rows
+from radishferry.direct import pause_shares
 from radishferry.direct import placement
+from radishferry.direct import selection
 from radishferryd.platform import store as store_module
 from radishferryd.router import orders
 from radishferryd.router import store_reader
@@ -43,6 +45,9 @@
 DEFAULT_ANSWERS = 100
 #: Narrowest and widest speed taken for a server in relation to the others.
 MIN_SPEED, MAX_SPEED = 0.4, 4.0
+#: Least part of a server's capacity that is counted while all hosts have to
+#: spare it; its keys move to others by their load.
+MIN_CAPACITY_SHARE = 0.05
 
 
 @dataclasses.dataclass
@@ -90,12 +95,15 @@
 class Ownership:
     """Plan, write and order who owns which keys."""
 
-    def __init__(self, poller, scheduler, knowledge, term, hold_max_s, name):
+    def __init__(
+        self, poller, scheduler, knowledge, term, hold_max_s, name, hosts
+    ):
         """Begin without the right to grant.
 
         :param term: A :class:`~radishferryd.router.term.TermKeeper`.
         :param hold_max_s: Longest hold that a server accepts.
         :param name: Name of this host, for ids of writes.
+        :param hosts: Returns the number of hosts of the deployment.
         """
         self._scheduler = scheduler
         self._knowledge = knowledge
@@ -104,6 +112,7 @@
         self._name = name
         self._services = {}
         self._speeds = collections.defaultdict(_Speed)
+        self._pauses = pause_shares.PauseShares()
         self._is_active = False
         self._active_at = 0.0
         self._known_servers = {}
@@ -117,9 +126,12 @@
             knowledge.registry,
             lambda: term.holds,
             self._step_soon,
+            self._server_leaves,
         )
         #: Called with a service and the segments that changed.
         self.on_segments = []
+        #: Returns the number of hosts.
+        self._hosts = hosts
 
     @property
     def is_active(self) -> bool:
@@ -167,6 +179,17 @@
         for server_id, total_s, answers in speeds:
             self._speeds[server_id].note(total_s, answers)
 
+    def note_pause(self, life, host, pause_s):
+        """Note that a server wants no request from a host.
+
+        :param pause_s: Seconds from now.
+        """
+        pause_s = min(pause_s, selection.LONGEST_ASKED_PAUSE_S)
+        self._pauses.note(life, host, self._scheduler.now() + pause_s)
+
+    def _server_leaves(self, server):
+        self._knowledge.note_leaving(server.life, 0.0, 'an answer to an order')
+
     def servers_changed(self, change):
         """Remember servers, so that orders reach those that have left."""
         for server in self._knowledge.registry.all():
@@ -367,11 +390,20 @@
         return [
             placement.Capacity(
                 server.life,
-                server.slots / (usual_s * self._relative(server, usual_s)),
+                server.slots
+                * self._wanted_share(server)
+                / (usual_s * self._relative(server, usual_s)),
             )
             for server in servers
         ]
 
+    def _wanted_share(self, server):
+        """Return which part of all requests a server wants at present."""
+        paused = self._pauses.share(
+            server.life, self._hosts(), self._scheduler.now()
+        )
+        return max(MIN_CAPACITY_SHARE, 1 - paused)
+
     def _relative(self, server, usual_s):
         speed = self._speeds.get(server.server_id)
         if speed is None or not speed.answers:
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -199,6 +199,7 @@
             self.is_keyed
             and isinstance(result, results.NotRun)
             and not result.is_unreachable
+            and not attempt.backend.stats.asked_pause_s(self._gateway.now())
         ):
             self._next_after_pause(attempt.server)
         else:
@@ -276,6 +277,13 @@
             return
         backend = gateway.backends.get(server)
         stats = backend.stats
+        if asked_pause_s := stats.asked_pause_s(now):
+            self._wait_for_owner(
+                results.Reason.SERVER_PAUSED,
+                f'{server.server_id} wants no request now.',
+                admission.retry_after_pause_s(asked_pause_s),
+            )
+            return
         if stats.is_paused(now):
             self._wait_for_owner(
                 results.Reason.OWNER_UNREACHABLE,
@@ -317,6 +325,15 @@
             skip=self._tried,
         )
         if choice is None:
+            paused_for_s = self._paused_for_s()
+            if paused_for_s and not self._was_sent:
+                self._refuse(
+                    503,
+                    results.Reason.SERVER_PAUSED,
+                    f'All servers of {self.service} want a pause.',
+                    admission.retry_after_pause_s(paused_for_s),
+                )
+                return
             if self._last is not None:
                 self._give_up(self._last)
                 return
@@ -408,8 +425,12 @@
         )
         return head + self.body
 
-    def _wait_for_owner(self, reason, detail):
-        """Wait for a move that is under way, but not past its prospect."""
+    def _wait_for_owner(self, reason, detail, retry_after_s=None):
+        """Wait for a move that is under way, but not past its prospect.
+
+        :param retry_after_s: When the caller may come back, None for the
+            usual time of a move.
+        """
         gateway = self._gateway
         now = gateway.now()
         patience = self.arrived_at + min(
@@ -422,7 +443,9 @@
         ):
             self._wait(patience - now)
             return
-        self._refuse(503, reason, detail, admission.retry_after_s(0.45))
+        if retry_after_s is None:
+            retry_after_s = admission.retry_after_s(0.45)
+        self._refuse(503, reason, detail, retry_after_s)
 
     # End of the request.
 
@@ -458,13 +481,26 @@
             self._refuse(502, results.Reason.BAD_ANSWER, result.detail)
         else:
             detail = result.detail if result else 'no time is left'
+            paused_for_s = self._paused_for_s()
             self._refuse(
                 503,
                 results.Reason.NOT_RUN,
                 detail,
-                admission.retry_after_s(0.3),
+                admission.retry_after_pause_s(paused_for_s)
+                if paused_for_s
+                else admission.retry_after_s(0.3),
             )
 
+    def _paused_for_s(self):
+        """Return for how long all servers of the request want no request."""
+        gateway = self._gateway
+        if not self.is_keyed:
+            return gateway.paused_for_s(self.service)
+        _, server = gateway.owner(self.service, self.key)
+        if server is None:
+            return 0.0
+        return gateway.backends.get(server).stats.asked_pause_s(gateway.now())
+
     def _on_timeout(self):
         if self._is_done:
             return
--- a/packages/radishferryd/src/radishferryd/router/results.py
+++ b/packages/radishferryd/src/radishferryd/router/results.py
@@ -65,6 +65,7 @@
     NO_OWNER = 'no-owner'
     OWNER_UNREACHABLE = 'owner-unreachable'
     NO_SERVER = 'no-server'
+    SERVER_PAUSED = 'server-paused'
     OVERLOADED = 'overloaded'
     HOT_KEY = 'hot-key'
     POISON = 'poison'
--- a/packages/radishferryd/src/radishferryd/router/spoke.py
+++ b/packages/radishferryd/src/radishferryd/router/spoke.py
@@ -36,7 +36,8 @@
             :class:`~radishferryd.router.store_reader.StoreReader`.
         :param host: Pair of name and data centre of this host.
         :param owner: Offers ``granter_lost()``, ``set_host_count(count)``,
-            ``merge_poison(counts)`` and ``take_load()``.
+            ``merge_poison(counts)``, ``take_load()`` and
+            ``repeat_announcements()``.
         """
         self._poller = poller
         self._scheduler = scheduler
@@ -108,13 +109,22 @@
         if self._is_granter or not self.is_linked or now < due_at - EARLY_S:
             return
         self._reported_at = now
-        keys, speeds, suspects = self._owner.take_load()
+        seen = self._owner.take_load()
         self._link.send(
             'load_report',
             ttypes.LoadReport(
-                keys,
-                [ttypes.ServerSpeed(*speed) for speed in speeds],
-                suspects,
+                seen.keys,
+                [ttypes.ServerSpeed(*speed) for speed in seen.speeds],
+                seen.suspects,
+                [
+                    ttypes.ServerNotice(
+                        *notice.life,
+                        notice.is_leaving,
+                        notice.pause_s,
+                        notice.age_s,
+                    )
+                    for notice in seen.notices
+                ],
             ),
         )
 
@@ -157,6 +167,7 @@
         """See :class:`radishferryd.router.links.Link`."""
         if link is self._link:
             link.send('hello', ttypes.Hello(*self._host))
+            self._owner.repeat_announcements()
 
     def link_closed(self, link, detail):
         """See :class:`radishferryd.router.links.Link`."""
