Load the messages of coordinators only in that mode

Change: frames and their codec are a module of their own.

The scenario of the start names the generated module too.

--- a/features/direct_host.feature
+++ b/features/direct_host.feature
@@ -147,6 +147,7 @@
   Scenario: A host is started without the libraries of the command line
     When the modules of the host's start are imported
     Then none of "defopt, docutils, pkg_resources, circuits.web" is loaded
+    And none of "radishferryd.gen.ttypes" is loaded
 
   Scenario: A host that is started without settings says what it needs
     When the host is started without an argument
--- a/features/steps/direct_links_steps.py
+++ b/features/steps/direct_links_steps.py
@@ -8,7 +8,7 @@
 import behave
 import load_fixtures
 
-from radishferryd import peer_codec
+from radishferryd import frames
 from radishferryd.gen.router import ttypes
 from radishferryd.router import crashes
 from radishferryd.router import hub
@@ -48,7 +48,7 @@
 
 
 def _decode(data):
-    buffer = peer_codec.FrameBuffer(links._CODEC)
+    buffer = frames.FrameBuffer(links._CODEC)
     buffer.allow_large()
     return [
         message
@@ -87,7 +87,7 @@
 def fails(context):
     try:
         _decode(context.data)
-    except peer_codec.FrameError as exc:
+    except frames.FrameError as exc:
         assert 'compress' in str(exc), exc
     else:
         raise AssertionError('the frame was taken')
--- a/features/steps/direct_pacing_steps.py
+++ b/features/steps/direct_pacing_steps.py
@@ -11,7 +11,7 @@
 
 from radishferry.direct import key_map
 from radishferry.direct import pacing
-from radishferryd import peer_codec
+from radishferryd import frames
 from radishferryd.gen.router import ttypes
 from radishferryd.router import crashes
 from radishferryd.router import hub as hub_module
@@ -45,7 +45,7 @@
 
     def key_maps(self):
         """Return the pushes of owners."""
-        buffer = peer_codec.FrameBuffer(links._CODEC)
+        buffer = frames.FrameBuffer(links._CODEC)
         buffer.allow_large()
         return [
             message
--- a/packages/radishferryd/src/radishferryd/peer.py
+++ b/packages/radishferryd/src/radishferryd/peer.py
@@ -9,6 +9,7 @@
 import time
 import typing
 
+from radishferryd import frames
 from radishferryd import net
 from radishferryd import peer_codec
 from radishferryd.gen import ttypes
@@ -63,7 +64,7 @@
         self._nonce = secrets.token_bytes(NONCE_BYTES)
         self._peer = None
         self._connection = None
-        self._buffer = peer_codec.FrameBuffer()
+        self._buffer = frames.FrameBuffer(peer_codec.CODEC)
         self._is_ready = False
         self._was_closed = False
         self._started_at = time.monotonic()
@@ -155,7 +156,7 @@
                 self._on_message(name, message)
                 if not self._connection.is_open:
                     return
-        except peer_codec.FrameError as exc:
+        except frames.FrameError as exc:
             LOG.error(
                 'peer: Closed the link to %s at %s: %s.',
                 self.host or 'an unproved peer',
@@ -187,11 +188,11 @@
         elif name == 'proof' and self._peer is not None:
             self._on_proof(message)
         else:
-            raise peer_codec.FrameError(f'{name} before the handshake')
+            raise frames.FrameError(f'{name} before the handshake')
 
     def _on_challenge(self, challenge):
         if not challenge.host or len(challenge.nonce or b'') != NONCE_BYTES:
-            raise peer_codec.FrameError('challenge without host or nonce')
+            raise frames.FrameError('challenge without host or nonce')
         self._peer = challenge
         proof = ttypes.Proof(self._mac(self._is_initiator, by_self=True))
         self._connection.write(peer_codec.encode('proof', proof))
@@ -200,7 +201,7 @@
         expected = self._mac(not self._is_initiator, by_self=False)
         if not hmac.compare_digest(expected, proof.mac or b''):
             self._owner.key_refused(self)
-            raise peer_codec.FrameError('wrong shared key')
+            raise frames.FrameError('wrong shared key')
         self._buffer.allow_large()
         self._is_ready = True
         self._owner.link_opened(self)
--- a/packages/radishferryd/src/radishferryd/router/links.py
+++ b/packages/radishferryd/src/radishferryd/router/links.py
@@ -5,8 +5,8 @@
 import logging
 import zlib
 
+from radishferryd import frames
 from radishferryd import net
-from radishferryd import peer_codec
 from radishferryd.gen.router import ttypes
 
 LOG = logging.getLogger(__name__)
@@ -26,9 +26,9 @@
 PACK_LEVEL = 1
 
 #: Largest frame with its length, in bytes.
-MAX_UNPACKED_BYTES = peer_codec.MAX_FRAME_BYTES + 4
+MAX_UNPACKED_BYTES = frames.MAX_FRAME_BYTES + 4
 
-_CODEC = peer_codec.Codec(ttypes.Frame, ('beat', 'load_report'))
+_CODEC = frames.Codec(ttypes.Frame, ('beat', 'load_report'))
 
 
 def encode(name, message) -> bytes:
@@ -36,7 +36,7 @@
 
     :param name: Field of the frame.
     :param message: The thrift struct.
-    :raises peer_codec.FrameError: The message is too large.
+    :raises frames.FrameError: The message is too large.
     """
     data = _CODEC.encode(name, message)
     if len(data) <= PACK_BYTES:
@@ -48,7 +48,7 @@
 def decode(name, message):
     """Yield name and struct of a message, taken out of its compression.
 
-    :raises peer_codec.FrameError: The bytes are no frame.
+    :raises frames.FrameError: The bytes are no frame.
     """
     if name != 'packed':
         yield name, message
@@ -57,10 +57,10 @@
     try:
         data = unpacker.decompress(message.frame, MAX_UNPACKED_BYTES)
     except zlib.error as exc:
-        raise peer_codec.FrameError(f'malformed compression: {exc}') from exc
+        raise frames.FrameError(f'malformed compression: {exc}') from exc
     if unpacker.unconsumed_tail or not unpacker.eof:
-        raise peer_codec.FrameError('a compressed frame is too large or cut')
-    buffer = peer_codec.FrameBuffer(_CODEC)
+        raise frames.FrameError('a compressed frame is too large or cut')
+    buffer = frames.FrameBuffer(_CODEC)
     buffer.allow_large()
     yield from buffer.feed(data)
 
@@ -78,7 +78,7 @@
         self._scheduler = scheduler
         self._owner = owner
         self._connection = None
-        self._buffer = peer_codec.FrameBuffer(_CODEC)
+        self._buffer = frames.FrameBuffer(_CODEC)
         self._buffer.allow_large()
         self._is_open = False
         self.heard_at = scheduler.now()
@@ -133,7 +133,7 @@
             for frame in self._buffer.feed(data):
                 for name, message in decode(*frame):
                     self._owner.link_message(self, name, message)
-        except peer_codec.FrameError as exc:
+        except frames.FrameError as exc:
             LOG.error('link: Closed the link to %s: %s.', self.host, exc)
             self._connection.abort()
 
