Let rows tell when former owners let go; forget grants that reach nobody

Servers left while the store was away and the granting host was stopped. Each of the next three granting hosts assumed for the keys of these servers that they hold for 10.7 s from its own start, so some keys had no owner for 26 s. Besides, each grant tried in vain at a dead server prolonged its hold by 4.6 s.

Change: a row carries the end of each former owner's hold on the store's clock. While it is written, owners that are to lose keys are not made to hold them beyond it. A new granting host counts from the end of the right of the one before it. A grant counts from when it is sent, and not at all when it reached nobody. The model of random faults writes rows in two steps now, with hosts lost in between and orders that arrive late.

--- a/features/direct_granting.feature
+++ b/features/direct_granting.feature
@@ -98,3 +98,45 @@
     When keys 0 to 99 are planned for server A2
     And server A has started again under its id
     Then server A2 is granted keys 0 to 99 with state ""
+
+  # Guards against an outage that starts anew with each change of the granting
+  # host: keys of servers that had gone before had no owner for 26 seconds.
+  Scenario: A row tells when a former owner lets go
+    Given a row in which server A may hold keys 0 to 99 of server B for 2 seconds more
+    When a granting host takes the row over 0.1 seconds after the last order of the previous one
+    Then server A is asked to release keys 0 to 99
+    And no grant is due for 1.9 seconds
+    And server B is granted keys 0 to 99 after 2.1 seconds
+
+  # Answers the pattern of a store that is away while the granting host stops:
+  # nobody gives orders meanwhile, and holds run out.
+  Scenario: Holds are counted from the last order of the previous host
+    Given a row in which keys 0 to 99 of server B may be held by server A
+    When a granting host takes the row over 6 seconds after the last order of the previous one
+    Then server A is asked to release keys 0 to 99
+    And no grant is due for 5.6 seconds
+    And server B is granted keys 0 to 99 after 5.8 seconds
+
+  # Guards against keys without an owner for as long as a dead server is tried.
+  Scenario: Grants that reach nobody do not prolong a hold
+    Given keys 0 to 99 are owned by server A
+    When 8 grants in vain are tried at server A in 2.8 seconds
+    And keys 0 to 99 are planned for server B
+    And server A does not answer the release
+    Then no grant is due for 0.5 seconds
+    And server B is granted keys 0 to 99 after 4.7 seconds
+
+  # Guards against two holders of a key: the row is written with the end of a
+  # hold, and the former owner is renewed until the store answers.
+  Scenario: An owner that answers is renewed while its keys are proposed
+    Given keys 0 to 99 are owned by server A
+    When keys 0 to 99 are proposed for server B
+    Then each hold of a grant in the next 20 seconds ends as proposed
+    And at least 3 grants were given
+
+  Scenario: An owner that does not answer is not renewed any more
+    Given keys 0 to 99 are owned by server A
+    When 12 grants in vain are tried at server A in 4.4 seconds
+    And keys 0 to 99 are proposed for server B
+    Then each hold of a grant in the next 20 seconds ends as proposed
+    And no grant was given
--- a/features/steps/direct_granting_steps.py
+++ b/features/steps/direct_granting_steps.py
@@ -43,6 +43,7 @@
     context.granter.commit([(start, end, _LIVES[name])], 7, context.now)
     (order,) = _due(context)
     context.granter.note_pending(order, context.now)
+    context.granter.note_sent(order, context.now)
     assert context.granter.note_granted(order, context.now, context.now)
 
 
@@ -52,7 +53,7 @@
 )
 def row(context, start, end, owner, other):
     context.row = [
-        key_map.Segment(start, end, _LIVES[owner], 8, (_LIVES[other],))
+        key_map.Segment(start, end, _LIVES[owner], 9, (_LIVES[other],))
     ]
 
 
@@ -163,6 +164,7 @@
     (order,) = _grants(context)
     assert order.segment.owner == _LIVES[name]
     context.granter.note_pending(order, context.now)
+    context.granter.note_sent(order, context.now)
     context.renewal = order
     context.sent_at = context.now
 
@@ -196,6 +198,82 @@
     assert found == [(start, end)], found
 
 
+@behave.given(
+    'a row in which server {other:w} may hold keys {start:d} to {end:d} of '
+    'server {owner:w} for {seconds:g} seconds more'
+)
+def row_with_end(context, other, start, end, owner, seconds):
+    row(context, start, end, owner, other)
+    context.row_ends = ((100.0 + seconds,),)
+
+
+@behave.when(
+    'a granting host takes the row over {seconds:g} seconds after the last '
+    'order of the previous one'
+)
+def take_over_late(context, seconds):
+    context.now = 100.0
+    context.granter = granting.KeyGranter('s', 10.0)
+    context.granter.load(
+        context.row,
+        9,
+        context.now,
+        ordered_until=context.now - seconds,
+        ends=getattr(context, 'row_ends', ()),
+    )
+
+
+@behave.when(
+    '{count:d} grants in vain are tried at server {name:w} in {seconds:g} '
+    'seconds'
+)
+def tried_in_vain(context, count, name, seconds):
+    context.now += granting.RENEW_S
+    for _ in range(count):
+        (order,) = _grants(context)
+        assert order.segment.owner == _LIVES[name]
+        context.granter.note_pending(order, context.now)
+        context.granter.note_sent(order, context.now)
+        context.granter.note_grant_failed(order, context.now, was_sent=False)
+        context.now += seconds / count
+
+
+@behave.when('keys {start:d} to {end:d} are proposed for server {name:w}')
+def proposed(context, start, end, name):
+    layout = [(start, end, _LIVES[name])]
+    _, context.ends = context.granter.propose(layout, context.now)
+
+
+@behave.then(
+    'each hold of a grant in the next {seconds:g} seconds ends as proposed'
+)
+def holds_end(context, seconds):
+    ((end_at,),) = context.ends
+    until = context.now + seconds
+    context.granted = 0
+    while context.now < until:
+        for order in _grants(context):
+            context.granter.note_pending(order, context.now)
+            assert context.granter.is_current(order, context.now)
+            context.granter.note_sent(order, context.now)
+            arrives_at = context.now + granting.ARRIVAL_S
+            hold_s = order.hold_s * granting.SLOW_CLOCK
+            assert arrives_at + hold_s <= end_at, (order, end_at)
+            context.granter.note_granted(order, context.now, context.now)
+            context.granted += 1
+        context.now += 0.1
+
+
+@behave.then('at least {count:d} grants were given')
+def were_granted(context, count):
+    assert context.granted >= count, context.granted
+
+
+@behave.then('no grant was given')
+def none_granted(context):
+    assert not context.granted, context.granted
+
+
 class _Client:
     """Keep the calls to a server, which the test answers."""
 
@@ -235,6 +313,11 @@
     context.granter = granting.KeyGranter('s', 10.0)
     context.granter.commit(context.layout, 7, now)
     for order in context.granter.due(now):
+        context.granter.note_pending(order, now)
+        context.granter.note_sent(order, now)
+        context.granter.note_granted(order, now, now)
+    context.scheduler.advance(granting.RENEW_S)
+    for order in context.granter.due(context.scheduler.now()):
         context.desk.give(order, context.server, context.granter)
     assert len(context.client.calls) == orders.MAX_PARALLEL
 
--- a/features/steps/grant_world.py
+++ b/features/steps/grant_world.py
@@ -12,6 +12,8 @@
 KEYS = 24
 #: Longest delay with which a server carries out an order, in seconds.
 LATE_S = 12.0
+#: Seconds after which the connection of an unanswered order is reset.
+UNANSWERED_S = 0.8
 #: Rate of the slowest clock of a server.
 SLOW = 1.02
 
@@ -69,10 +71,12 @@
             self._start(name)
         self._late = []
         self._version = 10
-        self._row = ()
+        self._row = (), ()
+        self._proposed = None
         self._granter = granting.KeyGranter('s', 10.0)
         self._tokens = {}
-        self._write_layout()
+        self._propose()
+        self._write()
 
     def run(self, steps):
         """Take random steps."""
@@ -81,11 +85,12 @@
                 (
                     self._order,
                     self._wait,
-                    self._write_layout,
+                    self._propose,
+                    self._write,
                     self._change_granter,
                     self._restart,
                 ),
-                (60, 25, 10, 2, 3),
+                (60, 25, 10, 10, 3, 3),
             )[0]()
             self._deliver_late()
             self._check()
@@ -97,7 +102,8 @@
     def _wait(self):
         self._now += self._rng.choice((0.01, 0.1, 0.4, 1.0, 3.0))
 
-    def _write_layout(self):
+    def _propose(self):
+        """Begin to write a layout; the store applies it later, or never."""
         lives = [server.life for server in self._servers.values()]
         bounds = sorted(self._rng.sample(range(1, KEYS), 3))
         starts = [0, *bounds]
@@ -111,15 +117,36 @@
             for start, end, owner in layout
         ):
             return
-        proposal = self._granter.proposal(layout)
+        self._proposed = layout, self._granter.propose(layout, self._now)
+
+    def _write(self):
+        """Apply what was proposed; the host may not learn of it in time."""
+        if self._proposed is None:
+            return
+        layout, self._row = self._proposed
+        self._proposed = None
         self._version += 1
-        self._row = proposal
-        self._granter.commit(layout, self._version, self._now)
+        if self._rng.random() < 0.2:
+            self._change_granter()
+        else:
+            self._granter.commit(layout, self._version, self._now)
 
     def _change_granter(self):
+        """Let another host take over, at once or after a pause."""
+        ordered_until = self._rng.choice((None, self._now))
+        self._proposed = None
+        if self._rng.random() < 0.3:
+            self._now += self._rng.uniform(0, 8)
+        segments, ends = self._row
         self._granter = granting.KeyGranter('s', 10.0)
-        self._granter.load(self._row, self._version, self._now)
-        self._row = self._granter.segments
+        self._granter.load(
+            segments,
+            self._version,
+            self._now,
+            ordered_until=ordered_until,
+            ends=ends,
+        )
+        self._row = self._granter.segments, ends
 
     def _restart(self):
         name = self._rng.choice('ABCD')
@@ -139,6 +166,10 @@
             )
             server = self._servers[life[0]]
             self._granter.note_pending(order, self._now)
+            if not self._granter.is_current(order, self._now):
+                self._fail(order, False)
+                continue
+            self._granter.note_sent(order, self._now)
             if server.life != life:
                 self._fail(order, False)
                 continue
@@ -151,18 +182,24 @@
         if kind == 'done':
             self._apply(order, server, self._now)
             return
+        arrived_at = self._now + self._rng.uniform(0, UNANSWERED_S)
         if kind == 'answer lost':
-            self._change(order, server, self._now)
+            self._change(order, server, arrived_at)
         elif kind == 'late':
             self._late.append(
                 Late(
                     self._now + self._rng.uniform(2, LATE_S),
-                    self._now,
+                    arrived_at,
                     order,
                     server,
                 )
             )
-        self._fail(order, True)
+        if self._rng.random() < 0.2:
+            # The host is lost before it learns that no answer comes.
+            self._change_granter()
+        else:
+            self._now += UNANSWERED_S
+            self._fail(order, True)
 
     def _apply(self, order, server, arrived_at):
         is_taken = self._change(order, server, arrived_at)
--- a/packages/radishferry/src/radishferry/direct/granting.py
+++ b/packages/radishferry/src/radishferry/direct/granting.py
@@ -14,6 +14,7 @@
 import bisect
 import dataclasses
 import itertools
+import math
 
 from radishferry.direct import key_map
 
@@ -30,6 +31,11 @@
 #: Seconds added to the end of a hold for the way of an order that got no
 #: answer, and for a sender that was paused.
 HOLD_MARGIN_S = 0.5
+#: Seconds after it was sent by which an order has arrived or is lost: its
+#: connection is reset after 0.8 s without an answer.
+ARRIVAL_S = 1.0
+#: Shortest hold that is worth an order, in seconds.
+MIN_HOLD_S = 0.5
 #: Seconds after an unanswered release for which the server gets none of
 #: these keys: it may carry the release out late, after a newer grant.
 LATE_RELEASE_S = 13.0
@@ -71,6 +77,12 @@
         self.fence = fence
         #: Until when each life may hold the range, in seconds.
         self.exposures = dict(exposures or {})
+        #: Latest end of a hold that the owner may get while the row with the
+        #: next owner is being written.
+        self.hold_limit = math.inf
+        #: Grant that was sent last and has no answer, with the ends of the
+        #: hold of its server with it and without it.
+        self.last_sent = None
         self.handover = ''
         self.confirmed_until = 0.0
         self.next_at = 0.0
@@ -96,6 +108,14 @@
             self.previous,
         )
 
+    def allowed_hold_s(self, hold_s, now) -> float:
+        """Return how long a grant may hold that is sent now."""
+        if self.hold_limit == math.inf:
+            return hold_s
+        return min(
+            hold_s, (self.hold_limit - now - HOLD_MARGIN_S) / SLOW_CLOCK
+        )
+
     def covers(self, segment) -> bool:
         """Tell whether an order was about exactly this range."""
         return (self.start, self.end) == (segment.start, segment.end)
@@ -103,6 +123,8 @@
     def part(self, start, end) -> Managed:
         """Return a copy for a part of the range."""
         copy = Managed(start, end, self.owner, self.fence, self.exposures)
+        copy.hold_limit = self.hold_limit
+        copy.last_sent = self.last_sent
         copy.handover = self.handover
         copy.confirmed_until = self.confirmed_until
         copy.next_at = self.next_at
@@ -144,39 +166,90 @@
         """Return how many ranges another life may still hold."""
         return sum(1 for found in self._ranges if found.previous)
 
-    def load(self, segments, version, now):
+    def load(self, segments, version, now, *, ordered_until=None, ends=()):
         """Take over from another host.
 
-        Every life that a row names may hold its range for the longest time
-        from now on: the previous host's orders are not known here.
+        The orders of the previous host are not known here, so every life
+        that a row names may hold its range for the longest time after the
+        last of them. The row may tell earlier ends for former owners.
 
         :param segments: Ranges of the row; a fence of 0 stands for the
             version of the row.
         :param version: Version of the row.
+        :param ordered_until: When the previous host gave its last order at
+            the latest, in seconds; None if that is not known.
+        :param ends: For each segment, the ends of the holds of its previous
+            lives in seconds, as :meth:`propose` returned them.
         """
-        until = now + self._hold_max_s * SLOW_CLOCK + HOLD_MARGIN_S
+        last_order_at = now
+        if ordered_until is not None:
+            last_order_at = min(now, ordered_until + ARRIVAL_S)
+        until = last_order_at + self._longest_s
         self._ranges = [
             Managed(
                 s.start,
                 s.end,
                 s.owner,
                 s.fence or version,
-                dict.fromkeys((s.owner, *s.previous), until),
+                {
+                    s.owner: until,
+                    **{
+                        life: min(until, end)
+                        for life, end in itertools.zip_longest(
+                            s.previous, known, fillvalue=math.inf
+                        )
+                    },
+                },
             )
-            for s in segments
+            for s, known in itertools.zip_longest(segments, ends, fillvalue=())
         ]
         self._starts = [found.start for found in self._ranges]
         self.version = version
         self.revision += 1
 
-    def proposal(self, layout):
-        """Return the segments to write for a new layout.
+    @property
+    def _longest_s(self):
+        return self._hold_max_s * SLOW_CLOCK + HOLD_MARGIN_S
+
+    def propose(self, layout, now):
+        """Return what to write for a new layout.
+
+        Until it is committed, owners that are to lose keys are not made to
+        hold them beyond the ends that are written, so that a host that takes
+        over can rely on these.
 
         :param layout: Tuples of start, end and owner that cover the same
             keys as now, or all of them the first time.
-        :returns: Segments; those that change their owner have fence 0.
+        :returns: Segments, those that change their owner with fence 0, and
+            for each one the ends of the holds of its previous lives in
+            seconds.
         """
-        return tuple(found.segment() for found in self._arrange(layout))
+        pieces = self._arrange(layout)
+        for found in self._ranges:
+            found.hold_limit = math.inf
+        for piece in pieces:
+            for found in self._overlapping(piece):
+                if found.owner != piece.owner:
+                    found.hold_limit = self._hold_limit(found, now)
+        ends = tuple(
+            tuple(self._hold_end(piece, life, now) for life in piece.previous)
+            for piece in pieces
+        )
+        return tuple(piece.segment() for piece in pieces), ends
+
+    def _hold_limit(self, found, now):
+        if found.confirmed_until > now:
+            # The owner answers, and is renewed until the row is written.
+            return now + self._longest_s
+        return max(now, found.exposures.get(found.owner, 0.0))
+
+    def _hold_end(self, piece, life, now):
+        limits = [
+            found.hold_limit
+            for found in self._overlapping(piece)
+            if found.owner == life
+        ]
+        return max([piece.exposures[life], *limits]) + ARRIVAL_S
 
     def commit(self, layout, version, now):
         """Adopt a layout that has been written.
@@ -187,6 +260,7 @@
         self._ranges = self._arrange(layout)
         self._starts = [found.start for found in self._ranges]
         for found in self._ranges:
+            found.hold_limit = math.inf
             if not found.fence:
                 found.fence = version
                 found.moved_at = now
@@ -255,32 +329,32 @@
             if found.release_at.get(life, 0.0) <= now:
                 found.release_at[life] = now + REPEAT_S
                 yield Release(self.service, found.segment(), life)
-        if not others and found.next_at <= now and not found.is_refused:
+        if others or found.next_at > now or found.is_refused:
+            return
+        hold_s = found.allowed_hold_s(min(hold_s, self._hold_max_s), now)
+        if hold_s >= MIN_HOLD_S:
             found.next_at = now + REPEAT_S
-            yield Grant(
-                self.service,
-                found.segment(),
-                min(hold_s, self._hold_max_s),
-                found.handover,
-            )
+            yield Grant(self.service, found.segment(), hold_s, found.handover)
 
     def renew_all(self, now):
         """Renew every grant at the next look, whenever it is due."""
         for found in self._ranges:
             found.next_at = min(found.next_at, now)
 
-    def is_current(self, order) -> bool:
+    def is_current(self, order, now) -> bool:
         """Tell whether an order that has waited is still to be sent.
 
         A grant that is sent after its keys were given to another server
-        would let the former owner hold them again.
+        would let the former owner hold them again, or hold them for longer
+        than the row says that is being written.
         """
         found = self._find(order.segment)
         if found is None:
             return False
         if isinstance(order, Release):
             return order.life in found.previous
-        return not found.previous
+        allowed_s = found.allowed_hold_s(order.hold_s, now)
+        return not found.previous and order.hold_s <= allowed_s
 
     def note_pending(self, order, now):
         """Note that an order is under way, so that it is not repeated.
@@ -294,7 +368,16 @@
             found.release_at[order.life] = now + LATE_RELEASE_S
         else:
             found.next_at = now + LATE_RELEASE_S
-            self._expose(found, order, now)
+
+    def note_sent(self, order, now):
+        """Note that an order is on its way to its server."""
+        found = self._find(order.segment)
+        if found is None or isinstance(order, Release):
+            return
+        life = order.segment.owner
+        before = found.exposures.get(life, 0.0)
+        self._expose(found, order, now)
+        found.last_sent = order, found.exposures[life], before
 
     def note_granted(self, order, sent_at, now):
         """Note that a server took a grant.
@@ -305,6 +388,7 @@
         for found in self._overlapping(order.segment):
             if order.segment.owner in found.released:
                 continue
+            found.last_sent = None
             self._expose(found, order, now)
             if found.fence != order.segment.fence:
                 # The keys were given to another server while the order was
@@ -330,10 +414,26 @@
         for found in self._overlapping(order.segment):
             if was_sent:
                 self._expose(found, order, now)
+            else:
+                self._forget_sent(found, order)
             if found.fence == order.segment.fence:
                 found.next_at = min(found.next_at, now + REPEAT_S)
                 found.is_refused = is_stale
 
+    @staticmethod
+    def _forget_sent(found, order):
+        """Undo :meth:`note_sent` for an order that reached nobody.
+
+        A dead server would otherwise count as a holder for as long as it is
+        tried in vain.
+        """
+        if found.last_sent is None or found.last_sent[0] is not order:
+            return
+        _, until, before = found.last_sent
+        life = order.segment.owner
+        if found.exposures.get(life) == until:
+            found.exposures[life] = before
+
     def _expose(self, found, order, now):
         life = order.segment.owner
         until = now + order.hold_s * SLOW_CLOCK + HOLD_MARGIN_S
--- a/packages/radishferry/src/radishferry/direct/key_rows.py
+++ b/packages/radishferry/src/radishferry/direct/key_rows.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
+import math
 
 import orjson
 
@@ -22,10 +24,14 @@
 
     :ivar write_id: Identifies the write, so that one whose answer was lost
         is recognised.
+    :ivar held_until_s: For each segment, until when its previous lives hold
+        keys at the latest, on the store's clock; shorter where it is not
+        known.
     """
 
     segments: tuple[key_map.Segment, ...]
     write_id: str
+    held_until_s: tuple[tuple[float, ...], ...] = ()
 
 
 def encode(row: KeyRow) -> bytes:
@@ -48,8 +54,12 @@
                     lives[s.owner],
                     s.fence,
                     [lives[life] for life in s.previous],
+                    # Rounded up, so that no hold ends earlier than it may.
+                    [math.ceil(until_s * 10) / 10 for until_s in ends],
                 ]
-                for s in row.segments
+                for s, ends in itertools.zip_longest(
+                    row.segments, row.held_until_s, fillvalue=()
+                )
             ],
         }
     )
@@ -77,9 +87,16 @@
                     int(fence) or version,
                     tuple(lives[index] for index in previous),
                 )
-                for start, end, owner, fence, previous in document['segments']
+                for start, end, owner, fence, previous, *_ in document[
+                    'segments'
+                ]
             ),
             str(document['write_id']),
+            tuple(
+                # A host of an older version writes no ends.
+                tuple(map(float, itertools.chain.from_iterable(ends)))
+                for _, _, _, _, _, *ends in document['segments']
+            ),
         )
     except (KeyError, TypeError, ValueError, IndexError) as exc:
         raise RowError(f'no key map: {exc!r}') from exc
--- a/packages/radishferry/src/radishferry/direct/leadership.py
+++ b/packages/radishferry/src/radishferry/direct/leadership.py
@@ -30,7 +30,8 @@
     :ivar host: Name of the host, empty after it has given the right up.
     :ivar address: Where it listens for other hosts, as ``ip:port``.
     :ivar incarnation: Distinguishes restarts of the host.
-    :ivar until_store_s: End on the store's clock in seconds.
+    :ivar until_store_s: End on the store's clock in seconds; 0 if it is not
+        known.
     :ivar nonce: Distinguishes the writes of one host.
     """
 
@@ -72,6 +73,7 @@
 
     def __init__(self):
         self._offset = None
+        self._latest_offset = None
 
     def note(self, store_s: float, sent_at: float, now: float):
         """Take the time of an answer.
@@ -82,7 +84,18 @@
         offset = store_s - now
         if self._offset is None or offset > self._offset:
             self._offset = offset
+        latest = store_s - sent_at
+        if self._latest_offset is None or latest < self._latest_offset:
+            self._latest_offset = latest
 
     def estimate(self, now: float) -> float:
         """Return the store's time, which may in truth be later."""
         return now + self._offset
+
+    def latest(self, now: float) -> float:
+        """Return the store's time, which may in truth be earlier."""
+        return now + self._latest_offset
+
+    def passed_at(self, store_s: float) -> float:
+        """Return when the store's clock has passed a time at the latest."""
+        return store_s - self._offset
--- a/packages/radishferryd/src/radishferryd/router/orders.py
+++ b/packages/radishferryd/src/radishferryd/router/orders.py
@@ -127,13 +127,14 @@
             is_grant = isinstance(order, granting.Grant)
             may_send = (
                 desk._may_order()
-                and granter.is_current(order)
+                and granter.is_current(order, now)
                 and not (is_grant and self._is_doubtful())
             )
             if not may_send:
                 self._failed(order, granter, False)
                 continue
             self._active += 1
+            granter.note_sent(order, now)
             desk.counts['grant' if is_grant else 'release'] += 1
             self._send(order, granter, now, is_grant)
 
--- a/packages/radishferryd/src/radishferryd/router/ownership.py
+++ b/packages/radishferryd/src/radishferryd/router/ownership.py
@@ -150,7 +150,16 @@
         self._services = {}
         for service, row, version in store_reader.key_rows_of(rows):
             found = self._service(service)
-            found.granter.load(row.segments, version, self._active_at)
+            passed_at = self._term.clock.passed_at
+            found.granter.load(
+                row.segments,
+                version,
+                self._active_at,
+                ordered_until=self._term.previous_ended_at,
+                ends=tuple(
+                    tuple(map(passed_at, ends)) for ends in row.held_until_s
+                ),
+            )
             found.row_version = version
             self._publish(found)
             LOG.info(
@@ -418,9 +427,12 @@
     def _propose(self, service, layout):
         granter = service.granter
         write_id = f'{self._name}-{self._active_at}-{next(self._write_ids)}'
+        segments, ends = granter.propose(layout, self._scheduler.now())
+        latest = self._term.clock.latest
+        held_until_s = tuple(tuple(map(latest, found)) for found in ends)
         try:
             value = key_rows.encode(
-                key_rows.KeyRow(granter.proposal(layout), write_id)
+                key_rows.KeyRow(segments, write_id, held_until_s)
             )
         except key_rows.RowError as exc:
             LOG.error('ownership: The plan cannot be written: %s.', exc)
--- a/packages/radishferryd/src/radishferryd/router/term.py
+++ b/packages/radishferryd/src/radishferryd/router/term.py
@@ -76,6 +76,7 @@
         self._is_ending = False
         self._look_timer = None
         self._last_success = 0.0
+        self._judged_end_s = 0.0
 
     @property
     def holds(self) -> bool:
@@ -87,6 +88,21 @@
         """Return the version of the row, the condition of other writes."""
         return self._version
 
+    @property
+    def clock(self) -> leadership.StoreClock:
+        """Return the estimate of the store's clock."""
+        return self._clock
+
+    @property
+    def previous_ended_at(self) -> float | None:
+        """Return when the right of the previous host ended at the latest.
+
+        :returns: Local seconds, None if that is not known.
+        """
+        if not self._judged_end_s:
+            return None
+        return self._clock.passed_at(self._judged_end_s)
+
     @property
     def silent_s(self) -> float:
         """Return the seconds since the store accepted a renewal."""
@@ -158,6 +174,7 @@
         row = next((r for r in rows if r.key == store_reader.TERM_KEY), None)
         term = leadership.decode(row.value) if row is not None else None
         self._version = row.version if row is not None else 0
+        self._judged_end_s = term.until_store_s if term is not None else 0.0
         now = self._scheduler.now()
         store_s = self._clock.estimate(now)
         if term is None or term.has_ended(store_s) or self._is_former(term):
@@ -197,7 +214,10 @@
             host,
             self._address,
             self._incarnation,
-            self._clock.estimate(now) + term_s if host else 0.0,
+            # A right that is given up has ended by now.
+            self._clock.estimate(now) + term_s
+            if host
+            else self._clock.latest(now),
             next(self._nonces),
         )
         self._is_busy = True
