Let hosts agree to long holds, so that a takeover may count on usual ones

Cause: a new granting host could not know whether the one before it had granted keys for long, as it does while the store is silent, and assumed 10.7 s for every server that it could not reach. Keys of servers that were lost together with the granting host had no owner for that time, though the usual hold is 4 s.

Change: the granting host tells with its beats which version of its right is in force and that holds are usual, and grants for long only when each host that was told agrees. A host that takes over and was told of the last version counts on usual holds; so does one after a planned stop, by the row of the right. Small deployments tell each renewal at once. A host that stops while the store is silent grants for long before it goes.

Random sequences of 120 steps find no host that counts on usual holds after long ones.

--- a/features/steps/direct_announcements_steps.py
+++ b/features/steps/direct_announcements_steps.py
@@ -6,6 +6,7 @@
 import types
 
 import behave
+import hub_fixtures
 import load_fixtures
 
 from radishferry.direct import announcements
@@ -266,12 +267,10 @@
         assert all(result.is_leaving for result in results), results
 
 
-class _Ownership:
+class _Ownership(hub_fixtures.Ownership):
     """Take what the hub reports."""
 
-    def __init__(self):
-        self.on_segments = []
-        self.keys = None
+    keys = None
 
     def note_load(self, keys, speeds):
         self.keys = keys
--- a/features/steps/direct_links_steps.py
+++ b/features/steps/direct_links_steps.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import types
 import zlib
 
 import behave
+import hub_fixtures
 import load_fixtures
 
 from radishferryd import frames
@@ -99,7 +99,7 @@
     context.hub = hub.Hub(
         context.scheduler,
         knowledge.Knowledge(context.scheduler.now),
-        types.SimpleNamespace(on_segments=[]),
+        hub_fixtures.Ownership(),
         crashes.CrashCounts(),
     )
     context.hub.begin(count)
--- /dev/null
+++ b/features/steps/direct_long_holds_steps.py
@@ -0,0 +1,332 @@
+"""Steps for grants that hold for longer than usual."""
+
+from __future__ import annotations
+
+import random
+import types
+from unittest import mock
+
+import behave
+import load_fixtures
+import store_fixtures
+
+from radishferry.direct import configuration
+from radishferry.direct import granting
+from radishferry.direct import key_map
+from radishferry.direct import long_holds
+from radishferry.direct import registry
+from radishferryd.router import knowledge as knowledge_module
+from radishferryd.router import ownership as ownership_module
+from radishferryd.router import term as term_module
+
+_A, _B = ('A', 1), ('B', 1)
+
+
+class _World:
+    """Play a granting host and others that hear it, now and then."""
+
+    def __init__(self, rng, hosts=4):
+        self._rng = rng
+        self.version = 1
+        self.consent = long_holds.Consent()
+        self.consent.renewed(self.version)
+        self.news = [long_holds.News() for _ in range(hosts)]
+        self.linked = set(range(hosts))
+        self.long_versions = set()
+        self.under_way = []
+
+    def run(self, steps):
+        for _ in range(steps):
+            self._rng.choice(
+                (self.tell, self.ask, self.deliver, self.renew, self.grant)
+            )()
+            if self._rng.random() < 0.1:
+                self.change_link()
+            self.check()
+
+    def tell(self):
+        """Tell a host of usual holds; the message may come late or never."""
+        if not self.linked or self.version in self.long_versions:
+            return
+        host = self._rng.choice(sorted(self.linked))
+        self.consent.told(host)
+        self.under_way.append((host, 'usual', self.version))
+
+    def ask(self):
+        for host in sorted(self.linked):
+            self.under_way.append((host, 'ask', self.version))
+
+    def deliver(self):
+        """Deliver the next message of a link, or lose it."""
+        if not self.under_way:
+            return
+        host = self._rng.choice(self.under_way)[0]
+        found = next(m for m in self.under_way if m[0] == host)
+        self.under_way.remove(found)
+        _, what, version = found
+        if self._rng.random() < 0.2:
+            return
+        if what == 'usual':
+            self.news[host].note(version, is_usual=True)
+        elif what == 'ask':
+            self.news[host].agree(version)
+            self.under_way.append((host, 'agreed', version))
+        elif host in self.linked:
+            self.consent.agreed(host, version)
+
+    def renew(self):
+        if self._rng.random() < 0.3:
+            self.version += 1
+            self.consent.renewed(self.version)
+
+    def grant(self):
+        """Grant keys for long, where that is allowed."""
+        if self.consent.is_given:
+            self.long_versions.add(self.version)
+
+    def change_link(self):
+        host = self._rng.randrange(len(self.news))
+        if host in self.linked:
+            self.linked.discard(host)
+            self.consent.lost(host)
+            # A reset link delivers nothing more.
+            self.under_way = [m for m in self.under_way if m[0] != host]
+        else:
+            self.linked.add(host)
+
+    def check(self):
+        for news in self.news:
+            for version in self.long_versions:
+                assert not news.is_usual(version), version
+
+
+@behave.then(
+    'in {count:d} random sequences of {steps:d} steps no host counts on usual '
+    'holds after long ones'
+)
+def random_sequences(context, count, steps):
+    granted = 0
+    for seed in range(count):
+        world = _World(random.Random(seed))
+        world.run(steps)
+        granted += len(world.long_versions)
+    assert granted > count, granted
+
+
+@behave.given('a granting host that has told {count:d} hosts of usual holds')
+def told(context, count):
+    context.consent = long_holds.Consent()
+    context.consent.renewed(7)
+    context.news = [long_holds.News() for _ in range(count)]
+    _tell(context, 7)
+
+
+def _tell(context, version):
+    for host, news in enumerate(context.news):
+        context.consent.told(host)
+        news.note(version, is_usual=True)
+
+
+@behave.then('each of them counts on usual holds')
+def all_count(context):
+    assert all(news.is_usual(7) for news in context.news)
+    assert not any(news.is_usual(8) for news in context.news)
+
+
+@behave.then('none of them counts on usual holds')
+def none_counts(context):
+    assert not any(news.is_usual(7) for news in context.news)
+
+
+@behave.when('{count:d} of them agree to long holds')
+def agree(context, count):
+    for host in range(count):
+        context.news[host].agree(7)
+        context.consent.agreed(host, 7)
+
+
+@behave.when('the link to the third is lost')
+def third_lost(context):
+    context.consent.lost(2)
+
+
+@behave.when('the right to grant is renewed')
+def renewed(context):
+    context.consent.renewed(8)
+
+
+@behave.when('it tells {count:d} hosts of usual holds again')
+def tell_again(context, count):
+    _tell(context, 8)
+
+
+@behave.when('a consent to the right before comes')
+def late_consent(context):
+    context.consent.agreed(0, 7)
+
+
+@behave.then('long holds may be granted')
+def may_grant(context):
+    assert context.consent.is_given
+
+
+@behave.then('no long holds may be granted')
+def may_not_grant(context):
+    assert not context.consent.is_given
+
+
+@behave.then('holds are usual')
+def usual(context):
+    assert context.granter.is_usual(context.now)
+
+
+@behave.then('holds are not usual')
+def not_usual(context):
+    assert not context.granter.is_usual(context.now)
+
+
+@behave.then('holds are usual again after {seconds:g} seconds')
+def usual_after(context, seconds):
+    assert not context.granter.is_usual(context.now + seconds - 0.5)
+    assert context.granter.is_usual(context.now + seconds)
+
+
+@behave.when(
+    'keys {start:d} to {end:d} are granted to server A for {hold_s:g} seconds'
+)
+def granted_long(context, start, end, hold_s):
+    context.now += granting.RENEW_S
+    (order,) = context.granter.due(context.now, hold_s)
+    context.granter.note_pending(order, context.now)
+    context.granter.note_sent(order, context.now)
+    context.granter.note_granted(order, context.now, context.now)
+
+
+@behave.given('keys {start:d} to {end:d} of server A in a row')
+def row(context, start, end):
+    context.row = [key_map.Segment(start, end, _A, 8)]
+
+
+@behave.when('a granting host takes the row over that {knows} of usual holds')
+def take_over(context, knows):
+    context.now = 100.0
+    context.granter = granting.KeyGranter('s', 10.0)
+    context.granter.load(
+        context.row, 8, context.now, is_usual=knows == 'knows'
+    )
+    layout = [(s.start, s.end, _B) for s in context.row]
+    context.granter.commit(layout, 9, context.now)
+
+
+@behave.then('no grant is due to another server for {seconds:g} seconds')
+def none_due(context, seconds):
+    def grants(now):
+        return [
+            order
+            for order in context.granter.due(now)
+            if isinstance(order, granting.Grant)
+        ]
+
+    assert not grants(context.now + seconds)
+    assert grants(context.now + seconds + 0.2)
+
+
+@behave.when('it gives its right up with usual holds')
+def give_up(context):
+    context.time.advance(1.0)
+    assert context.keeper.holds
+    context.given_up_at = context.time.now()
+    context.keeper.give_up(True)
+    context.time.advance(0.1)
+
+
+@behave.then('the next granting host knows of usual holds')
+def next_knows(context):
+    context.host = store_fixtures.Host()
+    context.next = term_module.TermKeeper(
+        context.store, context.time, context.host, 'b', '127.0.0.1:2', 1, 999
+    )
+    context.next.look_soon()
+    context.time.advance(1.0)
+    assert context.next.holds
+    assert context.next.previous_had_usual_holds
+
+
+@behave.then('it counts from the end of that right')
+def counts_from_end(context):
+    ended_at = context.next.previous_ended_at
+    assert 0 <= ended_at - context.given_up_at < 0.02, ended_at
+
+
+class _Desk:
+    """Keep the orders that are given."""
+
+    def __init__(self):
+        self.given = []
+
+    def give(self, order, server, granter):
+        self.given.append(order)
+
+    def is_unreachable(self, life):
+        return False
+
+
+@behave.given(
+    'a granting host of keys {start:d} to {end:d} whose store is silent for '
+    '{silent_s:g} seconds'
+)
+def silent_store(context, start, end, silent_s):
+    time = load_fixtures.Scheduler()
+    knowledge = knowledge_module.Knowledge(time.now)
+    server = registry.Server(*_A, 's', ('127.0.0.1', 1), 'x', 4, False)
+    knowledge.apply_servers([server], time.now(), 'store')
+    service = configuration.Service('s', '/health', 64, True, 1.0)
+    knowledge.configuration = types.SimpleNamespace(services={'s': service})
+    context.term = types.SimpleNamespace(
+        holds=True, silent_s=silent_s, version=7
+    )
+    context.ownership = ownership_module.Ownership(
+        None, time, knowledge, context.term, 10.0, 'a', lambda: 2
+    )
+    context.ownership.servers_changed(None)
+    context.ownership.desk = context.desk = _Desk()
+    with mock.patch.object(
+        ownership_module.store_reader, 'key_rows_of', lambda rows: ()
+    ):
+        context.ownership.begin(())
+    held = context.ownership._service('s')
+    held.granter.commit([(start, end, _A)], 7, time.now())
+    (order,) = held.granter.due(time.now())
+    held.granter.note_sent(order, time.now())
+    held.granter.note_granted(order, time.now(), time.now())
+    context.ownership.consent.renewed(7)
+
+
+@behave.given('another host that was told of usual holds')
+def another_told(context):
+    context.ownership.consent.told('b')
+
+
+@behave.when('the other host agrees')
+def another_agrees(context):
+    context.ownership.consent.agreed('b', 7)
+
+
+@behave.when('it is told to stop')
+def told_to_stop(context):
+    context.ownership.prolong()
+
+
+def _longest(context):
+    context.ownership.tick()
+    return max((order.hold_s for order in context.desk.given), default=0.0)
+
+
+@behave.then('it prolongs its grants')
+def prolongs(context):
+    assert _longest(context) > granting.HOLD_S, context.desk.given
+
+
+@behave.then('it does not prolong its grants')
+def does_not_prolong(context):
+    assert _longest(context) <= granting.HOLD_S, context.desk.given
--- a/features/steps/direct_pacing_steps.py
+++ b/features/steps/direct_pacing_steps.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 import behave
+import hub_fixtures
 import load_fixtures
 
 from radishferry.direct import key_map
@@ -55,13 +56,13 @@
         ]
 
 
-class _Ownership:
+class _Ownership(hub_fixtures.Ownership):
     """Hold the owners of one service."""
 
     services = ('stock',)
 
     def __init__(self):
-        self.on_segments = []
+        super().__init__()
         self.known = {}
 
     def segments(self, service):
--- a/features/steps/direct_term_steps.py
+++ b/features/steps/direct_term_steps.py
@@ -97,9 +97,10 @@
 def slow_writes(context, delay_s):
     context.time = load_fixtures.Scheduler()
     context.host = store_fixtures.Host()
+    context.store = store_fixtures.Store(context.time, delay_s)
     context.keeper = _keeper(
         context.time,
-        store_fixtures.Store(context.time, delay_s),
+        context.store,
         context.host,
         'a',
         1000.0,
--- a/packages/radishferry/src/radishferry/direct/granting.py
+++ b/packages/radishferry/src/radishferry/direct/granting.py
@@ -31,6 +31,9 @@
 #: Seconds added to the end of a hold for the way of an order that got no
 #: answer, and for a sender that was paused.
 HOLD_MARGIN_S = 0.5
+#: Seconds after a grant with the usual hold for which its server may hold the
+#: keys.
+USUAL_S = HOLD_S * SLOW_CLOCK + HOLD_MARGIN_S
 #: Seconds after it was sent by which an order has arrived or is lost: its
 #: connection is reset after 0.8 s without an answer.
 ARRIVAL_S = 1.0
@@ -166,7 +169,16 @@
         """Return how many ranges another life may still hold."""
         return sum(1 for found in self._ranges if found.previous)
 
-    def load(self, segments, version, now, *, ordered_until=None, ends=()):
+    def load(
+        self,
+        segments,
+        version,
+        now,
+        *,
+        ordered_until=None,
+        ends=(),
+        is_usual=False,
+    ):
         """Take over from another host.
 
         The orders of the previous host are not known here, so every life
@@ -180,11 +192,13 @@
             the latest, in seconds; None if that is not known.
         :param ends: For each segment, the ends of the holds of its previous
             lives in seconds, as :meth:`propose` returned them.
+        :param is_usual: Whether the previous host is known to have given no
+            longer holds than usual.
         """
         last_order_at = now
         if ordered_until is not None:
             last_order_at = min(now, ordered_until + ARRIVAL_S)
-        until = last_order_at + self._longest_s
+        until = last_order_at + (USUAL_S if is_usual else self._longest_s)
         self._ranges = [
             Managed(
                 s.start,
@@ -336,6 +350,16 @@
             found.next_at = now + REPEAT_S
             yield Grant(self.service, found.segment(), hold_s, found.handover)
 
+    def is_usual(self, now) -> bool:
+        """Tell whether no owner may hold keys for longer than usual.
+
+        The ends of former owners stand in the row.
+        """
+        return all(
+            found.exposures.get(found.owner, 0.0) <= now + USUAL_S
+            for found in self._ranges
+        )
+
     def renew_all(self, now):
         """Renew every grant at the next look, whenever it is due."""
         for found in self._ranges:
--- a/packages/radishferry/src/radishferry/direct/leadership.py
+++ b/packages/radishferry/src/radishferry/direct/leadership.py
@@ -33,6 +33,8 @@
     :ivar until_store_s: End on the store's clock in seconds; 0 if it is not
         known.
     :ivar nonce: Distinguishes the writes of one host.
+    :ivar has_usual_holds: Whether a host that has given the right up has
+        given no longer holds than usual.
     """
 
     host: str
@@ -40,6 +42,7 @@
     incarnation: int
     until_store_s: float
     nonce: int
+    has_usual_holds: bool = False
 
     def encode(self) -> bytes:
         """Return the value of the row."""
@@ -63,8 +66,9 @@
             int(fields['incarnation']),
             float(fields['until_store_s']),
             int(fields['nonce']),
+            fields.get('has_usual_holds') is True,
         )
-    except (KeyError, TypeError, ValueError):
+    except (AttributeError, KeyError, TypeError, ValueError):
         return None
 
 
--- a/packages/radishferryd/idl/router.thrift
+++ b/packages/radishferryd/idl/router.thrift
@@ -17,6 +17,19 @@
   /* Age of its newest list of servers, in seconds. */
   2: double registry_age_s
   3: bool is_stopping
+  /* Version of the row of its right to grant. */
+  4: i64 term_version
+  /* Whether no hold of keys is longer than usual, nor will be under this
+   * version unless the receiver agrees.
+   */
+  5: bool has_usual_holds
+  /* Whether it asks for consent to long holds. */
+  6: bool wants_long_holds
+}
+
+/* Agrees to long holds under one version of the right to grant. */
+struct LongHoldConsent {
+  1: i64 term_version
 }
 
 /* The operators' configuration as the platform keeps it. */
@@ -110,4 +123,5 @@
   6: optional LoadReport load_report
   7: optional PoisonPush poison_push
   8: optional Packed packed
+  9: optional LongHoldConsent long_hold_consent
 }
--- a/packages/radishferryd/src/radishferryd/gen/router/ttypes.py
+++ b/packages/radishferryd/src/radishferryd/gen/router/ttypes.py
@@ -90,14 +90,20 @@
      - hosts
      - registry_age_s
      - is_stopping
+     - term_version
+     - has_usual_holds
+     - wants_long_holds
 
     """
 
 
-    def __init__(self, hosts=None, registry_age_s=None, is_stopping=None,):
+    def __init__(self, hosts=None, registry_age_s=None, is_stopping=None, term_version=None, has_usual_holds=None, wants_long_holds=None,):
         self.hosts = hosts
         self.registry_age_s = registry_age_s
         self.is_stopping = is_stopping
+        self.term_version = term_version
+        self.has_usual_holds = has_usual_holds
+        self.wants_long_holds = wants_long_holds
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -123,6 +129,21 @@
                     self.is_stopping = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.term_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.has_usual_holds = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.wants_long_holds = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -145,6 +166,75 @@
             oprot.writeFieldBegin('is_stopping', TType.BOOL, 3)
             oprot.writeBool(self.is_stopping)
             oprot.writeFieldEnd()
+        if self.term_version is not None:
+            oprot.writeFieldBegin('term_version', TType.I64, 4)
+            oprot.writeI64(self.term_version)
+            oprot.writeFieldEnd()
+        if self.has_usual_holds is not None:
+            oprot.writeFieldBegin('has_usual_holds', TType.BOOL, 5)
+            oprot.writeBool(self.has_usual_holds)
+            oprot.writeFieldEnd()
+        if self.wants_long_holds is not None:
+            oprot.writeFieldBegin('wants_long_holds', TType.BOOL, 6)
+            oprot.writeBool(self.wants_long_holds)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LongHoldConsent(object):
+    """
+    Attributes:
+     - term_version
+
+    """
+
+
+    def __init__(self, term_version=None,):
+        self.term_version = term_version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.term_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LongHoldConsent')
+        if self.term_version is not None:
+            oprot.writeFieldBegin('term_version', TType.I64, 1)
+            oprot.writeI64(self.term_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1161,11 +1251,12 @@
      - load_report
      - poison_push
      - packed
+     - long_hold_consent
 
     """
 
 
-    def __init__(self, hello=None, beat=None, configuration_push=None, servers_push=None, key_map_push=None, load_report=None, poison_push=None, packed=None,):
+    def __init__(self, hello=None, beat=None, configuration_push=None, servers_push=None, key_map_push=None, load_report=None, poison_push=None, packed=None, long_hold_consent=None,):
         self.hello = hello
         self.beat = beat
         self.configuration_push = configuration_push
@@ -1174,6 +1265,7 @@
         self.load_report = load_report
         self.poison_push = poison_push
         self.packed = packed
+        self.long_hold_consent = long_hold_consent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1232,6 +1324,12 @@
                     self.packed.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRUCT:
+                    self.long_hold_consent = LongHoldConsent()
+                    self.long_hold_consent.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1274,6 +1372,10 @@
             oprot.writeFieldBegin('packed', TType.STRUCT, 8)
             self.packed.write(oprot)
             oprot.writeFieldEnd()
+        if self.long_hold_consent is not None:
+            oprot.writeFieldBegin('long_hold_consent', TType.STRUCT, 9)
+            self.long_hold_consent.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1302,6 +1404,14 @@
     (1, TType.I32, 'hosts', None, None, ),  # 1
     (2, TType.DOUBLE, 'registry_age_s', None, None, ),  # 2
     (3, TType.BOOL, 'is_stopping', None, None, ),  # 3
+    (4, TType.I64, 'term_version', None, None, ),  # 4
+    (5, TType.BOOL, 'has_usual_holds', None, None, ),  # 5
+    (6, TType.BOOL, 'wants_long_holds', None, None, ),  # 6
+)
+all_structs.append(LongHoldConsent)
+LongHoldConsent.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'term_version', None, None, ),  # 1
 )
 all_structs.append(ConfigurationPush)
 ConfigurationPush.thrift_spec = (
@@ -1391,6 +1501,7 @@
     (6, TType.STRUCT, 'load_report', [LoadReport, None], None, ),  # 6
     (7, TType.STRUCT, 'poison_push', [PoisonPush, None], None, ),  # 7
     (8, TType.STRUCT, 'packed', [Packed, None], None, ),  # 8
+    (9, TType.STRUCT, 'long_hold_consent', [LongHoldConsent, None], None, ),  # 9
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -39,6 +39,10 @@
 STOP_IDLE_S = 0.5
 #: Seconds before the end of the grace at which a stopping host ends.
 STOP_MARGIN_S = 0.4
+#: Seconds for which a stopping host goes on to grant keys for long while the
+#: store is silent: a few rounds of its timer. Its right ends 0.85 s after the
+#: others are asked for their consent.
+PROLONG_S = 0.4
 #: Seconds between checks whether everything has ended.
 STOP_CHECK_S = 0.05
 #: Seconds for which hosts that start together wait for the granting host
@@ -225,17 +229,25 @@
             if not self._term.holds:
                 return
             if self.note_store(answer):
-                self._ownership.begin(answer.rows)
+                self._ownership.begin(answer.rows, self._are_holds_usual())
             else:
                 self._scheduler.call_later(0.2, self._begin_ownership)
 
         self._store.read(store_reader.OWN_TABLE, take)
 
+    def _are_holds_usual(self):
+        """Tell whether the previous granting host gave usual holds only."""
+        term = self._term
+        return term.previous_had_usual_holds or (
+            self._spoke.hold_news.is_usual(term.previous_version)
+        )
+
     # Timers.
 
     def _grant(self):
         self._term.tick()
         self._ownership.tick()
+        self._hub.tell_renewal()
 
     def _on_tick(self):
         self._spoke.tick()
@@ -349,11 +361,17 @@
             'app: A planned stop begins.',
             extra={'open_requests': self._gateway.open_requests},
         )
+        if self._ownership.prolong():
+            self._scheduler.call_later(PROLONG_S, self._hand_over)
+        else:
+            self._hand_over()
+        self._scheduler.call_every(STOP_CHECK_S, self._continue_stop)
+
+    def _hand_over(self):
         if self._ownership.is_active:
-            self._term.give_up()
+            self._term.give_up(self._ownership.has_usual_holds)
             self._ownership.end()
             self._hub.announce_stop()
-        self._scheduler.call_every(STOP_CHECK_S, self._continue_stop)
 
     def _continue_stop(self):
         now = self._scheduler.now()
--- a/packages/radishferryd/src/radishferryd/router/hub.py
+++ b/packages/radishferryd/src/radishferryd/router/hub.py
@@ -16,6 +16,10 @@
 #: before. The others find it within about a second, and each host takes its
 #: share of the connections of a server by this number.
 GATHER_S = 3.0
+#: Hosts up to which each renewal of the right to grant is told at once, and
+#: not with the next beat. A renewal comes twice a second, and hundreds of
+#: hosts would take a granting host with half a core too much time.
+MAX_PROMPT_HOSTS = 32
 #: Seconds for which the encoded first messages to a host are used for others.
 #: All hosts find a new granting host within about a second, and the age of
 #: the servers in the messages may be off by this much.
@@ -44,9 +48,11 @@
         self._pushed_at = 0.0
         self._will_push = False
         self._welcome_data = None
+        self._told_version = 0
         knowledge.on_configuration.append(self._on_configuration)
         knowledge.on_servers.append(self._on_servers)
         ownership.on_segments.append(self._on_segments)
+        ownership.on_wish.append(self.tick)
         poison.on_change.append(self._on_poison)
 
     @property
@@ -88,9 +94,25 @@
         if self._is_active:
             self._send_all('beat', self._beat(False))
 
+    def tell_renewal(self):
+        """Tell a renewed right to grant, so that others may rely on it."""
+        is_new = self._ownership.term_version != self._told_version
+        if self._is_active and is_new and self.host_count <= MAX_PROMPT_HOSTS:
+            self._send_all('beat', self._beat(False))
+
     def _beat(self, is_stopping):
         age = self._knowledge.registry.age(self._scheduler.now())
-        return ttypes.Beat(self.host_count, min(age, 1e6), is_stopping)
+        ownership = self._ownership
+        ownership.consent.renewed(ownership.term_version)
+        self._told_version = ownership.term_version
+        return ttypes.Beat(
+            self.host_count,
+            min(age, 1e6),
+            is_stopping,
+            ownership.term_version,
+            ownership.has_usual_holds and ownership.is_active,
+            ownership.wants_long_holds,
+        )
 
     # For links.
 
@@ -114,6 +136,8 @@
                 self._poison.merge(message.suspects, self._scheduler.now())
             # A host of an older version sends none.
             self.note_notices(link.host, map(_notice, message.notices or ()))
+        elif name == 'long_hold_consent':
+            self._ownership.consent.agreed(link, message.term_version)
 
     def note_notices(self, host, notices):
         """Take what servers have announced to a host."""
@@ -127,6 +151,7 @@
         """See :class:`radishferryd.router.links.Link`."""
         if link in self._links:
             self._links.discard(link)
+            self._ownership.consent.lost(link)
             LOG.info(
                 'hub: The link to %s has ended.',
                 link.host,
@@ -141,6 +166,7 @@
             extra={'hosts': self.host_count},
         )
         link.send('beat', self._beat(False))
+        self._ownership.consent.told(link)
         link.write(self._welcome_bytes())
 
     def _welcome_bytes(self):
@@ -239,6 +265,8 @@
             data = links.encode(name, message)
             for link in self._links:
                 link.write(data)
+                if name == 'beat':
+                    self._ownership.consent.told(link)
 
 
 def _server_entry(server):
--- a/packages/radishferryd/src/radishferryd/router/ownership.py
+++ b/packages/radishferryd/src/radishferryd/router/ownership.py
@@ -10,6 +10,7 @@
 from radishferry.direct import granting
 from radishferry.direct import key_rates
 from radishferry.direct import key_rows
+from radishferry.direct import long_holds
 from radishferry.direct import pause_shares
 from radishferry.direct import placement
 from radishferry.direct import selection
@@ -35,6 +36,9 @@
 #: Seconds without an accepted renewal after which the store counts as
 #: silent: a renewal has failed, and half a second of the right is left.
 SILENT_S = 1.1
+#: Seconds without an accepted renewal after which the other hosts are asked
+#: for their consent to long holds.
+ASK_S = 0.75
 #: Seconds of answers averaged for the speed of a server, as a number of
 #: answers.
 SPEED_ANSWERS = 60.0
@@ -120,6 +124,12 @@
         self._ended_checked = {}
         self._will_step = False
         self._is_silent = False
+        self._wants_long_holds = False
+        self._silent_limit_s = SILENT_S
+        #: Consent of the other hosts to long holds.
+        self.consent = long_holds.Consent()
+        #: Called when the other hosts are to be asked for it.
+        self.on_wish = []
         self.desk = orders.OrderDesk(
             poller,
             scheduler,
@@ -143,8 +153,31 @@
         """Return the granters by service."""
         return {name: s.granter for name, s in self._services.items()}
 
-    def begin(self, rows):
-        """Take over with the rows of the store."""
+    @property
+    def has_usual_holds(self) -> bool:
+        """Tell whether no server holds keys for longer than usual."""
+        now = self._scheduler.now()
+        return all(
+            service.granter.is_usual(now)
+            for service in self._services.values()
+        )
+
+    @property
+    def wants_long_holds(self) -> bool:
+        """Tell whether keys are to be granted for long."""
+        return self._wants_long_holds
+
+    @property
+    def term_version(self) -> int:
+        """Return the version of this host's right to grant."""
+        return self._term.version
+
+    def begin(self, rows, is_usual=False):
+        """Take over with the rows of the store.
+
+        :param is_usual: Whether the host that granted before is known to have
+            given no longer holds than usual.
+        """
         self._is_active = True
         self._active_at = self._scheduler.now()
         self._services = {}
@@ -159,6 +192,7 @@
                 ends=tuple(
                     tuple(map(passed_at, ends)) for ends in row.held_until_s
                 ),
+                is_usual=is_usual,
             )
             found.row_version = version
             self._publish(found)
@@ -166,12 +200,27 @@
                 'ownership: Took over %d ranges of %s.',
                 len(row.segments),
                 service,
-                extra={'row_version': version},
+                extra={'row_version': version, 'usual_holds': is_usual},
             )
 
+    def prolong(self) -> bool:
+        """Grant for long before this host stops, if the store is silent.
+
+        Nobody can take over while the store is away, and the usual holds
+        would run out meanwhile.
+
+        :returns: Whether orders are about to be given.
+        """
+        if not self._is_active or self._term.silent_s <= ASK_S:
+            return False
+        self._silent_limit_s = ASK_S
+        self.tick()
+        return True
+
     def end(self):
         """Give no more orders."""
         self._is_active = False
+        self._is_silent = self._wants_long_holds = False
         self._services = {}
         self._ended_checked = {}
         self.desk.close()
@@ -242,7 +291,17 @@
         While the store is silent nobody else can move keys, and renewals
         end with the right to grant, so all grants are made longer before.
         """
-        is_silent = self._term.silent_s > SILENT_S
+        self.consent.renewed(self._term.version)
+        wishes = self._term.silent_s > ASK_S
+        if wishes and not self._wants_long_holds:
+            self._wants_long_holds = True
+            for callback in self.on_wish:
+                callback()
+        self._wants_long_holds = wishes
+        is_silent = (
+            self._term.silent_s > self._silent_limit_s
+            and self.consent.is_given
+        )
         if is_silent and not self._is_silent:
             LOG.warning(
                 'ownership: Grants are renewed for long, since the store is '
--- a/packages/radishferryd/src/radishferryd/router/spoke.py
+++ b/packages/radishferryd/src/radishferryd/router/spoke.py
@@ -5,6 +5,7 @@
 import logging
 
 from radishferry.direct import key_map
+from radishferry.direct import long_holds
 from radishferry.direct import pacing
 from radishferry.direct import registry as registry_module
 from radishferryd.gen.router import ttypes
@@ -53,6 +54,8 @@
         self._alone_since = scheduler.now()
         self._is_granter = False
         self._reported_at = scheduler.now()
+        #: What the granting host has told of its holds.
+        self.hold_news = long_holds.News()
 
     @property
     def is_linked(self) -> bool:
@@ -195,6 +198,7 @@
                 'spoke: The granting host answers.',
                 extra={'address': self._address, 'hosts': message.hosts},
             )
+        self._note_holds(message)
         self._owner.set_host_count(message.hosts)
         registry = self._knowledge.registry
         read_at = now - message.registry_age_s
@@ -206,6 +210,17 @@
         if message.is_stopping:
             self._drop()
 
+    def _note_holds(self, message):
+        version = message.term_version
+        # A granting host of an older version tells nothing of its holds.
+        is_usual = bool(version and message.has_usual_holds)
+        self.hold_news.note(version, is_usual=is_usual)
+        if version and message.wants_long_holds:
+            self.hold_news.agree(version)
+            self._link.send(
+                'long_hold_consent', ttypes.LongHoldConsent(version)
+            )
+
     def _on_configuration_push(self, message):
         self._knowledge.apply_document(message.document, 'granting host')
 
--- a/packages/radishferryd/src/radishferryd/router/term.py
+++ b/packages/radishferryd/src/radishferryd/router/term.py
@@ -76,7 +76,9 @@
         self._is_ending = False
         self._look_timer = None
         self._last_success = 0.0
-        self._judged_end_s = 0.0
+        self._judged = None
+        self._judged_version = 0
+        self._has_usual_holds = False
 
     @property
     def holds(self) -> bool:
@@ -99,9 +101,25 @@
 
         :returns: Local seconds, None if that is not known.
         """
-        if not self._judged_end_s:
+        if self._judged is None or not self._judged.until_store_s:
             return None
-        return self._clock.passed_at(self._judged_end_s)
+        return self._clock.passed_at(self._judged.until_store_s)
+
+    @property
+    def previous_version(self) -> int:
+        """Return the last version of the right of the previous host."""
+        return self._judged_version
+
+    @property
+    def previous_had_usual_holds(self) -> bool:
+        """Tell whether the previous host has left usual holds only.
+
+        Known of a host that has given its right up.
+        """
+        judged = self._judged
+        return (
+            judged is not None and not judged.host and judged.has_usual_holds
+        )
 
     @property
     def silent_s(self) -> float:
@@ -139,9 +157,14 @@
             self._name, leadership.TERM_S, writes, conditions, done=done
         )
 
-    def give_up(self):
-        """Free the right, so that another host takes it at once."""
+    def give_up(self, has_usual_holds):
+        """Free the right, so that another host takes it at once.
+
+        :param bool has_usual_holds: Whether no server holds keys for longer
+            than usual.
+        """
         self._is_ending = True
+        self._has_usual_holds = has_usual_holds
         if not self.holds:
             return
         self._holds = False
@@ -174,7 +197,7 @@
         row = next((r for r in rows if r.key == store_reader.TERM_KEY), None)
         term = leadership.decode(row.value) if row is not None else None
         self._version = row.version if row is not None else 0
-        self._judged_end_s = term.until_store_s if term is not None else 0.0
+        self._judged, self._judged_version = term, self._version
         now = self._scheduler.now()
         store_s = self._clock.estimate(now)
         if term is None or term.has_ended(store_s) or self._is_former(term):
@@ -219,6 +242,7 @@
             if host
             else self._clock.latest(now),
             next(self._nonces),
+            not host and self._has_usual_holds,
         )
         self._is_busy = True
         self._store.transact(
