Part ranges and capacities from the code that grants and plans

Change: managed_range.py follows who may hold one range, with the figures of holds; capacities.py learns the speeds of servers and what they want at present. No behaviour changes; a scenario of paused servers is new.

--- a/features/direct_announcements.feature
+++ b/features/direct_announcements.feature
@@ -97,6 +97,18 @@
     When 4 seconds pass and 0 hosts are told of a pause of 1 seconds
     Then server a wants nothing from 0 in 100 hosts
 
+  # Answers the pattern of one server of many that turns requests away and asks
+  # for pauses: its keys move to others as far as it wants none.
+  Scenario Outline: A server that wants a pause counts as smaller
+    Given 12 hosts of which <told> were told of a pause of 4 seconds by server a
+    Then server a is counted with <capacity> in 100 of its capacity
+
+    Examples:
+      | told | capacity |
+      | 0    | 100      |
+      | 6    | 50       |
+      | 12   | 5        |
+
   # Guards against keys that stay with a server that tells only its orders.
   Scenario: An answer to an order says that the server leaves
     Given a server whose answers to orders say that it leaves
--- a/features/steps/direct_announcements_steps.py
+++ b/features/steps/direct_announcements_steps.py
@@ -10,6 +10,7 @@
 import load_fixtures
 
 from radishferry.direct import announcements
+from radishferry.direct import capacities
 from radishferry.direct import pause_shares
 from radishferry.direct import registry
 from radishferry.direct import selection
@@ -220,6 +221,7 @@
 def hosts_told(context, hosts, told, seconds):
     context.now = 100.0
     context.hosts = hosts
+    context.told = told
     context.shares = pause_shares.PauseShares()
     _tell(context, told, seconds)
 
@@ -244,6 +246,17 @@
     assert found == share / 100, found
 
 
+@behave.then('server a is counted with {share:d} in 100 of its capacity')
+def counted_with(context, share):
+    found = capacities.Capacities()
+    server = dataclasses.replace(_SERVERS['a'], born_ms=1)
+    (whole,) = found.of([server], context.hosts, context.now)
+    for number in range(context.told):
+        found.note_pause(server.life, f'host{number}', 4.0, context.now)
+    (left,) = found.of([server], context.hosts, context.now)
+    assert round(left.per_s / whole.per_s, 3) == share / 100, (left, whole)
+
+
 @behave.given('a server whose answers to orders say that it leaves')
 def orders_say(context):
     class Client:
--- a/features/steps/direct_granting_steps.py
+++ b/features/steps/direct_granting_steps.py
@@ -11,6 +11,7 @@
 import load_fixtures
 from radishferry.direct import granting
 from radishferry.direct import key_map
+from radishferry.direct import managed_range
 from radishferry.direct import registry
 from radishferryd import http_client
 from radishferryd.router import orders
@@ -256,8 +257,8 @@
             context.granter.note_pending(order, context.now)
             assert context.granter.is_current(order, context.now)
             context.granter.note_sent(order, context.now)
-            arrives_at = context.now + granting.ARRIVAL_S
-            hold_s = order.hold_s * granting.SLOW_CLOCK
+            arrives_at = context.now + managed_range.ARRIVAL_S
+            hold_s = order.hold_s * managed_range.SLOW_CLOCK
             assert arrives_at + hold_s <= end_at, (order, end_at)
             context.granter.note_granted(order, context.now, context.now)
             context.granted += 1
--- a/features/steps/direct_long_holds_steps.py
+++ b/features/steps/direct_long_holds_steps.py
@@ -14,6 +14,7 @@
 from radishferry.direct import granting
 from radishferry.direct import key_map
 from radishferry.direct import long_holds
+from radishferry.direct import managed_range
 from radishferry.direct import registry
 from radishferryd.router import knowledge as knowledge_module
 from radishferryd.router import ownership as ownership_module
@@ -324,9 +325,9 @@
 
 @behave.then('it prolongs its grants')
 def prolongs(context):
-    assert _longest(context) > granting.HOLD_S, context.desk.given
+    assert _longest(context) > managed_range.HOLD_S, context.desk.given
 
 
 @behave.then('it does not prolong its grants')
 def does_not_prolong(context):
-    assert _longest(context) <= granting.HOLD_S, context.desk.given
+    assert _longest(context) <= managed_range.HOLD_S, context.desk.given
--- a/packages/radishferry/src/radishferry/direct/granting.py
+++ b/packages/radishferry/src/radishferry/direct/granting.py
@@ -17,28 +17,12 @@
 import math
 
 from radishferry.direct import key_map
+from radishferry.direct import managed_range
 
-#: Seconds for which a grant holds. It bridges a change of the granting host
-#: (two seconds of its right, and the takeover), and is the outage of a
-#: server's keys when it dies without a sign.
-HOLD_S = 4.0
 #: Seconds between renewals of a grant.
 RENEW_S = 1.2
 #: Seconds between attempts at an order that got no answer.
 REPEAT_S = 0.35
-#: Factor by which the clock of a server may run slow.
-SLOW_CLOCK = 1.02
-#: Seconds added to the end of a hold for the way of an order that got no
-#: answer, and for a sender that was paused.
-HOLD_MARGIN_S = 0.5
-#: Seconds after a grant with the usual hold for which its server may hold the
-#: keys.
-USUAL_S = HOLD_S * SLOW_CLOCK + HOLD_MARGIN_S
-#: Seconds after it was sent by which an order has arrived or is lost: its
-#: connection is reset after 0.8 s without an answer.
-ARRIVAL_S = 1.0
-#: Shortest hold that is worth an order, in seconds.
-MIN_HOLD_S = 0.5
 #: Seconds after an unanswered release for which the server gets none of
 #: these keys: it may carry the release out late, after a newer grant.
 LATE_RELEASE_S = 13.0
@@ -70,73 +54,6 @@
     life: tuple[str, int]
 
 
-class Managed:
-    """Follow one range of keys."""
-
-    def __init__(self, start, end, owner, fence, exposures=None):
-        self.start = start
-        self.end = end
-        self.owner = owner
-        self.fence = fence
-        #: Until when each life may hold the range, in seconds.
-        self.exposures = dict(exposures or {})
-        #: Latest end of a hold that the owner may get while the row with the
-        #: next owner is being written.
-        self.hold_limit = math.inf
-        #: Grant that was sent last and has no answer, with the ends of the
-        #: hold of its server with it and without it.
-        self.last_sent = None
-        self.handover = ''
-        self.confirmed_until = 0.0
-        self.next_at = 0.0
-        self.release_at = {}
-        #: Lives that have answered a release since the owner changed. They
-        #: take no grant from before it any more.
-        self.released = frozenset()
-        self.moved_at = -1e9
-        self.is_refused = False
-
-    @property
-    def previous(self):
-        """Return the lives other than the owner that may hold the range."""
-        return tuple(life for life in self.exposures if life != self.owner)
-
-    def segment(self, fence=None) -> key_map.Segment:
-        """Return the range as others see it."""
-        return key_map.Segment(
-            self.start,
-            self.end,
-            self.owner,
-            self.fence if fence is None else fence,
-            self.previous,
-        )
-
-    def allowed_hold_s(self, hold_s, now) -> float:
-        """Return how long a grant may hold that is sent now."""
-        if self.hold_limit == math.inf:
-            return hold_s
-        return min(
-            hold_s, (self.hold_limit - now - HOLD_MARGIN_S) / SLOW_CLOCK
-        )
-
-    def covers(self, segment) -> bool:
-        """Tell whether an order was about exactly this range."""
-        return (self.start, self.end) == (segment.start, segment.end)
-
-    def part(self, start, end) -> Managed:
-        """Return a copy for a part of the range."""
-        copy = Managed(start, end, self.owner, self.fence, self.exposures)
-        copy.hold_limit = self.hold_limit
-        copy.last_sent = self.last_sent
-        copy.handover = self.handover
-        copy.confirmed_until = self.confirmed_until
-        copy.next_at = self.next_at
-        copy.release_at = dict(self.release_at)
-        copy.released = self.released
-        copy.moved_at = self.moved_at
-        return copy
-
-
 class KeyGranter:
     """Decide on orders for the keys of one service."""
 
@@ -197,10 +114,12 @@
         """
         last_order_at = now
         if ordered_until is not None:
-            last_order_at = min(now, ordered_until + ARRIVAL_S)
-        until = last_order_at + (USUAL_S if is_usual else self._longest_s)
+            last_order_at = min(now, ordered_until + managed_range.ARRIVAL_S)
+        until = last_order_at + (
+            managed_range.USUAL_S if is_usual else self._longest_s
+        )
         self._ranges = [
-            Managed(
+            managed_range.Managed(
                 s.start,
                 s.end,
                 s.owner,
@@ -223,7 +142,10 @@
 
     @property
     def _longest_s(self):
-        return self._hold_max_s * SLOW_CLOCK + HOLD_MARGIN_S
+        return (
+            self._hold_max_s * managed_range.SLOW_CLOCK
+            + managed_range.HOLD_MARGIN_S
+        )
 
     def propose(self, layout, now):
         """Return what to write for a new layout.
@@ -263,7 +185,7 @@
             for found in self._overlapping(piece)
             if found.owner == life
         ]
-        return max([piece.exposures[life], *limits]) + ARRIVAL_S
+        return max([piece.exposures[life], *limits]) + managed_range.ARRIVAL_S
 
     def commit(self, layout, version, now):
         """Adopt a layout that has been written.
@@ -284,7 +206,8 @@
     def _arrange(self, layout):
         if not self._ranges:
             return [
-                Managed(start, end, owner, 0) for start, end, owner in layout
+                managed_range.Managed(start, end, owner, 0)
+                for start, end, owner in layout
             ]
         arranged = []
         index = 0
@@ -318,7 +241,7 @@
             for late in self._late_releases
         )
 
-    def due(self, now, hold_s=HOLD_S):
+    def due(self, now, hold_s=managed_range.HOLD_S):
         """Return the orders to carry out now.
 
         :param hold_s: Seconds that new grants hold.
@@ -346,7 +269,7 @@
         if others or found.next_at > now or found.is_refused:
             return
         hold_s = found.allowed_hold_s(min(hold_s, self._hold_max_s), now)
-        if hold_s >= MIN_HOLD_S:
+        if hold_s >= managed_range.MIN_HOLD_S:
             found.next_at = now + REPEAT_S
             yield Grant(self.service, found.segment(), hold_s, found.handover)
 
@@ -356,7 +279,8 @@
         The ends of former owners stand in the row.
         """
         return all(
-            found.exposures.get(found.owner, 0.0) <= now + USUAL_S
+            found.exposures.get(found.owner, 0.0)
+            <= now + managed_range.USUAL_S
             for found in self._ranges
         )
 
@@ -460,7 +384,11 @@
 
     def _expose(self, found, order, now):
         life = order.segment.owner
-        until = now + order.hold_s * SLOW_CLOCK + HOLD_MARGIN_S
+        until = (
+            now
+            + order.hold_s * managed_range.SLOW_CLOCK
+            + managed_range.HOLD_MARGIN_S
+        )
         found.exposures[life] = max(found.exposures.get(life, 0.0), until)
 
     def note_released(self, order, handover):
@@ -528,7 +456,7 @@
             for found in self._ranges
             if not found.previous
             and found.owner not in found.exposures
-            and found.moved_at < now - HOLD_S
+            and found.moved_at < now - managed_range.HOLD_S
         ]
 
     def refused(self):
--- a/packages/radishferryd/src/radishferryd/router/ownership.py
+++ b/packages/radishferryd/src/radishferryd/router/ownership.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import itertools
 import logging
 
+from radishferry.direct import capacities
 from radishferry.direct import granting
 from radishferry.direct import key_rates
 from radishferry.direct import key_rows
 from radishferry.direct import long_holds
-from radishferry.direct import pause_shares
+from radishferry.direct import managed_range
 from radishferry.direct import placement
-from radishferry.direct import selection
 from radishferryd.platform import store as store_module
 from radishferryd.router import orders
 from radishferryd.router import store_reader
@@ -39,39 +38,6 @@
 #: Seconds without an accepted renewal after which the other hosts are asked
 #: for their consent to long holds.
 ASK_S = 0.75
-#: Seconds of answers averaged for the speed of a server, as a number of
-#: answers.
-SPEED_ANSWERS = 60.0
-#: Service time assumed before servers have answered, in seconds, and the
-#: number of answers that it counts for: short requests are answered first,
-#: so that the first answers alone show servers as too fast.
-DEFAULT_SERVICE_S = 0.1
-DEFAULT_ANSWERS = 100
-#: Narrowest and widest speed taken for a server in relation to the others.
-MIN_SPEED, MAX_SPEED = 0.4, 4.0
-#: Least part of a server's capacity that is counted while all hosts have to
-#: spare it; its keys move to others by their load.
-MIN_CAPACITY_SHARE = 0.05
-
-
-@dataclasses.dataclass
-class _Speed:
-    """Average the service time of one server over its last answers."""
-
-    total_s: float = 0.0
-    answers: float = 0.0
-
-    def note(self, total_s, answers):
-        self.total_s += total_s
-        self.answers += answers
-        if self.answers > SPEED_ANSWERS:
-            keep = SPEED_ANSWERS / self.answers
-            self.total_s *= keep
-            self.answers *= keep
-
-    @property
-    def mean_s(self):
-        return self.total_s / self.answers if self.answers else 0.0
 
 
 class _Service:
@@ -115,8 +81,7 @@
         self._hold_max_s = hold_max_s
         self._name = name
         self._services = {}
-        self._speeds = collections.defaultdict(_Speed)
-        self._pauses = pause_shares.PauseShares()
+        self._capacities = capacities.Capacities()
         self._is_active = False
         self._active_at = 0.0
         self._known_servers = {}
@@ -235,15 +200,14 @@
             if service in self._services:
                 self._services[service].rates.note(found)
         for server_id, total_s, answers in speeds:
-            self._speeds[server_id].note(total_s, answers)
+            self._capacities.note_speed(server_id, total_s, answers)
 
     def note_pause(self, life, host, pause_s):
         """Note that a server wants no request from a host.
 
         :param pause_s: Seconds from now.
         """
-        pause_s = min(pause_s, selection.LONGEST_ASKED_PAUSE_S)
-        self._pauses.note(life, host, self._scheduler.now() + pause_s)
+        self._capacities.note_pause(life, host, pause_s, self._scheduler.now())
 
     def _server_leaves(self, server):
         self._knowledge.note_leaving(server.life, 0.0, 'an answer to an order')
@@ -313,7 +277,7 @@
         self._is_silent = is_silent
         if is_silent:
             return self._hold_max_s * OUTAGE_HOLD_SHARE
-        return granting.HOLD_S
+        return managed_range.HOLD_S
 
     def _service(self, name):
         found = self._services.get(name)
@@ -390,14 +354,14 @@
         service.rates.advance(now)
         losing = self._losing(service, now)
         loads = key_rates.LoadMap(service.rates.rates)
-        capacities = self._capacities(servers)
+        found = self._capacities.of(servers, self._hosts(), now)
 
         def may_give(life, start, end):
             return granter.may_give(life, start, end, now)
 
         if losing:
             layout = placement.evacuate(
-                granter.ranges, losing, capacities, loads, may_give
+                granter.ranges, losing, found, loads, may_give
             )
             if layout != placement.layout_of(granter.ranges):
                 return layout
@@ -408,9 +372,7 @@
         service.planned_at = now
         if granter.unsettled > MAX_UNSETTLED:
             return None
-        plan = placement.rebalance(
-            granter.ranges, capacities, loads, may_give, now
-        )
+        plan = placement.rebalance(granter.ranges, found, loads, may_give, now)
         if not plan.moves:
             return None
         LOG.info(
@@ -445,42 +407,6 @@
         }
         return (owners - staying) | lapsed
 
-    def _capacities(self, servers):
-        known = [
-            self._speeds[server.server_id]
-            for server in servers
-            if server.server_id in self._speeds
-        ]
-        usual_s = (
-            DEFAULT_SERVICE_S * DEFAULT_ANSWERS
-            + sum(speed.total_s for speed in known)
-        ) / (DEFAULT_ANSWERS + sum(speed.answers for speed in known))
-        return [
-            placement.Capacity(
-                server.life,
-                server.slots
-                * self._wanted_share(server)
-                / (usual_s * self._relative(server, usual_s)),
-            )
-            for server in servers
-        ]
-
-    def _wanted_share(self, server):
-        """Return which part of all requests a server wants at present."""
-        paused = self._pauses.share(
-            server.life, self._hosts(), self._scheduler.now()
-        )
-        return max(MIN_CAPACITY_SHARE, 1 - paused)
-
-    def _relative(self, server, usual_s):
-        speed = self._speeds.get(server.server_id)
-        if speed is None or not speed.answers:
-            return 1.0
-        # Few answers say little, so the average counts in as well.
-        weight = speed.answers / (speed.answers + 10)
-        relative = 1 + weight * (speed.mean_s / usual_s - 1)
-        return min(MAX_SPEED, max(MIN_SPEED, relative))
-
     # Writes.
 
     def _propose(self, service, layout):
