--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -40,7 +40,7 @@
 #: Seconds before the end of the grace at which a stopping host ends.
 STOP_MARGIN_S = 0.4
 #: Seconds for which a stopping host goes on to grant keys for long while the
-#: store is silent: a few rounds of its timer. Its right ends 0.85 s after the
+#: store is silent: a few rounds of its timer. Its right ends 0.95 s after the
 #: others are asked for their consent.
 PROLONG_S = 0.4
 #: Seconds between checks whether everything has ended.
--- a/packages/radishferryd/src/radishferryd/router/ownership.py
+++ b/packages/radishferryd/src/radishferryd/router/ownership.py
@@ -36,8 +36,9 @@
 #: silent: a renewal has failed, and half a second of the right is left.
 SILENT_S = 1.1
 #: Seconds without an accepted renewal after which the other hosts are asked
-#: for their consent to long holds.
-ASK_S = 0.75
+#: for their consent to long holds: the renewal that was due after 0.6 s has
+#: no answer yet, which comes within some milliseconds.
+ASK_S = 0.65
 
 
 class _Service:
