Send no long grant that has waited until the right was renewed

Cause: found by reading. A long grant may wait behind others at a slow server. If the store comes back meanwhile, the other hosts may be told of usual holds before it is sent, and one that takes over would count on them.

Change: a grant that holds for longer than usual is sent only while the store is silent and the hosts agree, also when it has waited.

--- a/features/direct_long_holds.feature
+++ b/features/direct_long_holds.feature
@@ -80,3 +80,12 @@
     Then it does not prolong its grants
     When the other host agrees
     Then it prolongs its grants
+
+  # Guards against two holders of a key: a long grant waits behind others at a
+  # server, and is sent after the other hosts were told of usual holds again.
+  Scenario: A long grant that waited until the store was back is not sent
+    Given a granting host of keys 0 to 99 whose store is silent for 1.2 seconds
+    When it plans its next orders
+    Then its last order may be sent
+    When the store answers again
+    Then its last order may not be sent
--- a/features/steps/direct_granting_steps.py
+++ b/features/steps/direct_granting_steps.py
@@ -302,7 +302,7 @@
         None,
         context.scheduler,
         None,
-        lambda: True,
+        lambda order: True,
         lambda: None,
         lambda server: None,
     )
--- a/features/steps/direct_long_holds_steps.py
+++ b/features/steps/direct_long_holds_steps.py
@@ -331,3 +331,25 @@
 @behave.then('it does not prolong its grants')
 def does_not_prolong(context):
     assert _longest(context) <= managed_range.HOLD_S, context.desk.given
+
+
+@behave.when('it plans its next orders')
+def plans(context):
+    assert _longest(context) > managed_range.HOLD_S
+
+
+@behave.then('its last order may be sent')
+def may_be_sent(context):
+    assert context.ownership._may_order(context.desk.given[-1])
+
+
+@behave.when('the store answers again')
+def store_back(context):
+    context.term.silent_s = 0.0
+    context.term.version += 1
+    context.ownership._hold_s()
+
+
+@behave.then('its last order may not be sent')
+def may_not_be_sent(context):
+    assert not context.ownership._may_order(context.desk.given[-1])
--- a/packages/radishferryd/src/radishferryd/router/orders.py
+++ b/packages/radishferryd/src/radishferryd/router/orders.py
@@ -34,7 +34,7 @@
         """Begin without a connection.
 
         :param registry: Tells the present life of a server.
-        :param may_order: Tells whether this host may still give orders.
+        :param may_order: Tells whether this host may still give an order.
         :param on_freed: Called after a release or a first grant, which let
             the next step of a move begin.
         :param on_leaving: Called with a server whose answer says that it is
@@ -126,7 +126,7 @@
             now = desk._scheduler.now()
             is_grant = isinstance(order, granting.Grant)
             may_send = (
-                desk._may_order()
+                desk._may_order(order)
                 and granter.is_current(order, now)
                 and not (is_grant and self._is_doubtful())
             )
--- a/packages/radishferryd/src/radishferryd/router/ownership.py
+++ b/packages/radishferryd/src/radishferryd/router/ownership.py
@@ -100,7 +100,7 @@
             poller,
             scheduler,
             knowledge.registry,
-            lambda: term.holds,
+            self._may_order,
             self._step_soon,
             self._server_leaves,
         )
@@ -280,6 +280,21 @@
             return self._hold_max_s * OUTAGE_HOLD_SHARE
         return managed_range.HOLD_S
 
+    def _may_order(self, order):
+        """Tell whether an order may be sent that may have waited.
+
+        A long grant that waited until the right was renewed would follow the
+        news that all holds are usual.
+        """
+        if not self._term.holds:
+            return False
+        is_long = (
+            isinstance(order, granting.Grant)
+            and order.hold_s > managed_range.HOLD_S
+        )
+        self.consent.renewed(self._term.version)
+        return not is_long or (self._is_silent and self.consent.is_given)
+
     def _service(self, name):
         found = self._services.get(name)
         if found is None:
