--- a/packages/radishferry/src/radishferry/direct/long_holds.py
+++ b/packages/radishferry/src/radishferry/direct/long_holds.py
@@ -39,8 +39,10 @@
         :param int version: Version of its row.
         """
         if version != self._version:
-            self.__init__()
             self._version = version
+            self._told.clear()
+            self._agreed.clear()
+            self._is_refused = False
 
     def told(self, host):
         """Note that a host is told the version and that holds are usual."""
