--- a/features/steps/direct_host_steps.py
+++ b/features/steps/direct_host_steps.py
@@ -41,31 +41,27 @@
     _change_plain(context, 'extra')
 
 
+def _change(context, kind, number, **changes):
+    direct_host_fixtures.test(
+        context, 'server', server_id=f'i-{kind}-{number}', **changes
+    )
+
+
 def _change_plain(context, failure):
     for number in (0, 1):
-        direct_host_fixtures.test(
-            context, 'server', server_id=f'i-plain-{number}', failure=failure
-        )
+        _change(context, 'plain', number, failure=failure)
 
 
 @behave.given('plain server 0 turns requests away')
 def turn_away(context):
-    direct_host_fixtures.test(
-        context, 'server', server_id='i-plain-0', failure='shed'
-    )
+    _change(context, 'plain', 0, failure='shed')
 
 
 @behave.given(
     'plain server {number:d} turns requests away for "{text}" seconds'
 )
 def turn_away_for(context, number, text):
-    direct_host_fixtures.test(
-        context,
-        'server',
-        server_id=f'i-plain-{number}',
-        failure='shed',
-        retry_after=text,
-    )
+    _change(context, 'plain', number, failure='shed', retry_after=text)
 
 
 @behave.given('a plain server that resets each new connection')
@@ -141,22 +137,12 @@
 
 @behave.when('{kind:w} server {number:d} announces that it leaves')
 def leave(context, kind, number):
-    direct_host_fixtures.test(
-        context,
-        'server',
-        server_id=f'i-{kind}-{number}',
-        state='draining',
-    )
+    _change(context, kind, number, state='draining')
 
 
 @behave.when('{kind:w} server {number:d} says in its answers that it leaves')
 def say_leaving(context, kind, number):
-    direct_host_fixtures.test(
-        context,
-        'server',
-        server_id=f'i-{kind}-{number}',
-        says_leaving=True,
-    )
+    _change(context, kind, number, says_leaving=True)
 
 
 @behave.when('{seconds:g} seconds pass')
--- a/packages/radishferry/src/radishferry/direct/long_holds.py
+++ b/packages/radishferry/src/radishferry/direct/long_holds.py
@@ -23,11 +23,6 @@
         self._agreed = set()
         self._is_refused = False
 
-    @property
-    def version(self) -> int:
-        """Return the version of the right to grant that is agreed upon."""
-        return self._version
-
     @property
     def is_given(self) -> bool:
         """Tell whether each host that was told of usual holds agrees."""
--- a/packages/radishferryd/src/radishferryd/platform/headers.py
+++ b/packages/radishferryd/src/radishferryd/platform/headers.py
@@ -83,8 +83,9 @@
         a date is read if the answer has none of its own.
     :raises ValueError: The value is neither seconds nor a date.
     """
-    text = head.header(RETRY_AFTER).strip()
-    if head.status != 503 or not text:
+    # Asked of each answer, nearly all of which are no 503.
+    text = head.header(RETRY_AFTER).strip() if head.status == 503 else ''
+    if not text:
         return None
     try:
         pause_s = float(text)
