Log and measure the age of the configuration

A host that handles requests by an old configuration could not be told from one that has the newest: a failed read of the configuration was logged only when the store as a whole began to fail, without the call or the bytes received, and no record gave the time of the last answer.

Log each failed read of the configuration with the bytes received, let heartbeats carry the age of the granting host's configuration, and expose it as a metric and in the state dump. No decision uses it.

--- a/packages/radishferryd/idl/router.thrift
+++ b/packages/radishferryd/idl/router.thrift
@@ -25,6 +25,10 @@
   5: bool has_usual_holds
   /* Whether the sender requests consent to longer grants. */
   6: bool wants_long_holds
+  /* Seconds since the store last answered the sender with its newest
+   * configuration; missing if the sender has no such answer.
+   */
+  7: optional double configuration_age_s
 }
 
 /* Consents to longer grants under one version of the term. */
--- a/packages/radishferryd/src/radishferryd/gen/router/ttypes.py
+++ b/packages/radishferryd/src/radishferryd/gen/router/ttypes.py
@@ -93,17 +93,19 @@
      - term_version
      - has_usual_holds
      - wants_long_holds
+     - configuration_age_s
 
     """
 
 
-    def __init__(self, hosts=None, registry_age_s=None, is_stopping=None, term_version=None, has_usual_holds=None, wants_long_holds=None,):
+    def __init__(self, hosts=None, registry_age_s=None, is_stopping=None, term_version=None, has_usual_holds=None, wants_long_holds=None, configuration_age_s=None,):
         self.hosts = hosts
         self.registry_age_s = registry_age_s
         self.is_stopping = is_stopping
         self.term_version = term_version
         self.has_usual_holds = has_usual_holds
         self.wants_long_holds = wants_long_holds
+        self.configuration_age_s = configuration_age_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -144,6 +146,11 @@
                     self.wants_long_holds = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.DOUBLE:
+                    self.configuration_age_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -178,6 +185,10 @@
             oprot.writeFieldBegin('wants_long_holds', TType.BOOL, 6)
             oprot.writeBool(self.wants_long_holds)
             oprot.writeFieldEnd()
+        if self.configuration_age_s is not None:
+            oprot.writeFieldBegin('configuration_age_s', TType.DOUBLE, 7)
+            oprot.writeDouble(self.configuration_age_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1407,6 +1418,7 @@
     (4, TType.I64, 'term_version', None, None, ),  # 4
     (5, TType.BOOL, 'has_usual_holds', None, None, ),  # 5
     (6, TType.BOOL, 'wants_long_holds', None, None, ),  # 6
+    (7, TType.DOUBLE, 'configuration_age_s', None, None, ),  # 7
 )
 all_structs.append(LongHoldConsent)
 LongHoldConsent.thrift_spec = (
--- a/packages/radishferryd/src/radishferryd/http_client.py
+++ b/packages/radishferryd/src/radishferryd/http_client.py
@@ -309,7 +309,8 @@
         # sent.
         was_sent = self._connection.is_connected
         self._connection.abort()
-        self._finish(JsonFailure('no response in time', was_sent))
+        detail = f'no response in time, {self._size} bytes received'
+        self._finish(JsonFailure(detail, was_sent))
 
     def _finish(self, result):
         self._timer.cancel()
--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -313,6 +313,7 @@
             'hosts': self._gateway.host_count,
             'configuration': configuration.version if configuration else None,
             'registry_age_s': routing_state.registry.age(now),
+            'configuration_age_s': routing_state.configuration_age_s,
             'open_requests': self._gateway.open_requests,
             'store_calls': self._store.calls,
             'registry': [
@@ -358,6 +359,10 @@
         for order, count in self._ownership.order_sender.counts.items():
             metrics.orders.set(count, order)
         metrics.registry_age.set(min(age, 1e9))
+        configuration_age = self._routing_state.configuration_age_s
+        metrics.configuration_age.set(
+            1e9 if configuration_age is None else configuration_age
+        )
         metrics.configuration_version.set(
             configuration.version if configuration else 0
         )
--- a/packages/radishferryd/src/radishferryd/router/hub.py
+++ b/packages/radishferryd/src/radishferryd/router/hub.py
@@ -119,6 +119,7 @@
             ownership.term_version,
             ownership.has_usual_holds and ownership.is_active,
             ownership.wants_long_holds,
+            self._routing_state.configuration_age_s,
         )
 
     # Called by links.
--- a/packages/radishferryd/src/radishferryd/router/knowledge.py
+++ b/packages/radishferryd/src/radishferryd/router/knowledge.py
@@ -4,6 +4,7 @@
 
 import itertools
 import logging
+import math
 
 from radishferry.direct import configuration as configuration_module
 from radishferry.direct import key_map
@@ -31,6 +32,9 @@
         self._now = now
         self.configuration = None
         self.document = b''
+        #: When the store last answered this host or the granting host with
+        #: its newest configuration, in seconds; -inf if never.
+        self.configuration_read_at = -math.inf
         self.routes = None
         self.registry = registry_module.Registry()
         self.key_maps = {}
@@ -53,6 +57,23 @@
             return configuration_module.Limits()
         return self.configuration.limits
 
+    @property
+    def configuration_age_s(self) -> float | None:
+        """Return the seconds since the store confirmed the configuration.
+
+        :returns: None if it never has.
+        """
+        if math.isinf(self.configuration_read_at):
+            return None
+        return round(self._now() - self.configuration_read_at, 3)
+
+    def note_configuration_read(self, read_at):
+        """Record that the store has answered with its newest configuration.
+
+        :param read_at: When the store answered, in seconds.
+        """
+        self.configuration_read_at = max(self.configuration_read_at, read_at)
+
     def apply_document(self, document: bytes, source: str):
         """Apply a configuration if it is newer.
 
--- a/packages/radishferryd/src/radishferryd/router/metrics.py
+++ b/packages/radishferryd/src/radishferryd/router/metrics.py
@@ -60,6 +60,12 @@
         'gauge',
         'Age of the newest list of servers.',
     ),
+    _METRIC(
+        'configuration_age',
+        'radishferry_configuration_age_seconds',
+        'gauge',
+        'Seconds since the store confirmed the configuration.',
+    ),
     _METRIC(
         'configuration_version',
         'radishferry_configuration_version',
--- a/packages/radishferryd/src/radishferryd/router/spoke.py
+++ b/packages/radishferryd/src/radishferryd/router/spoke.py
@@ -213,6 +213,10 @@
         registry = self._routing_state.registry
         read_at = now - message.registry_age_s
         self._granter_read_at = read_at
+        if message.configuration_age_s is not None:
+            self._routing_state.note_configuration_read(
+                now - message.configuration_age_s
+            )
         # Pushes and heartbeats arrive in order on the link, so the pushed list
         # has not changed up to this time.
         if registry.read_at is not None and registry.read_at < read_at:
--- a/packages/radishferryd/src/radishferryd/router/store_reader.py
+++ b/packages/radishferryd/src/radishferryd/router/store_reader.py
@@ -154,6 +154,7 @@
     def _read_configuration(self):
         def handle(answer):
             if not self.note_answer(answer):
+                self._log_failure(answer)
                 self._polling.call_later(RETRY_S, self._read_configuration)
                 return
             self._apply(answer)
@@ -166,6 +167,7 @@
             if isinstance(answer, store_module.HistoryLost):
                 self._read_configuration()
             elif not self.note_answer(answer):
+                self._log_failure(answer)
                 # Changes may have been missed; read the whole table again.
                 self._polling.call_later(RETRY_S, self._read_configuration)
             else:
@@ -180,8 +182,18 @@
             self._polling.guard(handle),
         )
 
+    def _log_failure(self, answer):
+        LOG.warning(
+            'store: The configuration was not read.',
+            extra={
+                'detail': answer.detail,
+                'age_s': self._routing_state.configuration_age_s,
+            },
+        )
+
     def _apply(self, answer):
         self._feed_version = answer.version
+        self._routing_state.note_configuration_read(self._scheduler.now())
         for row in answer.rows:
             if row.key == documents.CONFIGURATION_KEY and not row.is_deleted:
                 self._routing_state.apply_document(row.value, 'store')
