Read the store at once when the granting host may be out of date

Callers saw a route by its older configuration for longer than the bound after the granting host was lost, or while it could read servers but not the configuration.

Cause: a host judged the granting host by its messages and by the age of its list of servers. After 1.2 s of silence it waited for another 0.5 s (the grace period for a planned change), so that up to 2.2 s could pass before its own read began, at a bound of 2.0 s. Nothing told the age of the configuration: a host with a fresh list of servers from a granting host whose reads of the configuration fail never read it, and one that was reading stopped for a new granting host that had none.

Silence now ends the grace period, and a host reads the store until the granting host has confirmed the configuration in the last 2 s, by the age that heartbeats carry.

--- a/features/direct_reading.feature
+++ b/features/direct_reading.feature
@@ -39,3 +39,36 @@
     Given a host that waits 0.08 seconds for the granting host
     When 0.1 seconds of polling pass
     Then the host has started polling once
+
+  # Guards against hosts that handle requests by an old configuration. When the
+  # granting host froze or lost its power, its list of servers was not stale
+  # yet when its link counted as silent, and the hosts waited for another half
+  # a second before they read the store.
+  Scenario Outline: A host reads the store soon after the granting host is lost
+    Given a host that is linked to the granting host
+    When the granting host sends a last heartbeat with a list of age <age_s> seconds
+    And it is lost without a sign
+    Then the host has started polling within 1.5 seconds
+
+    Examples:
+      | age_s |
+      | 0.0   |
+      | 0.1   |
+      | 0.3   |
+      | 0.6   |
+
+  # Guards against a host that keeps an old configuration because the granting
+  # host reads servers but not the configuration, which is a separate call.
+  Scenario: A host reads the store while the granting host cannot read the configuration
+    Given a host that is linked to the granting host
+    When the configuration of the granting host ages for 5 seconds
+    Then the host has started polling once
+    When the configuration of the granting host is fresh again
+    Then the host has stopped polling
+
+  # Guards against a host that stops its own reads for a new granting host
+  # that has not read the configuration yet.
+  Scenario: A host keeps reading until a new granting host has the configuration
+    Given a host that has lost the granting host and reads the store
+    When it is linked to a granting host without a configuration
+    Then the host is polling
--- a/features/steps/direct_reading_steps.py
+++ b/features/steps/direct_reading_steps.py
@@ -36,6 +36,18 @@
     _begin(context, delay_s)
 
 
+@behave.given('a reader of the store whose feed connection goes silent')
+def reader_with_silent_feed(context):
+    _begin(context, 0.004)
+    context.store.is_feed_silent = True
+
+
+@behave.then('it has read the configuration {count:d} times')
+def configuration_read(context, count):
+    reads = context.store.reads[documents.OPERATOR_TABLE]
+    assert reads == count, reads
+
+
 @behave.when('it polls for itself')
 def poll_for_itself(context):
     context.reader.set_polling(True)
@@ -72,16 +84,20 @@
 
 
 class _Link:
-    """Stub of a link that is always open."""
+    """Stub of a link that is open until it is closed."""
 
     def __init__(self, scheduler, owner):
         self.owner = owner
+        self.received_at = scheduler.now()
 
     def connect(self, poller, address):
         """Do nothing; the link is open already."""
 
     def is_silent(self, now):
-        return False
+        return now - self.received_at > links.SILENCE_S
+
+    def close(self):
+        self.owner.link_closed(self, 'closed')
 
 
 class _Reader:
@@ -90,6 +106,10 @@
     def __init__(self):
         self.changes = [False]
 
+    @property
+    def is_polling(self):
+        return self.changes[-1]
+
     def set_polling(self, is_polling):
         if is_polling != self.changes[-1]:
             self.changes.append(is_polling)
@@ -119,19 +139,100 @@
 @behave.given('a host that is linked to the granting host')
 def linked_spoke(context):
     _add_spoke(context)
-    with unittest.mock.patch.object(links, 'Link', _Link):
-        context.spoke.connect('127.0.0.1:1')
+    _connect(context, '127.0.0.1:1')
     _send_heartbeats(context, 2.0, reads_store=False, age_s=lambda: 0.3)
 
 
-def _send_heartbeats(context, seconds, *, reads_store, age_s):
-    link = context.spoke._link
+def _connect(context, address):
+    with unittest.mock.patch.object(links, 'Link', _Link):
+        context.spoke.connect(address)
+    context.link = context.spoke._link
+
+
+@behave.given('a host that has lost the granting host and reads the store')
+def spoke_without_granter(context):
+    linked_spoke(context)
+    lose_granter(context)
+
+
+@behave.when('it is linked to a granting host without a configuration')
+def link_to_new_granter(context):
+    _connect(context, '127.0.0.1:2')
+    _send_heartbeats(
+        context,
+        0.4,
+        reads_store=True,
+        age_s=lambda: 0.1,
+        configuration_age_s=lambda: 1e6,
+    )
+
+
+@behave.when(
+    'the granting host sends a last heartbeat with a list of age {age_s:g} '
+    'seconds'
+)
+def last_heartbeat(context, age_s):
+    _send_heartbeat(context, age_s)
+
+
+@behave.when('it is lost without a sign')
+def lose_granter(context):
+    """Advance the time in steps of the host's timer."""
+    context.lost_at = context.time.now()
+    context.started_at = None
+    while context.time.now() - context.lost_at < 3.0:
+        context.time.advance(spoke_module.TICK_S)
+        context.spoke.tick()
+        if context.started_at is None and context.reader.changes[-1]:
+            context.started_at = context.time.now()
+
+
+@behave.then('the host has started polling within {seconds:g} seconds')
+def started_within(context, seconds):
+    took_s = context.started_at - context.lost_at
+    assert took_s <= seconds, took_s
+
+
+@behave.then('the host is polling')
+def polling(context):
+    assert context.reader.changes[-1] is True
+
+
+@behave.when(
+    'the configuration of the granting host ages for {seconds:g} seconds'
+)
+def configuration_ages(context, seconds):
+    since = context.time.now()
+    _send_heartbeats(
+        context,
+        seconds,
+        reads_store=True,
+        age_s=lambda: 0.2,
+        configuration_age_s=lambda: context.time.now() - since,
+    )
+
+
+@behave.when('the configuration of the granting host is fresh again')
+def configuration_is_fresh(context):
+    _send_heartbeats(context, 1.0, reads_store=True, age_s=lambda: 0.2)
+
+
+def _send_heartbeat(context, age_s, configuration_age_s=0.0):
+    context.link.received_at = context.time.now()
+    context.spoke.link_message(
+        context.link,
+        'beat',
+        ttypes.Beat(2, age_s, False, configuration_age_s=configuration_age_s),
+    )
+
+
+def _send_heartbeats(
+    context, seconds, *, reads_store, age_s, configuration_age_s=lambda: 0.2
+):
     until = context.time.now() + seconds
     while context.time.now() < until:
         now = context.time.now()
-        context.spoke.link_message(
-            link, 'beat', ttypes.Beat(2, age_s(), False)
-        )
+        _send_heartbeat(context, age_s(), configuration_age_s())
         if reads_store and context.reader.changes[-1]:
             context.routing_state.apply_servers((), now, 'store')
         context.spoke.tick()
--- a/features/steps/store_fixtures.py
+++ b/features/steps/store_fixtures.py
@@ -17,6 +17,8 @@
         self._version = 1
         self.rows = {}
         self.reads = collections.Counter()
+        #: Whether calls of the feed get no response.
+        self.is_feed_silent = False
 
     def put(self, table, key, value):
         self._version += 1
@@ -39,6 +41,12 @@
         self._time.call_later(self._delay_s, answer)
 
     def watch(self, table, version, wait_s, done):
+        if self.is_feed_silent:
+            failure = store_module.Unavailable('no response in time', True)
+            self._time.call_later(
+                wait_s + store_module.FEED_MARGIN_S, lambda: done(failure)
+            )
+            return
         rows = store_module.Rows((), 1, self._time.now(), self._time.now())
         self._time.call_later(wait_s, lambda: done(rows))
 
--- a/packages/radishferryd/idl/router.thrift
+++ b/packages/radishferryd/idl/router.thrift
@@ -26,9 +26,9 @@
   /* Whether the sender requests consent to longer grants. */
   6: bool wants_long_holds
   /* Seconds since the store last answered the sender with its newest
-   * configuration; missing if the sender has no such answer.
+   * configuration.
    */
-  7: optional double configuration_age_s
+  7: double configuration_age_s
 }
 
 /* Consents to longer grants under one version of the term. */
--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -359,10 +359,7 @@
         for order, count in self._ownership.order_sender.counts.items():
             metrics.orders.set(count, order)
         metrics.registry_age.set(min(age, 1e9))
-        configuration_age = self._routing_state.configuration_age_s
-        metrics.configuration_age.set(
-            1e9 if configuration_age is None else configuration_age
-        )
+        metrics.configuration_age.set(self._routing_state.configuration_age_s)
         metrics.configuration_version.set(
             configuration.version if configuration else 0
         )
--- a/packages/radishferryd/src/radishferryd/router/knowledge.py
+++ b/packages/radishferryd/src/radishferryd/router/knowledge.py
@@ -15,6 +15,8 @@
 
 #: Maximum error in seconds of an age that another host reports.
 CLOCK_SLACK_S = 0.1
+#: Age in seconds that is reported for what has never been read.
+MAX_AGE_S = 1e6
 
 
 class RoutingState:
@@ -58,14 +60,12 @@
         return self.configuration.limits
 
     @property
-    def configuration_age_s(self) -> float | None:
+    def configuration_age_s(self) -> float:
         """Return the seconds since the store confirmed the configuration.
 
-        :returns: None if it never has.
+        :returns: :data:`MAX_AGE_S` if it never has.
         """
-        if math.isinf(self.configuration_read_at):
-            return None
-        return round(self._now() - self.configuration_read_at, 3)
+        return min(MAX_AGE_S, self._now() - self.configuration_read_at)
 
     def note_configuration_read(self, read_at):
         """Record that the store has answered with its newest configuration.
--- a/packages/radishferryd/src/radishferryd/router/spoke.py
+++ b/packages/radishferryd/src/radishferryd/router/spoke.py
@@ -17,6 +17,10 @@
 #: Age in seconds of the granting host's list of servers above which this host
 #: polls the store itself. The granting host reads the list every 0.7 s.
 STALE_SERVERS_S = 1.35
+#: The same for the age of its configuration. The granting host confirms it
+#: with each answer of the feed, at most 1.3 s apart while the store is slow,
+#: and heartbeats follow every 0.4 s.
+STALE_CONFIGURATION_S = 2.0
 #: Seconds between checks of the age of the list of servers and of whether a
 #: load report is due.
 TICK_S = pacing.MIN_REPORT_S
@@ -52,6 +56,7 @@
         self._address = None
         self._pushed_servers_at = None
         self._granter_read_at = scheduler.now()
+        self._granter_configuration_read_at = scheduler.now()
         self._link_changed_at = scheduler.now()
         self._is_granter = False
         self._reported_at = scheduler.now()
@@ -148,19 +153,27 @@
         if self._link is not None and self._link.is_silent(now):
             LOG.warning('spoke: The granting host is silent.')
             self._drop()
-        if self.is_linked:
-            # Uses the age of the granting host's list. The list of this host
-            # becomes fresh with its own first read, so polling would stop and
-            # start again and again, with a read of the configuration each
-            # time.
-            is_stale = (
-                now - self._granter_read_at > STALE_SERVERS_S
-                and now - self._link_changed_at > LINK_GRACE_S
-            )
-            self._reader.set_polling(is_stale)
-        elif now - self._link_changed_at >= LINK_GRACE_S:
+            # The silence was longer than the grace period.
+            self._link_changed_at = now - LINK_GRACE_S
+        is_grace_over = now - self._link_changed_at >= LINK_GRACE_S
+        if self.is_linked and not self._is_granter_stale(now):
+            self._reader.set_polling(False)
+        elif is_grace_over:
             self._reader.set_polling(True)
 
+    def _is_granter_stale(self, now):
+        """Return whether the granting host has no recent data of the store.
+
+        Uses the ages at the granting host. The data of this host becomes
+        fresh with its own first read, so polling would stop and start again
+        and again, with a read of the configuration each time.
+        """
+        return (
+            now - self._granter_read_at > STALE_SERVERS_S
+            or now - self._granter_configuration_read_at
+            > STALE_CONFIGURATION_S
+        )
+
     def _drop(self):
         link, self._link = self._link, None
         if link is not None:
@@ -213,10 +226,13 @@
         registry = self._routing_state.registry
         read_at = now - message.registry_age_s
         self._granter_read_at = read_at
-        if message.configuration_age_s is not None:
-            self._routing_state.note_configuration_read(
-                now - message.configuration_age_s
-            )
+        # A granting host of an older version does not send the age of its
+        # configuration.
+        configuration_age_s = message.configuration_age_s or 0.0
+        self._granter_configuration_read_at = now - configuration_age_s
+        self._routing_state.note_configuration_read(
+            self._granter_configuration_read_at
+        )
         # Pushes and heartbeats arrive in order on the link, so the pushed list
         # has not changed up to this time.
         if registry.read_at is not None and registry.read_at < read_at:
--- a/packages/radishferryd/src/radishferryd/router/store_reader.py
+++ b/packages/radishferryd/src/radishferryd/router/store_reader.py
@@ -187,7 +187,7 @@
             'store: The configuration was not read.',
             extra={
                 'detail': answer.detail,
-                'age_s': self._routing_state.configuration_age_s,
+                'age_s': round(self._routing_state.configuration_age_s, 3),
             },
         )
 
