Replace a silent feed connection before hosts are bound again

A change that had been confirmed could be unknown to all hosts for more than the bound after their connections had gone silent without a reset.

Cause: the granting host's feed call ended 3.2 s after it was sent and the table was read 0.4 s later, on a pooled connection that could be silent as well and cost another 0.9 s. Hosts are bound again 3 s after their connections were lost.

The feed call now waits 1 s instead of 2.5 s and fails half a second later, the table is read at once, and no idle connection to the store is reused after a call on one has failed.

Before the change two new scenarios failed: "A feed whose connection is dead is replaced before hosts are bound again" and "No idle connection is reused after one was silent".

--- a/features/direct_reading.feature
+++ b/features/direct_reading.feature
@@ -72,3 +72,12 @@
     Given a host that has lost the granting host and reads the store
     When it is linked to a granting host without a configuration
     Then the host is polling
+
+  # Guards against a granting host that learns of a new configuration too late.
+  # A connection that goes silent was noticed only after 3.6 seconds; hosts are
+  # bound again 3 seconds after their connections were lost.
+  Scenario: A feed whose connection is dead is replaced before hosts are bound again
+    Given a reader of the store whose feed connection goes silent
+    When it polls for all hosts
+    And 2.2 seconds of polling pass
+    Then it has read the configuration 2 times
--- a/features/direct_store.feature
+++ b/features/direct_store.feature
@@ -24,3 +24,12 @@
     When a read of the configuration starts
     And 100 kB arrive at 10 kB a second
     Then the read has failed
+
+  # Guards against calls that wait one after the other for connections that
+  # have all gone silent at the same moment.
+  Scenario: No idle connection is reused after one was silent
+    Given a store client with two idle connections
+    When a read of the configuration starts on an idle connection
+    And 1 second passes at the store client
+    Then the read has failed
+    And the next read opens a connection
--- a/features/steps/direct_store_steps.py
+++ b/features/steps/direct_store_steps.py
@@ -81,3 +81,27 @@
     (answer,) = context.answers
     assert isinstance(answer, store_module.Unavailable), answer
     assert not context.sockets[-1].is_open
+
+
+@behave.given('a store client with two idle connections')
+def store_client_with_idle_connections(context):
+    store_client(context)
+    for _ in range(2):
+        read(context)
+    for socket in context.sockets:
+        socket.deliver(_response_bytes(4))
+    assert len(context.answers) == 2, context.answers
+    context.answers.clear()
+
+
+@behave.when('a read of the configuration starts on an idle connection')
+def read_on_idle_connection(context):
+    context.store.read(documents.OPERATOR_TABLE, context.answers.append)
+    assert len(context.sockets) == 2
+
+
+@behave.then('the next read opens a connection')
+def next_read_connects(context):
+    context.store.read(documents.OPERATOR_TABLE, context.answers.append)
+    assert len(context.sockets) == 3
+    assert not any(socket.is_open for socket in context.sockets[:2])
--- a/packages/radishferryd/src/radishferryd/platform/store.py
+++ b/packages/radishferryd/src/radishferryd/platform/store.py
@@ -7,6 +7,7 @@
 import dataclasses
 import itertools
 import logging
+import math
 import typing
 import urllib.parse
 
@@ -24,7 +25,7 @@
 READ_TIMEOUT_S = 6.0
 #: Seconds after the longest wait of a feed call at which the call has failed,
 #: unless bytes arrive.
-FEED_MARGIN_S = 0.7
+FEED_MARGIN_S = 0.5
 #: Maximum number of rows that the store returns for one call.
 PAGE_ROWS = 500
 
@@ -211,8 +212,7 @@
             ],
             'remove': [],
         }
-        self.calls += 1
-        self._client.call(
+        self._call(
             'POST',
             '/api/rows-tx',
             body,
@@ -221,9 +221,20 @@
         )
 
     def _read(self, name, query, timeout_s, silence_s, done):
-        self.calls += 1
         target = f'/api/{name}?' + urllib.parse.urlencode(query)
-        self._client.call('GET', target, None, timeout_s, done, silence_s)
+        self._call('GET', target, None, timeout_s, done, silence_s)
+
+    def _call(self, method, target, body, timeout_s, done, silence_s=math.inf):
+        def on_response(response):
+            if isinstance(response, http_client.JsonFailure):
+                # The idle connections may be dead for the same reason.
+                self._client.close()
+            done(response)
+
+        self.calls += 1
+        self._client.call(
+            method, target, body, timeout_s, on_response, silence_s
+        )
 
     def _decode_read(self, response, sent_at):
         failure = _find_failure(response)
--- a/packages/radishferryd/src/radishferryd/router/store_reader.py
+++ b/packages/radishferryd/src/radishferryd/router/store_reader.py
@@ -29,8 +29,10 @@
 #: The same for a host that polls for itself only.
 STANDALONE_INTERVAL_S = 1.3
 #: Seconds for which the store may hold back the answer to a read of the feed
-#: (long polling); a dead connection is detected within this time.
-FEED_WAIT_S = 2.5
+#: (long polling). A dead connection is detected half a second after this
+#: time, and hosts have to know the configuration again three seconds after
+#: their connections were lost.
+FEED_WAIT_S = 1.0
 #: Delay in seconds between two reads of the feed, so that configurations in
 #: quick succession are read together.
 FEED_PAUSE_S = 0.2
@@ -169,7 +171,7 @@
             elif not self.note_answer(answer):
                 self._log_failure(answer)
                 # Changes may have been missed; read the whole table again.
-                self._polling.call_later(RETRY_S, self._read_configuration)
+                self._read_configuration()
             else:
                 self._apply(answer)
                 delay_s = FEED_PAUSE_S if answer.rows else 0.0
