Share the request limit that a server names among all hosts

Cause: no host read the header. Requests a second of one server at a time were bounded by its queue only, and what a server says in its responses was known as a leave or a pause alone.

Limits are reported to the granting host, which counts eight tenths of the limit as the capacity of the server, so that its keys move to others. Requests without a permit are refused at once with 503.

The stand-in names limits, and the soak checks them.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -16,20 +16,21 @@
     Then a violation of "<guarantee>" is found
 
     Examples:
-      | what                                 | guarantee           |
-      | a payment that ran twice             | at most once        |
-      | a refused payment that had run       | refusal without run |
-      | the answer of another request        | matching answer     |
-      | a success that no server ran         | matching answer     |
-      | a valid request that is answered 404 | valid requests      |
-      | a second holder of a key             | one owner           |
-      | work at a server that has left       | drained server      |
-      | a request cut off by a planned stop  | planned stop        |
-      | a stop that exceeds its grace period | planned stop        |
-      | an older configuration               | configuration       |
-      | a host of 200 MB                     | resource limits     |
-      | an unexpected error in a log         | errors              |
-      | a service that does not recover      | recovery            |
+      | what                                   | guarantee           |
+      | a payment that ran twice               | at most once        |
+      | a refused payment that had run         | refusal without run |
+      | the answer of another request          | matching answer     |
+      | a success that no server ran           | matching answer     |
+      | a valid request that is answered 404   | valid requests      |
+      | a second holder of a key               | one owner           |
+      | work at a server that has left         | drained server      |
+      | many requests at a server with a limit | server limit        |
+      | a request cut off by a planned stop    | planned stop        |
+      | a stop that exceeds its grace period   | planned stop        |
+      | an older configuration                 | configuration       |
+      | a host of 200 MB                       | resource limits     |
+      | an unexpected error in a log           | errors              |
+      | a service that does not recover        | recovery            |
 
   # Checks the guarantees in one short run; other seeds are run by hand.
   Scenario: A short soak test violates no guarantee
--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -4,6 +4,7 @@
 
 import bisect
 import collections
+import dataclasses
 import random
 import types
 
@@ -12,10 +13,14 @@
 import socket_fixtures
 
 from radishferry.direct import admission
+from radishferry.direct import announcements
 from radishferry.direct import budget
+from radishferry.direct import capacities
 from radishferry.direct import configuration
 from radishferry.direct import key_map
+from radishferry.direct import rate_limit
 from radishferry.direct import registry
+from radishferry.direct import selection
 from radishferryd import http_message
 from radishferryd.platform import headers
 from radishferryd.router import backends
@@ -256,3 +261,173 @@
         f'X-Response-Signature: s\r\nX-Server-Load: 1,0,3\r\n'
         f'Server-Limit: {limit}\r\nContent-Length: 0\r\n\r\n'
     ).encode()
+
+
+# Single values and reports.
+
+
+@behave.given('a host that knows a limit of {limit:g} a second')
+def host_with_limit(context, limit):
+    context.scheduler = load_fixtures.Scheduler()
+    context.backend = _Host(context.scheduler, 10).backends.get(_SERVER)
+    _name_limit(context, 200, str(limit))
+
+
+def _name_limit(context, status, text):
+    fields = ((headers.LIMIT, text),) if text else ()
+    context.backend.note_announcements(
+        http_message.Head('', '', status, fields, True)
+    )
+
+
+@behave.when('a response with status {status:d} names the limit "{text}"')
+@behave.when('a response with status {status:d} names the limit ""')
+def response_names(context, status, text=''):
+    _name_limit(context, status, text)
+
+
+@behave.then('the host knows a limit of {limit}')
+def host_knows(context, limit):
+    found = context.backend.stats.limit_per_s
+    assert found == (None if limit == 'none' else float(limit)), found
+
+
+@behave.given('{hosts:d} hosts that know a limit of {limit:g} a second')
+def hosts_with_limit(context, hosts, limit):
+    context.now = 100.0
+    random.seed(hosts)
+    context.limits = [
+        rate_limit.RateLimit(limit, hosts, context.now) for _ in range(hosts)
+    ]
+
+
+@behave.when(
+    'each sends to the server whenever it may for {seconds:d} seconds'
+)
+def send_whenever_permitted(context, seconds):
+    context.sent = 0
+    for second in range(seconds):
+        for limit in context.limits:
+            if not limit.wait_s(context.now + second):
+                limit.take(context.now + second)
+                context.sent += 1
+
+
+@behave.then('the server has got {least:d} to {most:d} requests')
+def server_got(context, least, most):
+    assert least <= context.sent <= most, context.sent
+
+
+@behave.given('an estimate of {rate:g} requests a second for a server')
+def estimate(context, rate):
+    context.now = 100.0
+    context.capacities = capacities.Capacities()
+    time_s = _SERVER.slots / rate
+    # Enough answers that the assumed service time counts for little.
+    for _ in range(1000):
+        context.capacities.note_service_time('a', time_s * 60, 60)
+    context.usual = _estimated(context)
+
+
+def _estimated(context):
+    (found,) = context.capacities.estimate([_SERVER], 10, context.now)
+    return found.per_s
+
+
+@behave.when(
+    'a host reports a limit of {limit:g} a second, {age:g} seconds old'
+)
+def limit_reported(context, limit, age):
+    context.capacities.note_limit(
+        _SERVER.incarnation, limit, context.now - age
+    )
+
+
+@behave.when('a host reports no limit any more, {age:g} seconds old')
+def end_reported(context, age):
+    context.capacities.note_limit(_SERVER.incarnation, None, context.now - age)
+
+
+@behave.then('the estimate is {rate:g} requests a second')
+def estimate_is(context, rate):
+    expected = context.usual if rate > 20 else rate
+    found = _estimated(context)
+    assert abs(found - expected) < 0.01, (found, expected)
+
+
+@behave.given('a host without announcements')
+def without_announcements(context):
+    context.announcements = announcements.Announcements()
+
+
+@behave.when('server a names a limit of {limit:g} a second')
+def names_limit(context, limit):
+    context.announcements.note_limit(_SERVER.incarnation, limit, 100.0)
+
+
+@behave.when('server a names no limit any more')
+def names_no_limit(context):
+    context.announcements.note_limit(_SERVER.incarnation, None, 100.0)
+
+
+@behave.when('server a asks for a pause of {seconds:g} seconds')
+def asks_for_pause(context, seconds):
+    context.announcements.note_pause(_SERVER.incarnation, seconds, 100.0)
+
+
+@behave.then('its report has a limit of {limit:g} and a pause of 2 seconds')
+def report_has_limit(context, limit):
+    (notice,) = context.announcements.take_new(100.0)
+    assert notice.has_named_limit
+    assert (notice.limit_per_s, notice.pause_s) == (limit, 2.0), notice
+
+
+@behave.then('its report has no limit and a pause of 2 seconds')
+def report_has_no_limit(context):
+    (notice,) = context.announcements.take_new(100.0)
+    assert notice.has_named_limit
+    assert (notice.limit_per_s, notice.pause_s) == (None, 2.0), notice
+
+
+@behave.given(
+    'two servers, of which the preferred one has a limit of {limit:g} a second'
+)
+def two_servers(context, limit):
+    context.stats = {
+        name: selection.ServerStats(3, preference)
+        for name, preference in (('a', 0.0), ('b', 1.0))
+    }
+    context.stats['a'].note_limit(limit, 1, 100.0)
+    context.servers = [
+        dataclasses.replace(_SERVER, server_id=name) for name in context.stats
+    ]
+
+
+@behave.when('{count:d} requests choose a server in one second')
+def choose(context, count):
+    context.chosen = []
+    for number in range(count):
+        now = 100.0 + number / count
+        choice = selection.choose(
+            context.servers,
+            lambda server: context.stats[server.server_id],
+            usual_s=0.1,
+            data_centre='x',
+            answer_bytes=100,
+            now=now,
+        )
+        context.chosen.append(choice and choice.server.server_id)
+        if choice is not None:
+            stats = context.stats[choice.server.server_id]
+            stats.note_sent(now)
+            stats.in_flight -= 1
+
+
+@behave.then('at most {count:d} of them chose the server with a limit')
+def chose_limited(context, count):
+    assert context.chosen.count('a') <= count, context.chosen
+
+
+@behave.then('all of them chose a server')
+def all_chose(context):
+    assert None not in context.chosen, context.chosen
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -96,6 +96,15 @@
         _change_call(context, index, status=503)
 
 
+def _exceed_limit(context):
+    fault = plan.Fault(0.0, 8.0, 'server-limit', 'i-plain-0')
+    _log_fault(context, fault, 95.0, 104.0)
+    context.events += [
+        ['run', 'i-plain-0', {'id': 'k1'}, 100.0 + number / 10]
+        for number in range(30)
+    ]
+
+
 _VIOLATIONS = {
     'a payment that ran twice': lambda c: c.events.append(
         ['run', 'i-plain-1', {'id': 'p1'}, 101.5]
@@ -112,6 +121,7 @@
         ['grant', 'i-keyed-1', _GRANT | {'fence': 6}, 103.0]
     ),
     'work at a server that has left': _record_leave,
+    'many requests at a server with a limit': _exceed_limit,
     'a request cut off by a planned stop': _record_lost_connection,
     'a stop that exceeds its grace period': lambda c: c.cluster.exits.append(
         ('host2', 0, 6.5)
--- a/packages/radishferry-testing/src/radishferry_testing/soak/checks.py
+++ b/packages/radishferry-testing/src/radishferry_testing/soak/checks.py
@@ -18,6 +18,13 @@
 #: Seconds after the announcement of a leaving server from which it must get no
 #: new requests, in the direct mode.
 LEAVE_NOTICE_S = 2.0
+#: Span in seconds in which a server with a limit counts its requests, what it
+#: tolerates as a multiple of the limit and in further requests, and the time
+#: from the begin of the limit from which the check applies.
+LIMIT_SPAN_S = 4.0
+LIMIT_RATIO = 1.5
+LIMIT_SLACK = 5
+LIMIT_NOTICE_S = 3.0
 #: Time bounds apply to a request after this many seconds without a fault.
 STABLE_S = 3.0
 #: Seconds at the end of a run in which the hosts must have recovered.
@@ -61,6 +68,7 @@
     yield from _check_requests(calls, runs)
     yield from _check_owners(events, cluster.fault_log)
     yield from _check_leaving(calls, runs, cluster.fault_log)
+    yield from _check_limits(runs, cluster.fault_log)
     yield from _check_stops(calls, runs, cluster)
     yield from _check_samples(samples)
     yield from _check_recovery(calls)
@@ -163,6 +171,40 @@
                     )
 
 
+def _check_limits(runs, fault_log):
+    allowed = (
+        LIMIT_RATIO * LIMIT_SPAN_S * cluster_module.SERVER_LIMIT_PER_S
+        + LIMIT_SLACK
+    )
+    spans = list(_spans(fault_log))
+    for began, ended, fault in spans:
+        is_alone = not any(
+            other.target == fault.target and start < ended and end > began
+            for start, end, other in spans
+            if other is not fault
+        )
+        # Another fault of the server may keep it from naming its limit.
+        if fault.kind != 'server-limit' or not is_alone:
+            continue
+        times = sorted(
+            at
+            for server, at in itertools.chain.from_iterable(runs.values())
+            if server == fault.target and began + LIMIT_NOTICE_S < at < ended
+        )
+        for start in times:
+            count = sum(start <= at < start + LIMIT_SPAN_S for at in times)
+            is_undisturbed = _is_undisturbed(
+                spans, began - STABLE_S, start + LIMIT_SPAN_S
+            )
+            if count > allowed and is_undisturbed:
+                yield Finding(
+                    'server limit',
+                    f'{fault.target} ran {count} requests in '
+                    f'{LIMIT_SPAN_S} s from {start - began:.2f} s on',
+                )
+                break
+
+
 def _check_stops(calls, runs, cluster):
     for name, status, took_s in cluster.exits:
         if status != 0 or took_s > cluster_module.GRACE_S:
--- a/packages/radishferry-testing/src/radishferry_testing/soak/cluster.py
+++ b/packages/radishferry-testing/src/radishferry_testing/soak/cluster.py
@@ -21,6 +21,10 @@
 #: Delay that a slow link adds, in milliseconds.
 DELAY_MS = 250
 
+#: Limit that a server in need names, in requests a second: a fraction of its
+#: load in a soak test.
+SERVER_LIMIT_PER_S = 4.0
+
 #: Failure modes of the simulated servers by kind of fault.
 _FAILURE_MODES = {
     'server-break-off': 'reset',
@@ -178,6 +182,14 @@
         time.sleep(0.5)
         self.call_platform('restart', server_id=fault.target)
 
+    def _server_limit(self, fault):
+        self.call_platform(
+            'server', server_id=fault.target, limit_per_s=SERVER_LIMIT_PER_S
+        )
+        # The check begins after 3 s and counts in spans of 4 s.
+        time.sleep(max(7.5, fault.duration_s))
+        self.call_platform('server', server_id=fault.target, limit_per_s=None)
+
     def _server_restart(self, fault):
         self.call_platform('restart', server_id=fault.target)
 
--- a/packages/radishferry-testing/src/radishferry_testing/users/platform/server.py
+++ b/packages/radishferry-testing/src/radishferry_testing/users/platform/server.py
@@ -38,6 +38,9 @@
         self.failure = ''
         #: Whether its answers announce that it is about to stop.
         self.says_leaving = False
+        #: Requests a second that its answers name as the limit of all hosts
+        #: together; None for no limit.
+        self.limit_per_s = None
         #: Value of ``Retry-After`` when it sheds a request; empty for none.
         self.retry_after = ''
         self._data_centre = data_centre
@@ -72,6 +75,7 @@
         self.state = 'ready'
         self.is_registered = True
         self.says_leaving = False
+        self.limit_per_s = None
         self._record_event('restart', self, {})
 
     async def handle(self, request):
@@ -102,6 +106,8 @@
     async def _respond(self, request, status, body=b'', headers=()):
         if self.says_leaving:
             headers = (*headers, ('Server-Leaving', '1'))
+        if self.limit_per_s is not None:
+            headers = (*headers, ('Server-Limit', str(self.limit_per_s)))
         await request.respond(status, body, headers)
 
     async def _grant(self, request):
--- a/packages/radishferry/src/radishferry/direct/announcements.py
+++ b/packages/radishferry/src/radishferry/direct/announcements.py
@@ -17,19 +17,26 @@
     :ivar pause_s: Seconds for which it still wants no requests from that
         host, 0 if it has not requested a pause.
     :ivar age_s: Seconds since the latest announcement.
+    :ivar has_named_limit: Whether it has ever named a limit.
+    :ivar limit_per_s: Requests a second that it takes from all hosts together,
+        None if it names no limit any more.
     """
 
     incarnation: tuple[str, int]
     is_leaving: bool
     pause_s: float
     age_s: float
+    has_named_limit: bool = False
+    limit_per_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
 class _Announced:
-    is_leaving: bool
-    paused_until: float
-    received_at: float
+    is_leaving: bool = False
+    paused_until: float = 0.0
+    received_at: float = 0.0
+    has_named_limit: bool = False
+    limit_per_s: float | None = None
 
 
 class Announcements:
@@ -47,15 +54,18 @@
         known = self._by_incarnation.get(incarnation)
         if known is not None and known.is_leaving:
             return False
-        until = known.paused_until if known is not None else 0.0
-        self._note(incarnation, _Announced(True, until, now))
+        self._note(incarnation, now, is_leaving=True)
         return True
 
     def note_pause(self, incarnation, pause_s, now):
         """Record that a server wants no requests for some seconds."""
-        known = self._by_incarnation.get(incarnation)
-        is_leaving = known is not None and known.is_leaving
-        self._note(incarnation, _Announced(is_leaving, now + pause_s, now))
+        self._note(incarnation, now, paused_until=now + pause_s)
+
+    def note_limit(self, incarnation, limit_per_s, now):
+        """Record the limit that a server named, None if it has ended."""
+        self._note(
+            incarnation, now, has_named_limit=True, limit_per_s=limit_per_s
+        )
 
     def take_new(self, now) -> list[Notice]:
         """Return the announcements since the last call."""
@@ -72,8 +82,9 @@
         """
         self._new = dict(self._by_incarnation)
 
-    def _note(self, incarnation, announced):
-        self._by_incarnation.pop(incarnation, None)
+    def _note(self, incarnation, now, **changes):
+        known = self._by_incarnation.pop(incarnation, _Announced())
+        announced = dataclasses.replace(known, received_at=now, **changes)
         self._by_incarnation[incarnation] = self._new[incarnation] = announced
         if len(self._by_incarnation) > MAX_INCARNATIONS:
             oldest = next(iter(self._by_incarnation))
@@ -87,4 +98,6 @@
         announced.is_leaving,
         max(0.0, announced.paused_until - now),
         now - announced.received_at,
+        announced.has_named_limit,
+        announced.limit_per_s,
     )
--- a/packages/radishferry/src/radishferry/direct/capacities.py
+++ b/packages/radishferry/src/radishferry/direct/capacities.py
@@ -4,9 +4,11 @@
 
 import collections
 import dataclasses
+import math
 
 from radishferry.direct import pause_shares
 from radishferry.direct import placement
+from radishferry.direct import rate_limit
 from radishferry.direct import selection
 
 #: Number of latest answers over which the service time of a server is
@@ -23,6 +25,9 @@
 #: hosts; its keys move to others because of their load. Above 0, since loads
 #: are divided by capacities.
 MIN_CAPACITY_SHARE = 0.05
+#: Share of the limit that a server names which is counted as its capacity, so
+#: that the hosts have permits for most requests for the keys that it keeps.
+LIMIT_SHARE = 0.8
 
 
 @dataclasses.dataclass
@@ -45,12 +50,19 @@
         return self.total_s / self.answers if self.answers else 0.0
 
 
+@dataclasses.dataclass(frozen=True)
+class _Limit:
+    limit_per_s: float | None
+    named_at: float
+
+
 class Capacities:
     """Estimate the capacities of servers from the reports of hosts."""
 
     def __init__(self):
         self._service_times = collections.defaultdict(_MeanServiceTime)
         self._pauses = pause_shares.PauseShares()
+        self._limits = {}
 
     def note_service_time(self, server_id, total_s, answers):
         """Record answers of a server.
@@ -68,6 +80,18 @@
         pause_s = min(pause_s, selection.MAX_REQUESTED_PAUSE_S)
         self._pauses.note(incarnation, host, now + pause_s)
 
+    def note_limit(self, incarnation, limit_per_s, named_at):
+        """Record the limit that a server named in a response to a host.
+
+        :param limit_per_s: Requests a second from all hosts together, None if
+            the limit has ended.
+        :param named_at: When the host received the response, in seconds; an
+            older response than the last one is ignored.
+        """
+        known = self._limits.get(incarnation)
+        if known is None or known.named_at <= named_at:
+            self._limits[incarnation] = _Limit(limit_per_s, named_at)
+
     def estimate(self, servers, hosts, now):
         """Return a :class:`~radishferry.direct.placement.Capacity` for each.
 
@@ -90,13 +114,23 @@
         return [
             placement.Capacity(
                 server.incarnation,
-                server.slots
-                * self._available_share(server, hosts, now)
-                / (usual_s * self._relative_time(server, usual_s)),
+                min(
+                    self._limit_capacity(server),
+                    server.slots
+                    * self._available_share(server, hosts, now)
+                    / (usual_s * self._relative_time(server, usual_s)),
+                ),
             )
             for server in servers
         ]
 
+    def _limit_capacity(self, server):
+        """Return the requests a second that a server's limit leaves."""
+        known = self._limits.get(server.incarnation)
+        if known is None or known.limit_per_s is None:
+            return math.inf
+        return LIMIT_SHARE * max(rate_limit.MIN_LIMIT_PER_S, known.limit_per_s)
+
     def _available_share(self, server, hosts, now):
         """Return the share of a server's capacity that it offers now."""
         paused = self._pauses.share(server.incarnation, hosts, now)
--- a/packages/radishferry/src/radishferry/direct/selection.py
+++ b/packages/radishferry/src/radishferry/direct/selection.py
@@ -6,6 +6,8 @@
 import math
 import random
 
+from radishferry.direct import rate_limit
+
 #: Weight of a new sample in the moving average of service times.
 SPEED_WEIGHT = 0.08
 #: Weight of a new sample in the moving average of failures.
@@ -89,6 +91,35 @@
     _backoff_until: float = -math.inf
     _requested_pause_until: float = -math.inf
     _needs_probe: bool = False
+    _rate_limit: rate_limit.RateLimit | None = None
+
+    @property
+    def limit_per_s(self) -> float | None:
+        """Return the requests a second that the server takes, if limited."""
+        limit = self._rate_limit
+        return limit.limit_per_s if limit is not None else None
+
+    def note_limit(self, limit_per_s, hosts, now) -> bool:
+        """Record the limit that the server named in a response.
+
+        :param limit_per_s: Requests a second that it takes from all hosts
+            together, None if it named no limit.
+        :param hosts: Number of hosts of the deployment.
+        :returns: Whether the limit has changed.
+        """
+        is_changed = limit_per_s != self.limit_per_s
+        if limit_per_s is None:
+            self._rate_limit = None
+        elif self._rate_limit is None:
+            self._rate_limit = rate_limit.RateLimit(limit_per_s, hosts, now)
+        else:
+            self._rate_limit.update(limit_per_s, hosts, now)
+        return is_changed
+
+    def permit_wait_s(self, now) -> float:
+        """Return the seconds until the server's limit permits a request."""
+        limit = self._rate_limit
+        return limit.wait_s(now) if limit is not None else 0.0
 
     def note_report(self, running, waiting, slots, now):
         """Record the load that the server reported with an answer.
@@ -136,6 +167,8 @@
         follows for :data:`INITIAL_BACKOFF_S`, or until it is answered.
         """
         self.in_flight += 1
+        if self._rate_limit is not None:
+            self._rate_limit.take(now)
         if self._connection_failures or self._needs_probe:
             self._backoff_until = now + INITIAL_BACKOFF_S
 
@@ -265,7 +298,7 @@
     ]
     uses = _mean_uses(candidates, now)
     for server, stats in candidates:
-        if stats.is_paused(now):
+        if stats.is_paused(now) or stats.permit_wait_s(now):
             continue
         expected = stats.expected_s(usual_s, now, uses[server.data_centre])
         if server.warmup_s > 0:
--- a/packages/radishferryd/idl/router.thrift
+++ b/packages/radishferryd/idl/router.thrift
@@ -98,6 +98,12 @@
   4: double pause_s
   /* Seconds since the response. */
   5: double age_s
+  /* Whether the server has ever named a limit. */
+  6: bool has_named_limit
+  /* Requests a second that the server takes from all hosts together; missing
+   * if it names no limit any more.
+   */
+  7: optional double limit_per_s
 }
 
 struct LoadReport {
--- a/packages/radishferryd/src/radishferryd/gen/router/ttypes.py
+++ b/packages/radishferryd/src/radishferryd/gen/router/ttypes.py
@@ -900,16 +900,20 @@
      - is_leaving
      - pause_s
      - age_s
+     - has_named_limit
+     - limit_per_s
 
     """
 
 
-    def __init__(self, server_id=None, born_ms=None, is_leaving=None, pause_s=None, age_s=None,):
+    def __init__(self, server_id=None, born_ms=None, is_leaving=None, pause_s=None, age_s=None, has_named_limit=None, limit_per_s=None,):
         self.server_id = server_id
         self.born_ms = born_ms
         self.is_leaving = is_leaving
         self.pause_s = pause_s
         self.age_s = age_s
+        self.has_named_limit = has_named_limit
+        self.limit_per_s = limit_per_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -945,6 +949,16 @@
                     self.age_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.has_named_limit = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.DOUBLE:
+                    self.limit_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -975,6 +989,14 @@
             oprot.writeFieldBegin('age_s', TType.DOUBLE, 5)
             oprot.writeDouble(self.age_s)
             oprot.writeFieldEnd()
+        if self.has_named_limit is not None:
+            oprot.writeFieldBegin('has_named_limit', TType.BOOL, 6)
+            oprot.writeBool(self.has_named_limit)
+            oprot.writeFieldEnd()
+        if self.limit_per_s is not None:
+            oprot.writeFieldBegin('limit_per_s', TType.DOUBLE, 7)
+            oprot.writeDouble(self.limit_per_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1483,6 +1505,8 @@
     (3, TType.BOOL, 'is_leaving', None, None, ),  # 3
     (4, TType.DOUBLE, 'pause_s', None, None, ),  # 4
     (5, TType.DOUBLE, 'age_s', None, None, ),  # 5
+    (6, TType.BOOL, 'has_named_limit', None, None, ),  # 6
+    (7, TType.DOUBLE, 'limit_per_s', None, None, ),  # 7
 )
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
--- a/packages/radishferryd/src/radishferryd/platform/headers.py
+++ b/packages/radishferryd/src/radishferryd/platform/headers.py
@@ -28,6 +28,9 @@
 #: In a 503 response of a server: seconds, or a date, before which the host
 #: that received the response should send it no further request.
 RETRY_AFTER = 'retry-after'
+#: Requests a second that a server takes from all hosts together, for as long
+#: as its responses say so.
+LIMIT = 'server-limit'
 #: Time of day at which a server created its response.
 DATE = 'date'
 
@@ -40,7 +43,15 @@
 
 #: Headers that only this system or a server may set; removed from requests.
 _RESERVED_NAMES = frozenset(
-    (REMAINING_MS, EXPECTED_SERVER, SIGNATURE, NOT_RUN, HANDOVER, LEAVING)
+    (
+        REMAINING_MS,
+        EXPECTED_SERVER,
+        SIGNATURE,
+        NOT_RUN,
+        HANDOVER,
+        LEAVING,
+        LIMIT,
+    )
 )
 
 
@@ -76,6 +87,21 @@
     return head.header(LEAVING).strip() == '1'
 
 
+def limit_per_s(head) -> float | None:
+    """Return the limit that a server names, None if it names none.
+
+    :returns: Requests a second from all hosts together.
+    :raises ValueError: The value is not a number of at least 0.
+    """
+    text = head.header(LIMIT).strip()
+    if not text:
+        return None
+    limit = float(text)
+    if not math.isfinite(limit) or limit < 0:
+        raise ValueError(f'not a valid number of requests: {text[:40]!r}')
+    return limit
+
+
 def retry_after_s(head, clock_s) -> float | None:
     """Return for how long to send a server no request, None if not specified.
 
--- a/packages/radishferryd/src/radishferryd/router/backends.py
+++ b/packages/radishferryd/src/radishferryd/router/backends.py
@@ -31,6 +31,9 @@
     def on_pause_requested(self, server, pause_s) -> None:
         """Handle that a server asked for no requests for some seconds."""
 
+    def on_limit_changed(self, server, limit_per_s) -> None:
+        """Handle that a server named a new limit, or None without one."""
+
     def on_malformed_announcement(self, server, detail) -> None:
         """Handle an announcement that cannot be parsed."""
 
@@ -47,6 +50,7 @@
         idle_limits,
         host_name='',
         listener=None,
+        hosts=1,
     ):
         """Create the backend without a connection.
 
@@ -58,6 +62,7 @@
         :param host_name: Name of this host; each host prefers servers in a
             different order that depends on it.
         :param listener: A :class:`Listener`, or None.
+        :param int hosts: Number of hosts of the deployment.
         """
         self._listener = listener
         self._idle_limits = idle_limits
@@ -65,6 +70,7 @@
         self._scheduler = scheduler
         self.server = server
         self.limit = limit
+        self.hosts = hosts
         self.stats = selection.ServerStats(
             server.slots, _preference(host_name, server.server_id)
         )
@@ -141,9 +147,10 @@
             )
 
     def note_announcements(self, head):
-        """Handle a leaving or pause announcement in a response."""
+        """Handle what the server announces in a response."""
         if headers.is_leaving(head) and self._listener is not None:
             self._listener.on_server_leaving(self.server)
+        self._note_limit(head)
         try:
             pause_s = headers.retry_after_s(head, time.time())
         except ValueError as exc:
@@ -156,6 +163,22 @@
         if self._listener is not None:
             self._listener.on_pause_requested(self.server, pause_s)
 
+    def _note_limit(self, head):
+        if head.status == headers.MISDIRECTED:
+            # May be the response of another server at the address.
+            return
+        try:
+            limit_per_s = headers.limit_per_s(head)
+        except ValueError as exc:
+            if self._listener is not None:
+                self._listener.on_malformed_announcement(self.server, str(exc))
+            return
+        is_changed = self.stats.note_limit(
+            limit_per_s, self.hosts, self._scheduler.now()
+        )
+        if is_changed and self._listener is not None:
+            self._listener.on_limit_changed(self.server, limit_per_s)
+
     def note_reset(self, idle_s, took_s):
         """Record the reset of a reused connection before any response.
 
@@ -257,6 +280,7 @@
         }
         for backend in self:
             backend.limit = self._limit(backend.server.service)
+            backend.hosts = self._hosts
 
     def get(self, server) -> Backend:
         """Return the backend of a server, and create it if necessary."""
@@ -270,6 +294,7 @@
                 self._idle_limits,
                 self._host_name,
                 self._listener,
+                self._hosts,
             )
         found.server = server
         return found
--- a/packages/radishferryd/src/radishferryd/router/callers.py
+++ b/packages/radishferryd/src/radishferryd/router/callers.py
@@ -31,6 +31,7 @@
     'content-length',
     headers.LOAD,
     headers.LEAVING,
+    headers.LIMIT,
     headers.SERVER_ID,
     headers.NOT_RUN,
     headers.HANDOVER,
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -279,6 +279,23 @@
             extra={'service': server.service, 'born_ms': server.born_ms},
         )
 
+    def on_limit_changed(self, server, limit_per_s):
+        """Record that a server named a new limit, or None without one."""
+        self._metrics.count_announcement('limit')
+        self.announcements.note_limit(
+            server.incarnation, limit_per_s, self.now()
+        )
+        LOG.info(
+            'backends: %s named a limit of %s requests a second.',
+            server.server_id,
+            limit_per_s,
+            extra={
+                'service': server.service,
+                'born_ms': server.born_ms,
+                'hosts': self.host_count,
+            },
+        )
+
     def on_malformed_announcement(self, server, detail):
         """Count and log an announcement that cannot be parsed."""
         self._metrics.count_announcement('malformed')
@@ -302,6 +319,21 @@
             default=0.0,
         )
 
+    def permit_wait_s(self, service) -> float:
+        """Return the time until the limit of a server permits a request.
+
+        :returns: Seconds, 0 if no server of the service has a limit.
+        """
+        now = self.now()
+        return min(
+            (
+                wait_s
+                for server in self.registry.usable(service)
+                if (wait_s := self.backends.stats(server).permit_wait_s(now))
+            ),
+            default=0.0,
+        )
+
     def finished(self, request, status, outcome, detail):
         """Record and log the end of a request."""
         self.open_requests -= 1
--- a/packages/radishferryd/src/radishferryd/router/hub.py
+++ b/packages/radishferryd/src/radishferryd/router/hub.py
@@ -158,6 +158,10 @@
                 self._ownership.note_pause(
                     notice.incarnation, host, notice.pause_s
                 )
+            if notice.has_named_limit:
+                self._ownership.note_limit(
+                    notice.incarnation, notice.limit_per_s, notice.age_s
+                )
 
     def link_closed(self, link, detail):
         """See :class:`radishferryd.router.links.Link`."""
@@ -304,6 +308,8 @@
         message.is_leaving,
         message.pause_s,
         message.age_s,
+        bool(message.has_named_limit),
+        message.limit_per_s,
     )
 
 
--- a/packages/radishferryd/src/radishferryd/router/metrics.py
+++ b/packages/radishferryd/src/radishferryd/router/metrics.py
@@ -38,8 +38,8 @@
         'radishferry_server_announcements_total',
         'counter',
         'Announcements of servers: that they leave, that they want a pause, '
-        'and malformed ones.',
-        {'kind': ('leaving', 'pause', 'malformed')},
+        'a new limit or its end, and malformed ones.',
+        {'kind': ('leaving', 'pause', 'limit', 'malformed')},
     ),
     _METRIC(
         'store_calls',
--- a/packages/radishferryd/src/radishferryd/router/ownership.py
+++ b/packages/radishferryd/src/radishferryd/router/ownership.py
@@ -228,6 +228,17 @@
             incarnation, host, pause_s, self._scheduler.now()
         )
 
+    def note_limit(self, incarnation, limit_per_s, age_s):
+        """Record the limit that a server named in a response to a host.
+
+        :param limit_per_s: Requests a second from all hosts together, None if
+            the limit has ended.
+        :param age_s: Seconds since the response.
+        """
+        self._capacities.note_limit(
+            incarnation, limit_per_s, self._scheduler.now() - age_s
+        )
+
     def _on_server_leaving(self, server):
         self._routing_state.note_leaving(
             server.incarnation, 0.0, 'an answer to an order'
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -295,6 +295,14 @@
                 f'{server.server_id} cannot be reached.',
             )
             return
+        if permit_wait_s := stats.permit_wait_s(now):
+            self._refuse_overloaded(
+                results.Reason.SERVER_LIMITED,
+                permit_wait_s,
+                f'{server.server_id} has a limit of {stats.limit_per_s} '
+                'requests a second.',
+            )
+            return
         usual = gateway.route_stats(self).service_s
         expected = stats.expected_s(usual, now)
         if server.warmup_s > 0:
@@ -342,6 +350,13 @@
             if self._last_result is not None:
                 self._give_up(self._last_result)
                 return
+            if permit_wait_s := gateway.permit_wait_s(self.service):
+                self._refuse_overloaded(
+                    results.Reason.SERVER_LIMITED,
+                    permit_wait_s,
+                    f'The servers of {self.service} have a limit.',
+                )
+                return
             self._refuse(
                 503,
                 results.Reason.NO_SERVER,
--- a/packages/radishferryd/src/radishferryd/router/spoke.py
+++ b/packages/radishferryd/src/radishferryd/router/spoke.py
@@ -138,6 +138,8 @@
                         notice.is_leaving,
                         notice.pause_s,
                         notice.age_s,
+                        notice.has_named_limit,
+                        notice.limit_per_s,
                     )
                     for notice in load.notices
                 ],
