Push a configuration only after the previous one has been sent

Large configurations in quick succession queue up at the granting host: 3,000 routes are 3.7 MB on 66 links together, and a storm of ten a second needs three times what a link of 100 Mbit/s takes. Each version arrives later than the one before, and a link with more than 256 KiB queued is closed, after which its host needs the whole state again.

The hub now leaves out versions that come while a push is under way, judged by its size, the number of links and the bandwidth of the host, and pushes the newest one then.

The new scenario "A storm of large configurations fits through the link of the host" failed before with 6.1 MB queued for the link after the second version, more than one configuration.

--- a/features/direct_pacing.feature
+++ b/features/direct_pacing.feature
@@ -42,3 +42,18 @@
     And range 5 moves to another owner
     And 2 hosts connect to it within 0.01 seconds
     Then the last host knows the new owner of range 5
+
+  # Guards against configurations in quick succession that queue up on all
+  # links: they arrive ever later, and a link with too many queued bytes is
+  # closed, after which its host needs the whole state again.
+  Scenario: A storm of large configurations fits through the link of the host
+    Given the granting host of 67 hosts with a link of 100 Mbit/s
+    When 20 configurations of 3000 routes come in 2 seconds
+    Then at most one configuration was queued for the link at a time
+    And each host has the last configuration
+
+  # Guards against a delay of every configuration.
+  Scenario: A single configuration is pushed at once
+    Given the granting host of 67 hosts with a link of 100 Mbit/s
+    When 1 configurations of 3000 routes come in 0.001 seconds
+    Then each host has the last configuration
--- a/features/steps/direct_announcements_steps.py
+++ b/features/steps/direct_announcements_steps.py
@@ -307,6 +307,7 @@
         knowledge_module.RoutingState(scheduler.now),
         ownership,
         crashes.CrashCounts(),
+        1000.0,
     )
     link = types.SimpleNamespace(host='host2')
     hub.link_message(link, 'load_report', context.report)
--- a/features/steps/direct_links_steps.py
+++ b/features/steps/direct_links_steps.py
@@ -103,6 +103,7 @@
         knowledge.RoutingState(context.scheduler.now),
         hub_fixtures.Ownership(),
         crashes.CrashCounts(),
+        1000.0,
     )
     context.hub.begin(count)
 
--- a/features/steps/direct_pacing_steps.py
+++ b/features/steps/direct_pacing_steps.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import collections
+import random
 import types
 from unittest import mock
 
 import behave
 import hub_fixtures
 import load_fixtures
+import orjson
 
 from radishferry.direct import key_map
 from radishferry.direct import pacing
@@ -28,15 +30,18 @@
 
     data_centre = 'x'
 
-    def __init__(self, number):
+    def __init__(self, number, now):
         self.host = f'host{number}'
         self.written = []
+        self.written_at = []
+        self._now = now
 
     def send(self, name, message):
         self.write(links.encode(name, message))
 
     def write(self, data):
         self.written.append(data)
+        self.written_at.append(self._now())
 
     def is_silent(self, now):
         return False
@@ -46,16 +51,23 @@
 
     def key_maps(self):
         """Return the pushes of owners that were sent."""
-        buffer = frames.FrameBuffer(links._CODEC)
-        buffer.allow_large()
         return [
             message
-            for frame in buffer.feed(b''.join(self.written))
-            for name, message in links.decode(*frame)
+            for name, message in _decoded(b''.join(self.written))
             if name == 'key_map_push'
         ]
 
 
+def _decoded(data):
+    buffer = frames.FrameBuffer(links._CODEC)
+    buffer.allow_large()
+    return [
+        message
+        for frame in buffer.feed(data)
+        for message in links.decode(*frame)
+    ]
+
+
 class _Ownership(hub_fixtures.Ownership):
     """Hold the owners of one service."""
 
@@ -79,33 +91,40 @@
 
 def _connect(context, count):
     for _ in range(count):
-        link = _Link(len(context.links))
+        link = _Link(len(context.links), context.scheduler.now)
         context.links.append(link)
         context.hub.link_message(
             link, 'hello', ttypes.Hello(link.host, link.data_centre)
         )
 
 
-def _become_granting_host(context):
+def _become_granting_host(context, link_mbps=1000.0):
     context.scheduler = load_fixtures.Scheduler()
+    context.routing_state = knowledge.RoutingState(context.scheduler.now)
     context.ownership = _Ownership()
     context.links = []
     context.hub = hub_module.Hub(
         context.scheduler,
-        knowledge.RoutingState(context.scheduler.now),
+        context.routing_state,
         context.ownership,
         crashes.CrashCounts(),
+        link_mbps,
     )
     context.hub.begin(1)
 
 
 @behave.given('the granting host of {count:d} hosts')
-def granting_host(context, count):
+@behave.given(
+    'the granting host of {count:d} hosts with a link of {link_mbps:g} Mbit/s'
+)
+def granting_host(context, count, link_mbps=1000.0):
     context.hosts = count
-    _become_granting_host(context)
+    context.link_mbps = link_mbps
+    _become_granting_host(context, link_mbps)
     _connect(context, count - 1)
     for link in context.links:
         link.written.clear()
+        link.written_at.clear()
 
 
 @behave.given('a host that becomes the granting host with {count:d} ranges')
@@ -198,3 +217,64 @@
     message = context.links[-1].key_maps()[-1]
     owner = message.owners[message.owner_numbers[number]]
     assert owner.server_id == 'i-new'
+
+
+@behave.when(
+    '{count:d} configurations of {routes:d} routes come in {seconds:g} seconds'
+)
+def configurations_come(context, count, routes, seconds):
+    for version in range(1, count + 1):
+        context.document = _configuration(version, routes)
+        context.routing_state.apply_document(context.document, 'store')
+        context.scheduler.advance(seconds / count)
+    context.scheduler.advance(1.0 if count > 1 else 0.0)
+
+
+def _configuration(version, routes):
+    rng = random.Random(version)
+    return orjson.dumps(
+        {
+            'version': f'{version:08x}',
+            'services': {'stock': {}},
+            'routes': {
+                f'r-{number}-{rng.getrandbits(32):x}': {
+                    'host': f'h{number % 9}.example',
+                    'prefix': f'/{rng.getrandbits(32):x}/',
+                    'kind': 'safe',
+                    'service': 'stock',
+                }
+                for number in range(routes)
+            },
+        }
+    )
+
+
+def _configuration_frames(link):
+    return [
+        data
+        for data in link.written
+        for name, _ in _decoded(data)
+        if name == 'configuration_push'
+    ]
+
+
+@behave.then('at most one configuration was queued for the link at a time')
+def one_queued(context):
+    sizes = collections.Counter()
+    for link in context.links:
+        for at, data in zip(link.written_at, link.written, strict=True):
+            sizes[at] += len(data)
+    bytes_per_s = context.link_mbps * 1e6 / 8
+    queued = 0.0
+    previous_at = 0.0
+    for at, size in sorted(sizes.items()):
+        queued = max(0.0, queued - (at - previous_at) * bytes_per_s) + size
+        previous_at = at
+        assert queued <= max(sizes.values()) + 1, (at, queued, sizes)
+
+
+@behave.then('each host has the last configuration')
+def has_last_configuration(context):
+    for link in context.links:
+        *_, (_, message) = _decoded(_configuration_frames(link)[-1])
+        assert message.document == context.document
--- a/packages/radishferry/src/radishferry/direct/pacing.py
+++ b/packages/radishferry/src/radishferry/direct/pacing.py
@@ -35,3 +35,13 @@
     :param links: Number of hosts that a push is sent to.
     """
     return links * PUSH_S_PER_LINK
+
+
+def transfer_s(size: int, links: int, link_mbps: float) -> float:
+    """Return the seconds in which a host can send a message on all links.
+
+    :param size: Size of the message in bytes.
+    :param links: Number of hosts that it is sent to.
+    :param link_mbps: Bandwidth of the host in Mbit/s.
+    """
+    return size * 8 * links / (link_mbps * 1e6)
--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -121,6 +121,7 @@
             self._routing_state,
             self._ownership,
             self._crashes,
+            settings.host_link_mbps,
         )
         self._spoke = spoke_module.Spoke(
             self._poller,
--- a/packages/radishferryd/src/radishferryd/router/hub.py
+++ b/packages/radishferryd/src/radishferryd/router/hub.py
@@ -30,18 +30,24 @@
 class Hub:
     """Serve the links of the other hosts to the granting host."""
 
-    def __init__(self, scheduler, routing_state, ownership, crashes):
+    def __init__(
+        self, scheduler, routing_state, ownership, crashes, link_mbps
+    ):
         """Create a hub without links.
 
         :param ownership: A :class:`~radishferryd.router.ownership.Ownership`.
         :param crashes: The
             :class:`~radishferryd.router.crashes.CrashCounts` of this host.
+        :param link_mbps: Bandwidth of this host in Mbit/s.
         """
         self._scheduler = scheduler
         self._routing_state = routing_state
         self._ownership = ownership
         self._crashes = crashes
+        self._link_mbps = link_mbps
         self._links = set()
+        self._configuration_sent_until = 0.0
+        self._is_configuration_push_scheduled = False
         self._is_active = False
         self._known_hosts = 1
         self._keeps_host_count_until = 0.0
@@ -226,11 +232,33 @@
     # Updates.
 
     def _on_configuration(self, configuration):
-        if self._is_active:
-            self._send_all(
-                'configuration_push',
-                ttypes.ConfigurationPush(self._routing_state.document),
-            )
+        """Push the configuration when the previous push has been sent.
+
+        Versions that come in between are left out. Otherwise large ones in
+        quick succession would queue up on all links.
+        """
+        self._snapshot_cache = None
+        if not self._is_active or self._is_configuration_push_scheduled:
+            return
+        self._is_configuration_push_scheduled = True
+        delay_s = self._configuration_sent_until - self._scheduler.now()
+        if delay_s > 0:
+            self._scheduler.call_later(delay_s, self._push_configuration)
+        else:
+            self._push_configuration()
+
+    def _push_configuration(self):
+        self._is_configuration_push_scheduled = False
+        if not self._is_active:
+            return
+        size = self._send_all(
+            'configuration_push',
+            ttypes.ConfigurationPush(self._routing_state.document),
+        )
+        self._configuration_sent_until = (
+            self._scheduler.now()
+            + pacing.transfer_s(size, len(self._links), self._link_mbps)
+        )
 
     def _on_servers(self, change):
         if not self._is_active:
@@ -276,15 +304,18 @@
         if self._is_active:
             self._send_all('poison_push', ttypes.PoisonPush(counts))
 
-    def _send_all(self, name, message):
+    def _send_all(self, name, message) -> int:
+        """Send a message on all links and return its size in bytes."""
         if name != 'beat':
             self._snapshot_cache = None
-        if self._links:
-            data = links.encode(name, message)
-            for link in self._links:
-                link.write(data)
-                if name == 'beat':
-                    self._ownership.consent.note_told(link)
+        if not self._links:
+            return 0
+        data = links.encode(name, message)
+        for link in self._links:
+            link.write(data)
+            if name == 'beat':
+                self._ownership.consent.note_told(link)
+        return len(data)
 
 
 def _server_entry(server):
