Report the limit of a server only when it changes notably

Each response of a server may name another limit, and each change was logged, counted and reported to the granting host. Changes of up to a tenth are now applied without a line or a report, the end of a limit has a line of its own, and requests without a permit end as "rate-limited".

The new scenario "Small changes of a limit are applied but not reported" fails without the threshold, with three reports in place of one.

--- a/features/direct_limits.feature
+++ b/features/direct_limits.feature
@@ -53,6 +53,18 @@
     When a host reports a limit of 3 a second, 0.5 seconds old
     Then the estimate is 21 requests a second
 
+  # Guards against a log line and a report for each response of a server whose
+  # limit follows its load.
+  Scenario: Small changes of a limit are applied but not reported
+    Given a host that knows a limit of 5 a second
+    When a response with status 200 names the limit "5.2"
+    And a response with status 200 names the limit "5.4"
+    Then the host knows a limit of 5.4
+    And it has reported the limits "5.0"
+    When a response with status 200 names the limit "8"
+    And a response with status 200 names the limit ""
+    Then it has reported the limits "5.0, 8.0, None"
+
   # Guards against a granting host that is not told of a limit, or of its end.
   Scenario: A host reports a limit and its end
     Given a host without announcements
--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -54,10 +54,16 @@
 
 
 class _Listener:
-    """Ignore what the server announces."""
+    """Record the reported limits."""
 
-    def __getattr__(self, name):
-        return lambda *_: None
+    def __init__(self):
+        self.limits = []
+
+    def on_limit_changed(self, server, limit_per_s):
+        self.limits.append(limit_per_s)
+
+    def on_malformed_announcement(self, server, detail):
+        """Ignore what is only logged."""
 
 
 class _Host:
@@ -67,7 +73,8 @@
         self.scheduler = scheduler
         self.now = scheduler.now
         self.host_count = hosts
-        self.backends = backends.Backends(None, scheduler, 'h', _Listener())
+        self.listener = _Listener()
+        self.backends = backends.Backends(None, scheduler, 'h', self.listener)
         self.backends.configure({'stock': _SERVICE}, hosts)
         self.budget = budget.RetryBudget(0.2, 60, 10.0)
         self.told_at = None
@@ -269,7 +276,9 @@
 @behave.given('a host that knows a limit of {limit:g} a second')
 def host_with_limit(context, limit):
     context.scheduler = load_fixtures.Scheduler()
-    context.backend = _Host(context.scheduler, 10).backends.get(_SERVER)
+    host = _Host(context.scheduler, 10)
+    context.listener = host.listener
+    context.backend = host.backends.get(_SERVER)
     _name_limit(context, 200, str(limit))
 
 
@@ -292,6 +301,12 @@
     assert found == (None if limit == 'none' else float(limit)), found
 
 
+@behave.then('it has reported the limits "{limits}"')
+def has_reported(context, limits):
+    found = ', '.join(map(str, context.listener.limits))
+    assert found == limits, found
+
+
 @behave.given('{hosts:d} hosts that know a limit of {limit:g} a second')
 def hosts_with_limit(context, hosts, limit):
     context.now = 100.0
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -97,7 +97,7 @@
 
 
 def _exceed_limit(context):
-    fault = plan.Fault(0.0, 8.0, 'server-limit', 'i-plain-0')
+    fault = plan.Fault(0.0, 8.0, 'server-rate-limit', 'i-plain-0')
     _log_fault(context, fault, 95.0, 104.0)
     context.events += [
         ['run', 'i-plain-0', {'id': 'k1'}, 100.0 + number / 10]
--- a/packages/radishferry-testing/src/radishferry_testing/soak/checks.py
+++ b/packages/radishferry-testing/src/radishferry_testing/soak/checks.py
@@ -184,7 +184,7 @@
             if other is not fault
         )
         # Another fault of the server may keep it from naming its limit.
-        if fault.kind != 'server-limit' or not is_alone:
+        if fault.kind != 'server-rate-limit' or not is_alone:
             continue
         times = sorted(
             at
--- a/packages/radishferry-testing/src/radishferry_testing/soak/cluster.py
+++ b/packages/radishferry-testing/src/radishferry_testing/soak/cluster.py
@@ -182,7 +182,7 @@
         time.sleep(0.5)
         self.call_platform('restart', server_id=fault.target)
 
-    def _server_limit(self, fault):
+    def _server_rate_limit(self, fault):
         self.call_platform(
             'server', server_id=fault.target, limit_per_s=SERVER_LIMIT_PER_S
         )
--- a/packages/radishferry-testing/src/radishferry_testing/soak/plan.py
+++ b/packages/radishferry-testing/src/radishferry_testing/soak/plan.py
@@ -33,7 +33,7 @@
     'server-shed': SERVERS,
     'server-foreign-answer': SERVERS,
     'server-leave': SERVERS,
-    'server-limit': SERVERS,
+    'server-rate-limit': SERVERS,
     'server-restart': SERVERS,
     'configuration': ('store',),
 }
--- a/packages/radishferry/src/radishferry/direct/rate_limit.py
+++ b/packages/radishferry/src/radishferry/direct/rate_limit.py
@@ -12,8 +12,8 @@
 #: further ones.
 TOLERANCE_RATIO = 1.5
 TOLERANCE_REQUESTS = 5.0
-#: Share of the limit that the hosts use, so that answers to hosts that count
-#: too few other hosts do not exceed it.
+#: Share of the limit that the hosts use. The rest is left for hosts that count
+#: too few others for a moment.
 USED_SHARE = 0.9
 #: Share of the tolerance above the used rate that unused permits may take up.
 SAVED_SHARE = 0.8
@@ -109,8 +109,8 @@
             self._permits = _Permits(min(count, capacity), now)
             return
         # A whole permit expires after the time in which all hosts together
-        # get as many as they may save; the next one comes a full period later
-        # than it did, so that the phases of the hosts stay apart.
+        # get as many as they may save. The next one comes a period after this
+        # one came, so that the hosts keep their phases.
         lifetime_s = self._saved / self._total_per_s
         period_s = 1 / rate
         full_at = permits.full_at
--- a/packages/radishferry/src/radishferry/direct/selection.py
+++ b/packages/radishferry/src/radishferry/direct/selection.py
@@ -99,22 +99,19 @@
         limit = self._rate_limit
         return limit.limit_per_s if limit is not None else None
 
-    def note_limit(self, limit_per_s, hosts, now) -> bool:
+    def note_limit(self, limit_per_s, hosts, now):
         """Record the limit that the server named in a response.
 
         :param limit_per_s: Requests a second that it takes from all hosts
             together, None if it named no limit.
         :param hosts: Number of hosts of the deployment.
-        :returns: Whether the limit has changed.
         """
-        is_changed = limit_per_s != self.limit_per_s
         if limit_per_s is None:
             self._rate_limit = None
         elif self._rate_limit is None:
             self._rate_limit = rate_limit.RateLimit(limit_per_s, hosts, now)
         else:
             self._rate_limit.update(limit_per_s, hosts, now)
-        return is_changed
 
     def permit_wait_s(self, now) -> float:
         """Return the seconds until the server's limit permits a request."""
--- a/packages/radishferryd/src/radishferryd/router/backends.py
+++ b/packages/radishferryd/src/radishferryd/router/backends.py
@@ -20,6 +20,9 @@
 CONNECTION_SHARE = 0.85
 #: Minimum connection limit of a host for a server.
 MIN_CONNECTIONS = 4
+#: Smallest change of a server's limit that is logged and reported, as a share
+#: of the limit; each response may name another one.
+MIN_LIMIT_CHANGE = 0.1
 
 
 class Listener(typing.Protocol):
@@ -81,6 +84,7 @@
         self.in_flight_by_key = collections.Counter()
         #: Requests that were queued at the server at its last response.
         self.last_queue_length = 0
+        self._announced_limit_per_s = None
         self._idle = []
         self._open = set()
 
@@ -173,11 +177,11 @@
             if self._listener is not None:
                 self._listener.on_malformed_announcement(self.server, str(exc))
             return
-        is_changed = self.stats.note_limit(
-            limit_per_s, self.hosts, self._scheduler.now()
-        )
-        if is_changed and self._listener is not None:
-            self._listener.on_limit_changed(self.server, limit_per_s)
+        self.stats.note_limit(limit_per_s, self.hosts, self._scheduler.now())
+        if not _is_similar(limit_per_s, self._announced_limit_per_s):
+            self._announced_limit_per_s = limit_per_s
+            if self._listener is not None:
+                self._listener.on_limit_changed(self.server, limit_per_s)
 
     def note_reset(self, idle_s, took_s):
         """Record the reset of a reused connection before any response.
@@ -247,6 +251,13 @@
         return connection
 
 
+def _is_similar(limit_per_s, other_per_s):
+    """Return whether two limits, or None for none, are about the same."""
+    if limit_per_s is None or other_per_s is None:
+        return limit_per_s is other_per_s
+    return abs(limit_per_s - other_per_s) <= MIN_LIMIT_CHANGE * other_per_s
+
+
 def _preference(host_name, server_id):
     """Return a stable hash of a host and a server, scaled to 0 to 1."""
     return zlib.crc32(f'{host_name} {server_id}'.encode()) / 0xFFFFFFFF
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -285,10 +285,15 @@
         self.announcements.note_limit(
             server.incarnation, limit_per_s, self.now()
         )
+        named = (
+            'no limit any more'
+            if limit_per_s is None
+            else f'a limit of {limit_per_s} requests a second'
+        )
         LOG.info(
-            'backends: %s named a limit of %s requests a second.',
+            'backends: %s names %s.',
             server.server_id,
-            limit_per_s,
+            named,
             extra={
                 'service': server.service,
                 'born_ms': server.born_ms,
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -297,7 +297,7 @@
             return
         if permit_wait_s := stats.permit_wait_s(now):
             self._refuse_overloaded(
-                results.Reason.SERVER_LIMITED,
+                results.Reason.RATE_LIMITED,
                 permit_wait_s,
                 f'{server.server_id} has a limit of {stats.limit_per_s} '
                 'requests a second.',
@@ -352,7 +352,7 @@
                 return
             if permit_wait_s := gateway.permit_wait_s(self.service):
                 self._refuse_overloaded(
-                    results.Reason.SERVER_LIMITED,
+                    results.Reason.RATE_LIMITED,
                     permit_wait_s,
                     f'The servers of {self.service} have a limit.',
                 )
--- a/packages/radishferryd/src/radishferryd/router/results.py
+++ b/packages/radishferryd/src/radishferryd/router/results.py
@@ -66,7 +66,7 @@
     OWNER_UNREACHABLE = 'owner-unreachable'
     NO_SERVER = 'no-server'
     SERVER_PAUSED = 'server-paused'
-    SERVER_LIMITED = 'server-limited'
+    RATE_LIMITED = 'rate-limited'
     OVERLOADED = 'overloaded'
     HOT_KEY = 'hot-key'
     POISON = 'poison'
