Let each host read a configuration that does not fit into a message

A configuration above 1 MiB could not be encoded for the links. The error reached the reader of the store at the granting host, which read no configuration after it, and every link on which the state for a new host was to be sent.

The granting host now leaves such a configuration out, logs it once for each version, and reports the configuration as unconfirmed, so that the other hosts read the store.

--- a/features/direct_pacing.feature
+++ b/features/direct_pacing.feature
@@ -57,3 +57,13 @@
     Given the granting host of 67 hosts with a link of 100 Mbit/s
     When 1 configurations of 3000 routes come in 0.001 seconds
     Then each host has the last configuration
+
+  # Guards against a granting host whose links all end: a configuration above
+  # the largest frame raised an error for each host that connected, and in the
+  # reader of the store, which then read no configuration any more.
+  Scenario: A configuration that is too large for a message is read by each host
+    Given the granting host of 3 hosts with a link of 100 Mbit/s
+    When 1 configurations of 16000 routes come in 0.001 seconds
+    And 2 hosts connect to it within 0.01 seconds
+    Then no host has got a configuration
+    And the heartbeats make all hosts read the store
--- a/features/steps/direct_pacing_steps.py
+++ b/features/steps/direct_pacing_steps.py
@@ -20,6 +20,7 @@
 from radishferryd.router import hub as hub_module
 from radishferryd.router import knowledge
 from radishferryd.router import links
+from radishferryd.router import spoke
 
 #: Number of keys of a range.
 _WIDTH = 100
@@ -223,6 +224,7 @@
     '{count:d} configurations of {routes:d} routes come in {seconds:g} seconds'
 )
 def configurations_come(context, count, routes, seconds):
+    context.routing_state.note_configuration_read(context.scheduler.now())
     for version in range(1, count + 1):
         context.document = _configuration(version, routes)
         context.routing_state.apply_document(context.document, 'store')
@@ -273,6 +275,22 @@
         assert queued <= max(sizes.values()) + 1, (at, queued, sizes)
 
 
+@behave.then('no host has got a configuration')
+def got_no_configuration(context):
+    assert len(context.links) == 4
+    assert not any(map(_configuration_frames, context.links))
+
+
+@behave.then('the heartbeats make all hosts read the store')
+def heartbeats_are_stale(context):
+    context.hub.tick()
+    for link in context.links:
+        (name, message) = _decoded(link.written[-1])[0]
+        assert name == 'beat'
+        age_s = message.configuration_age_s
+        assert age_s > spoke.STALE_CONFIGURATION_S, age_s
+
+
 @behave.then('each host has the last configuration')
 def has_last_configuration(context):
     for link in context.links:
--- a/packages/radishferryd/src/radishferryd/router/hub.py
+++ b/packages/radishferryd/src/radishferryd/router/hub.py
@@ -70,6 +70,18 @@
             return max(linked, self._known_hosts)
         return linked
 
+    @property
+    def _reported_configuration_age_s(self):
+        if not self._can_push_configuration:
+            # Makes the other hosts read the store.
+            return knowledge_module.MAX_AGE_S
+        return self._routing_state.configuration_age_s
+
+    @property
+    def _can_push_configuration(self):
+        size = len(self._routing_state.document)
+        return size <= links.MAX_DOCUMENT_BYTES
+
     def begin(self, known_hosts):
         """Start accepting links.
 
@@ -125,7 +137,7 @@
             ownership.term_version,
             ownership.has_usual_holds and ownership.is_active,
             ownership.wants_long_holds,
-            self._routing_state.configuration_age_s,
+            self._reported_configuration_age_s,
         )
 
     # Called by links.
@@ -207,7 +219,7 @@
 
     def _snapshot_messages(self):
         routing_state = self._routing_state
-        if routing_state.document:
+        if routing_state.document and self._can_push_configuration:
             yield (
                 'configuration_push',
                 ttypes.ConfigurationPush(routing_state.document),
@@ -251,6 +263,13 @@
         self._is_configuration_push_scheduled = False
         if not self._is_active:
             return
+        if not self._can_push_configuration:
+            LOG.warning(
+                'hub: The configuration of %d bytes is too large for a '
+                'message; each host reads it from the store.',
+                len(self._routing_state.document),
+            )
+            return
         size = self._send_all(
             'configuration_push',
             ttypes.ConfigurationPush(self._routing_state.document),
--- a/packages/radishferryd/src/radishferryd/router/links.py
+++ b/packages/radishferryd/src/radishferryd/router/links.py
@@ -25,6 +25,8 @@
 #: Compression level, 1 to 9; higher levels save little here.
 COMPRESSION_LEVEL = 1
 
+#: Maximum size in bytes of a document that fits into a message.
+MAX_DOCUMENT_BYTES = frames.MAX_FRAME_BYTES - 1024
 #: Maximum size in bytes of a decompressed frame with its length prefix.
 MAX_UNPACKED_BYTES = frames.MAX_FRAME_BYTES + 4
 
