--- a/features/soak.feature
+++ b/features/soak.feature
@@ -28,6 +28,7 @@
       | a request cut off by a planned stop    | planned stop        |
       | a stop that exceeds its grace period   | planned stop        |
       | an older configuration                 | configuration       |
+      | a late configuration                   | configuration       |
       | a host of 200 MB                       | resource limits     |
       | an unexpected error in a log           | errors              |
       | a service that does not recover        | recovery            |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -45,6 +45,9 @@
     assert generated == set(plan.KINDS), set(plan.KINDS) - generated
 
 
+_SAMPLE = checks.Sample(100.0, 'host1', 7, 3, 40.0, 50)
+
+
 @behave.given('a run of a soak test without faults')
 def fault_free_run(context):
     context.events = [
@@ -61,10 +64,13 @@
             for n in range(5)
         ),
     ]
-    context.samples = [('host1', 7, 3, 40.0, 50), ('host1', 7, None, 40.0, 50)]
+    context.samples = [_SAMPLE, dataclasses.replace(_SAMPLE, version=None)]
     context.outputs = dict.fromkeys(plan.HOSTS, '')
     context.cluster = types.SimpleNamespace(
-        fault_log=[], exits=[('host1', 0, 1.0)], output=context.outputs.get
+        fault_log=[],
+        configurations=[(97.5, 3)],
+        exits=[('host1', 0, 1.0)],
+        output=context.outputs.get,
     )
 
 
@@ -127,9 +133,14 @@
         ('host2', 0, 6.5)
     ),
     'an older configuration': lambda c: c.samples.append(
-        ('host1', 7, 2, 40.0, 50)
+        dataclasses.replace(_SAMPLE, version=2)
+    ),
+    'a late configuration': lambda c: c.samples.append(
+        dataclasses.replace(_SAMPLE, host='host2', version=2)
+    ),
+    'a host of 200 MB': lambda c: c.samples.append(
+        dataclasses.replace(_SAMPLE, memory_mb=200.0)
     ),
-    'a host of 200 MB': lambda c: c.samples.append(('host1', 7, 3, 200.0, 50)),
     'an unexpected error in a log': lambda c: c.outputs.update(
         host1='Traceback (most recent call last):'
     ),
--- a/packages/radishferry-testing/src/radishferry_testing/soak/__main__.py
+++ b/packages/radishferry-testing/src/radishferry_testing/soak/__main__.py
@@ -88,6 +88,7 @@
         if not cluster.processes.is_running(name):
             continue
         pid = cluster.processes.pid(name)
+        at = time.monotonic()
         state = cluster.state(name)
         try:
             status = pathlib.Path(f'/proc/{pid}/status').read_text()
@@ -103,7 +104,7 @@
             0,
         )
         version = state['configuration'] if state else None
-        yield name, pid, version, kilobytes / 1024, files
+        yield checks.Sample(at, name, pid, version, kilobytes / 1024, files)
 
 
 def _save_logs(cluster, directory):
--- a/packages/radishferry-testing/src/radishferry_testing/soak/checks.py
+++ b/packages/radishferry-testing/src/radishferry_testing/soak/checks.py
@@ -25,6 +25,9 @@
 LIMIT_RATIO = 1.5
 LIMIT_SLACK = 5
 LIMIT_NOTICE_S = 3.0
+#: Seconds after the store has a configuration from which each host must use
+#: it, in the direct mode.
+CONFIGURATION_S = 2.0
 #: Time bounds apply to a request after this many seconds without a fault.
 STABLE_S = 3.0
 #: Seconds at the end of a run in which the hosts must have recovered.
@@ -54,12 +57,27 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Sample:
+    """Describe a host at one moment.
+
+    :ivar at: Monotonic time at which its state was requested, in seconds.
+    :ivar version: Version of its configuration, None if it did not answer.
+    """
+
+    at: float
+    host: str
+    pid: int
+    version: int | None
+    memory_mb: float
+    files: int
+
+
 def check(events, calls, cluster, samples):
     """Yield all findings of a run.
 
     :param events: Records of the servers: kind, server, detail and time.
-    :param samples: Tuples of host, process ID, configuration version, resident
-        MB and number of open files.
+    :param samples: :class:`Sample` entries in the order of their times.
     """
     runs = collections.defaultdict(list)
     for kind, server, detail, at in events:
@@ -71,6 +89,7 @@
     yield from _check_limits(runs, cluster.fault_log)
     yield from _check_stops(calls, runs, cluster)
     yield from _check_samples(samples)
+    yield from _check_configurations(samples, cluster)
     yield from _check_recovery(calls)
     for name in plan.HOSTS:
         output = cluster.output(name)
@@ -229,16 +248,43 @@
 
 def _check_samples(samples):
     versions = {}
-    for host, pid, version, memory_mb, files in samples:
-        before = versions.get((host, pid))
+    for sample in samples:
+        host, version = sample.host, sample.version
+        before = versions.get((host, sample.pid))
         if before is not None and version is not None and version < before:
             yield Finding(
                 'configuration', f'{host} went from {before} to {version}'
             )
-        versions[host, pid] = version if version is not None else before
-        if memory_mb > MAX_MEMORY_MB or files > MAX_FILES:
+        versions[host, sample.pid] = version if version is not None else before
+        if sample.memory_mb > MAX_MEMORY_MB or sample.files > MAX_FILES:
+            yield Finding(
+                'resource limits',
+                f'{host} has {sample.memory_mb} MB, {sample.files} files',
+            )
+
+
+def _check_configurations(samples, cluster):
+    spans = list(_spans(cluster.fault_log))
+    for sample in samples:
+        due_version = max(
+            (
+                version
+                for acked_at, version in cluster.configurations
+                if acked_at < sample.at - CONFIGURATION_S
+            ),
+            default=0,
+        )
+        if (
+            sample.version is not None
+            and sample.version < due_version
+            and _is_undisturbed(
+                spans, sample.at - CONFIGURATION_S - STABLE_S, sample.at
+            )
+        ):
             yield Finding(
-                'resource limits', f'{host} has {memory_mb} MB, {files} files'
+                'configuration',
+                f'{sample.host} had {sample.version} in place of '
+                f'{due_version} at {sample.at:.2f}',
             )
 
 
--- a/packages/radishferry-testing/src/radishferry_testing/soak/cluster.py
+++ b/packages/radishferry-testing/src/radishferry_testing/soak/cluster.py
@@ -53,6 +53,8 @@
 
     :ivar fault_log: Tuples of monotonic time, ``begins`` or ``ends``, and the
         fault.
+    :ivar configurations: Tuples of the monotonic time at which the store had a
+        configuration, and its version.
     :ivar exits: Tuples of name, exit status and seconds of planned stops of
         hosts that had started.
     """
@@ -60,6 +62,7 @@
     def __init__(self, processes, directory):
         self.processes = processes
         self.fault_log = []
+        self.configurations = []
         self.exits = []
         self._directory = pathlib.Path(directory)
         self._versions = itertools.count(2)
@@ -197,6 +200,8 @@
         with self._lock:
             version = next(self._versions)
         self.call_platform('configure', version=version)
+        with self._lock:
+            self.configurations.append((time.monotonic(), version))
 
 
 def _platform_spec():
