--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -10,6 +10,7 @@
 
 import behave
 import load_fixtures
+import request_fixtures
 import socket_fixtures
 
 from radishferry.direct import admission
@@ -39,18 +40,6 @@
 _STEP_S = 0.01
 
 _SERVER = registry.Server('a', 1, 'stock', ('127.0.0.1', 1), 'x', 3, False)
-_SERVICE = configuration.Service('stock', '/health', 460, True, 1.0)
-_ROUTE = configuration.Route(
-    'lookup',
-    'stock.example',
-    '/',
-    configuration.Kind.SAFE,
-    (configuration.Part('stock', 1.0),),
-    timeout_s=5.0,
-    target_latency_s=1.0,
-    max_attempts=2,
-    priority=1,
-)
 
 
 class _Listener:
@@ -75,7 +64,7 @@
         self.host_count = hosts
         self.listener = _Listener()
         self.backends = backends.Backends(None, scheduler, 'h', self.listener)
-        self.backends.configure({'stock': _SERVICE}, hosts)
+        self.backends.configure({'stock': request_fixtures.SERVICE}, hosts)
         self.budget = budget.RetryBudget(0.2, 60, 10.0)
         self.told_at = None
         self._stats = admission.RouteStats(configuration.Kind.SAFE)
@@ -161,9 +150,11 @@
         requests.Request(
             host,
             slot,
-            _ROUTE,
+            request_fixtures.ROUTE,
             'stock',
-            types.SimpleNamespace(services={'stock': _SERVICE}),
+            types.SimpleNamespace(
+                services={'stock': request_fixtures.SERVICE}
+            ),
         ).start()
         for socket in self._sockets[known:]:
             self._host_by_socket[socket] = host
--- a/features/steps/direct_links_steps.py
+++ b/features/steps/direct_links_steps.py
@@ -6,6 +6,7 @@
 
 import behave
 import hub_fixtures
+import link_fixtures
 import load_fixtures
 
 from radishferryd import frames
@@ -47,16 +48,6 @@
     context.data = links.encode(context.name, context.message)
 
 
-def _decode(data):
-    buffer = frames.FrameBuffer(links._CODEC)
-    buffer.allow_large()
-    return [
-        message
-        for frame in buffer.feed(data)
-        for message in links.decode(*frame)
-    ]
-
-
 @behave.then('it takes less than half of its bytes')
 def smaller(context):
     plain = links._CODEC.encode(context.name, context.message)
@@ -70,7 +61,9 @@
 
 @behave.then('it is decoded to the same message')
 def same(context):
-    assert _decode(context.data) == [(context.name, context.message)]
+    assert link_fixtures.decode(context.data) == [
+        (context.name, context.message)
+    ]
 
 
 @behave.given('a compressed frame that is {problem}')
@@ -86,7 +79,7 @@
 @behave.then('decoding it fails with a clear error')
 def fails(context):
     try:
-        _decode(context.data)
+        link_fixtures.decode(context.data)
     except frames.FrameError as exc:
         assert 'compress' in str(exc), exc
     else:
--- a/features/steps/direct_pacing_steps.py
+++ b/features/steps/direct_pacing_steps.py
@@ -9,12 +9,12 @@
 
 import behave
 import hub_fixtures
+import link_fixtures
 import load_fixtures
 import orjson
 
 from radishferry.direct import key_map
 from radishferry.direct import pacing
-from radishferryd import frames
 from radishferryd.gen.router import ttypes
 from radishferryd.router import crashes
 from radishferryd.router import hub as hub_module
@@ -54,21 +54,11 @@
         """Return the pushes of owners that were sent."""
         return [
             message
-            for name, message in _decoded(b''.join(self.written))
+            for name, message in link_fixtures.decode(b''.join(self.written))
             if name == 'key_map_push'
         ]
 
 
-def _decoded(data):
-    buffer = frames.FrameBuffer(links._CODEC)
-    buffer.allow_large()
-    return [
-        message
-        for frame in buffer.feed(data)
-        for message in links.decode(*frame)
-    ]
-
-
 class _Ownership(hub_fixtures.Ownership):
     """Hold the owners of one service."""
 
@@ -255,7 +245,7 @@
     return [
         data
         for data in link.written
-        for name, _ in _decoded(data)
+        for name, _ in link_fixtures.decode(data)
         if name == 'configuration_push'
     ]
 
@@ -285,7 +275,7 @@
 def heartbeats_are_stale(context):
     context.hub.tick()
     for link in context.links:
-        (name, message) = _decoded(link.written[-1])[0]
+        (name, message) = link_fixtures.decode(link.written[-1])[0]
         assert name == 'beat'
         age_s = message.configuration_age_s
         assert age_s > spoke.STALE_CONFIGURATION_S, age_s
@@ -294,5 +284,7 @@
 @behave.then('each host has the last configuration')
 def has_last_configuration(context):
     for link in context.links:
-        *_, (_, message) = _decoded(_configuration_frames(link)[-1])
+        *_, (_, message) = link_fixtures.decode(
+            _configuration_frames(link)[-1]
+        )
         assert message.document == context.document
--- a/features/steps/direct_requests_steps.py
+++ b/features/steps/direct_requests_steps.py
@@ -7,6 +7,7 @@
 
 import behave
 import load_fixtures
+import request_fixtures
 
 from radishferry.direct import admission
 from radishferry.direct import budget
@@ -19,19 +20,6 @@
 from radishferryd.router import requests
 from radishferryd.router import results
 
-_SERVICE = configuration.Service('stock', '/health', 64, True, 1.0)
-_ROUTE = configuration.Route(
-    'lookup',
-    'stock.example',
-    '/',
-    configuration.Kind.SAFE,
-    (configuration.Part('stock', 1.0),),
-    timeout_s=5.0,
-    target_latency_s=1.0,
-    max_attempts=3,
-    priority=1,
-)
-
 
 class _Backend:
     """Record the attempts at one server."""
@@ -155,9 +143,9 @@
     return requests.Request(
         context.gateway,
         context.slot,
-        _ROUTE,
+        request_fixtures.ROUTE,
         'stock',
-        types.SimpleNamespace(services={'stock': _SERVICE}),
+        types.SimpleNamespace(services={'stock': request_fixtures.SERVICE}),
     )
 
 
--- /dev/null
+++ b/features/steps/request_fixtures.py
@@ -0,0 +1,18 @@
+"""Configuration of a keyed service and its route, for requests in tests."""
+
+from __future__ import annotations
+
+from radishferry.direct import configuration
+
+SERVICE = configuration.Service('stock', '/health', 64, True, 1.0)
+ROUTE = configuration.Route(
+    'lookup',
+    'stock.example',
+    '/',
+    configuration.Kind.SAFE,
+    (configuration.Part('stock', 1.0),),
+    timeout_s=5.0,
+    target_latency_s=1.0,
+    max_attempts=3,
+    priority=1,
+)
