--- a/packages/radishferryd/src/radishferryd/router/knowledge.py
+++ b/packages/radishferryd/src/radishferryd/router/knowledge.py
@@ -36,7 +36,7 @@
         self.document = b''
         #: When the store last answered this host or the granting host with
         #: its newest configuration, in seconds; -inf if never.
-        self.configuration_read_at = -math.inf
+        self._configuration_read_at = -math.inf
         self.routes = None
         self.registry = registry_module.Registry()
         self.key_maps = {}
@@ -65,14 +65,14 @@
 
         :returns: :data:`MAX_AGE_S` if it never has.
         """
-        return min(MAX_AGE_S, self._now() - self.configuration_read_at)
+        return min(MAX_AGE_S, self._now() - self._configuration_read_at)
 
     def note_configuration_read(self, read_at):
         """Record that the store has answered with its newest configuration.
 
         :param read_at: When the store answered, in seconds.
         """
-        self.configuration_read_at = max(self.configuration_read_at, read_at)
+        self._configuration_read_at = max(self._configuration_read_at, read_at)
 
     def apply_document(self, document: bytes, source: str):
         """Apply a configuration if it is newer.
