Start the split of a route at a random position on each host

With hundreds of hosts the share of each service deviates from its weight just after a configuration: each host gets about one request, and all began with the heaviest part. In a simulation of 200 requests over 195 hosts the share was up to 0.28 off the weight (three parts of 40, 30 and 30), and up to 0.40 over 300 hosts; at most 0.2 is allowed.

--- a/packages/radishferry/src/radishferry/direct/configuration.py
+++ b/packages/radishferry/src/radishferry/direct/configuration.py
@@ -5,6 +5,12 @@
 import collections
 import dataclasses
 import enum
+import random
+
+
+#: Number of positions at which a split may start: at least its period, which
+#: is at most 100 for weights in percent.
+START_POSITIONS = 100
 
 
 class Kind(enum.Enum):
@@ -125,13 +131,18 @@
     """Distribute requests over parts in proportion to their weights.
 
     Smooth weighted round robin keeps the proportion also over few requests,
-    where independent random choices would deviate from it.
+    where independent random choices would deviate from it. It starts at a
+    random position: hundreds of hosts that each get one request would
+    otherwise all send it to the heaviest part.
     """
 
     def __init__(self, parts: tuple[Part, ...]):
         self._parts = parts
         self._total = sum(part.weight for part in parts)
         self._credit = [0.0] * len(parts)
+        if len(parts) > 1:
+            for _ in range(random.randrange(START_POSITIONS)):
+                self.next()
 
     def next(self) -> str:
         """Return the service of the next request."""
