Move ranges of little load from a server that has nothing else

Callers were refused for as long as a server with a limit kept its keys: of two keyed servers with 176 ranges each, one that named a limit of 2 a second gave none away, and 94 of 135 lookups were answered 7 to 10 s later.

Cause: a range was moved only if its load was above a twentieth of what the other server could take. With two servers this is a twentieth of half of all load, more than any of the 176 ranges has. Servers whose capacity falls because of a pause are concerned as well.

The threshold is now at most half of the mean load of the server's ranges.

--- a/features/direct_host.feature
+++ b/features/direct_host.feature
@@ -177,3 +177,12 @@
     And 10 payments are sent to host 2
     Then plain server 0 has run none of them
     And keys 5, 30000 and 65535 are served by keyed server 1
+
+  # Covers the whole path of a limit: the response that names it, the shares of
+  # both hosts, the report to the granting host and the move of the keys.
+  Scenario: Two hosts together respect the limit of a server and move its keys
+    When keyed server 0 names a limit of 2 requests a second
+    And random keys are looked up at both hosts for 10 seconds, 40 a second
+    Then no response contains the server-limit header
+    And keyed server 0 has run at most 17 lookups in each 4 seconds after the first 3
+    And 80 in 100 lookups of the last 3 seconds have been answered
--- a/features/direct_placement.feature
+++ b/features/direct_placement.feature
@@ -34,6 +34,15 @@
     When the load is balanced 1 times
     Then the hot key is alone on a fast server
 
+  # Guards against a server that keeps far more load than it takes, because it
+  # owns many ranges with little load each: none was moved.
+  Scenario: A server with a low capacity gives most of its ranges to another one
+    Given 2 servers of equal speed own the keys
+    And 40 requests a second are spread evenly over all keys
+    And server 0 takes 2 requests a second only
+    When the load is balanced for 4.5 seconds
+    Then server 0 gets at most 2 requests a second
+
   # Guards against moves whose cost exceeds their gain.
   Scenario: An even load moves nothing
     Given 22 servers of equal speed own the keys
--- a/features/steps/direct_host_steps.py
+++ b/features/steps/direct_host_steps.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import concurrent.futures
 import concurrent.futures
 import contextlib
 import http.client
+import random
 import signal
 import socket
 import subprocess  # noqa: S404
@@ -450,3 +452,67 @@
             for key in direct_host_fixtures.KEYS
         )
     )
+
+
+@behave.when(
+    'keyed server {number:d} names a limit of {limit:g} requests a second'
+)
+def name_limit(context, number, limit):
+    _change(context, 'keyed', number, limit_per_s=limit)
+
+
+@behave.when(
+    'random keys are looked up at both hosts for {seconds:d} seconds, '
+    '{rate:d} a second'
+)
+def look_up_random_keys(context, seconds, rate):
+    rng = random.Random(rate)
+    context.begin = time.monotonic()
+    context.end = context.begin + seconds
+
+    def look_up_from(number):
+        host = 1 + number % 2
+        key = rng.randrange(65536)
+        time.sleep(number / rate)
+        sent_at = time.monotonic()
+        status, headers, _ = direct_host_fixtures.lookup(context, host, key)
+        return sent_at, status, headers
+
+    count = seconds * rate
+    with concurrent.futures.ThreadPoolExecutor(count) as pool:
+        context.lookups = list(pool.map(look_up_from, range(count)))
+
+
+@behave.then('no response contains the server-limit header')
+def limit_header_removed(context):
+    for _, _, headers in context.lookups:
+        assert 'server-limit' not in {name.lower() for name in headers}
+
+
+@behave.then(
+    'keyed server 0 has run at most {most:d} lookups in each {span:d} seconds '
+    'after the first {first:d}'
+)
+def ran_at_most(context, most, span, first):
+    times = [
+        event[3]
+        for event in direct_host_fixtures.runs(context)
+        if event[1] == 'i-keyed-0' and event[3] > context.begin + first
+    ]
+    for start in times:
+        count = sum(start <= at < start + span for at in times)
+        assert count <= most, count
+
+
+@behave.then(
+    '{share:d} in 100 lookups of the last {seconds:d} seconds have been '
+    'answered'
+)
+def answered_at_end(context, share, seconds):
+    statuses = [
+        status
+        for sent_at, status, _ in context.lookups
+        if sent_at > context.end - seconds
+    ]
+    served = statuses.count(200)
+    assert served >= len(statuses) * share / 100, (served, len(statuses))
--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -206,3 +206,20 @@
     # between plans counts.
     plans = int((seconds - pacing.MIN_REPORT_S) / ownership.BALANCE_S)
     balance(context, plans)
+
+
+@behave.given('server {number:d} takes {rate:g} requests a second only')
+def low_capacity(context, number, rate):
+    incarnation = (f's{number}', 1)
+    context.capacities = [
+        placement.Capacity(c.incarnation, rate)
+        if c.incarnation == incarnation
+        else c
+        for c in context.capacities
+    ]
+
+
+@behave.then('server {number:d} gets at most {rate:g} requests a second')
+def gets_at_most(context, number, rate):
+    load = _loads(context)[f's{number}', 1]
+    assert load <= rate, load
--- a/packages/radishferry/src/radishferry/direct/placement.py
+++ b/packages/radishferry/src/radishferry/direct/placement.py
@@ -30,6 +30,12 @@
 MAX_HOT_KEYS = 3
 #: Factor by which another server must be faster to be given a hot key.
 HOT_KEY_GAIN = 1.25
+#: Smallest load of a range that is moved, as a share of the load that the
+#: target should get, and as a share of the mean load of the source's ranges;
+#: the lower of the two counts. A server with hundreds of ranges has none with
+#: a large share of its load.
+MIN_MOVED_SHARE = 0.05
+MIN_RANGE_SHARE = 0.5
 #: Seconds after a move during which a range is not moved again.
 MOVE_COOLDOWN_S = 2.5
 
@@ -224,13 +230,14 @@
     pieces, source, target, wanted_load, server_loads, loads, may_assign, now
 ):
     best = None
+    min_load = _min_moved_load(pieces, source, wanted_load, loads)
     for index, (start, end, owner, moved_at) in enumerate(pieces):
         if owner != source or now - moved_at < MOVE_COOLDOWN_S:
             continue
         if not may_assign(target, start, end):
             continue
         load = loads.load(start, end)
-        if load <= 0.05 * wanted_load:
+        if load <= min_load:
             continue
         # A whole range of suitable load is best, else the one with the
         # smallest load is split.
@@ -264,13 +271,23 @@
     else:
         pieces[index][2:] = [target, now]
         moved = (start, end)
-    if loads.load(*moved) <= 0.05 * wanted_load:
+    if loads.load(*moved) <= min_load:
         return False
     server_loads.add(source, *moved, sign=-1)
     server_loads.add(target, *moved)
     return True
 
 
+def _min_moved_load(pieces, source, wanted_load, loads):
+    range_loads = [
+        loads.load(start, end)
+        for start, end, owner, _ in pieces
+        if owner == source
+    ]
+    mean = sum(range_loads) / len(range_loads)
+    return min(MIN_MOVED_SHARE * wanted_load, MIN_RANGE_SHARE * mean)
+
+
 class _ServerLoads:
     """Track the load of each server while a plan is computed."""
 
