--- a/features/direct_reading.feature
+++ b/features/direct_reading.feature
@@ -81,3 +81,12 @@
     When it polls for all hosts
     And 2.2 seconds of polling pass
     Then it has read the configuration 2 times
+
+  # Guards against requests to a server that left while a host was cut off. The
+  # first heartbeat on the new link confirmed the old list of the host, and the
+  # list that followed, encoded up to 0.1 seconds earlier for another host, was
+  # dropped as older.
+  Scenario: A host takes the list of servers of a new link
+    Given a host that is linked and got servers "a, b"
+    When it is linked again and gets servers "b", encoded before the last read
+    Then it knows servers "b"
--- a/features/steps/direct_reading_steps.py
+++ b/features/steps/direct_reading_steps.py
@@ -265,3 +265,43 @@
 @behave.then('the host has stopped polling')
 def stopped(context):
     assert context.reader.changes[-1] is False
+
+
+def _push_servers(context, names, age_s):
+    entries = [
+        ttypes.ServerEntry(
+            name, 1, 'stock', '127.0.0.1', 1, 'x', 4, False, 0.0
+        )
+        for name in names.split(', ')
+    ]
+    context.spoke.link_message(
+        context.link,
+        'servers_push',
+        ttypes.ServersPush(True, entries, [], age_s),
+    )
+
+
+@behave.given('a host that is linked and got servers "{names}"')
+def linked_with_servers(context, names):
+    _add_spoke(context)
+    _connect(context, '127.0.0.1:1')
+    _send_heartbeat(context, 0.3)
+    _push_servers(context, names, 0.3)
+
+
+@behave.when(
+    'it is linked again and gets servers "{names}", encoded before the last '
+    'read'
+)
+def linked_again(context, names):
+    context.time.advance(5.0)
+    context.link.close()
+    _connect(context, '127.0.0.1:1')
+    _send_heartbeat(context, 0.01)
+    _push_servers(context, names, 0.7)
+
+
+@behave.then('it knows servers "{names}"')
+def knows_servers(context, names):
+    found = sorted(s.server_id for s in context.routing_state.registry.all())
+    assert found == names.split(', '), found
