--- a/features/direct_limits.feature
+++ b/features/direct_limits.feature
@@ -1,7 +1,7 @@
 Feature: Limits that servers name in their responses
 
-  # Guards against a server in need that gets far more requests than the limit
-  # that it named, summed over the hosts that it had told: each owner of keys
+  # Guards against an overloaded server that gets far more requests than the
+  # limit that it named, summed over the hosts that it had told: each owner of keys
   # got the usual load. The last column is the crowd after 20 quiet seconds,
   # in which hosts could have saved up what they did not send.
   Scenario: All hosts together respect the limit of a server
--- a/features/direct_reading.feature
+++ b/features/direct_reading.feature
@@ -74,9 +74,9 @@
     Then the host is polling
 
   # Guards against a granting host that learns of a new configuration too late.
-  # A connection that goes silent was noticed only after 3.6 seconds; hosts are
-  # bound again 3 seconds after their connections were lost.
-  Scenario: A feed whose connection is dead is replaced before hosts are bound again
+  # A dead connection was replaced only after 3.6 seconds; the bound for a
+  # configuration applies again 3 seconds after connections were lost.
+  Scenario: A feed whose connection is dead is replaced within 2.2 seconds
     Given a reader of the store whose feed connection goes silent
     When it polls for all hosts
     And 2.2 seconds of polling pass
--- a/packages/radishferry-testing/src/radishferry_testing/soak/checks.py
+++ b/packages/radishferry-testing/src/radishferry_testing/soak/checks.py
@@ -20,7 +20,7 @@
 LEAVE_NOTICE_S = 2.0
 #: Span in seconds in which a server with a limit counts its requests, what it
 #: tolerates as a multiple of the limit and in further requests, and the time
-#: from the begin of the limit from which the check applies.
+#: from the start of the limit from which the check applies.
 LIMIT_SPAN_S = 4.0
 LIMIT_RATIO = 1.5
 LIMIT_SLACK = 5
--- a/packages/radishferry-testing/src/radishferry_testing/soak/cluster.py
+++ b/packages/radishferry-testing/src/radishferry_testing/soak/cluster.py
@@ -21,8 +21,8 @@
 #: Delay that a slow link adds, in milliseconds.
 DELAY_MS = 250
 
-#: Limit that a server in need names, in requests a second: a fraction of its
-#: load in a soak test.
+#: Limit that an overloaded server names, in requests a second: a fraction of
+#: its load in a soak test.
 SERVER_LIMIT_PER_S = 4.0
 
 #: Failure modes of the simulated servers by kind of fault.
