Log which requests a planned stop cuts off

A planned stop that exceeds the grace period logged only the number of open requests, and a request that was cancelled because its connection closed after an earlier response was logged as if its caller had left.

Each request that is open when the host stops is logged with its state and its position on the connection, and cancelled requests name who closed the connection.

--- a/features/steps/direct_callers_steps.py
+++ b/features/steps/direct_callers_steps.py
@@ -52,7 +52,7 @@
     def resume(self):
         self.is_paused = False
 
-    def cancel(self):
+    def cancel(self, detail):
         """Ignore the disconnect of the caller."""
 
 
--- a/features/steps/direct_requests_steps.py
+++ b/features/steps/direct_requests_steps.py
@@ -236,7 +236,7 @@
 
 @behave.when('its caller disconnects')
 def caller_disconnects(context):
-    context.request.cancel()
+    context.request.cancel('the caller left')
 
 
 @behave.when('{seconds:g} seconds pass for the request')
--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -406,6 +406,8 @@
             if not self._gateway.connections:
                 is_over = True
         if is_over:
+            for connection in self._gateway.connections:
+                connection.log_open_requests()
             LOG.info(
                 'app: Stopped.',
                 extra={'open_requests': self._gateway.open_requests},
--- a/packages/radishferryd/src/radishferryd/router/callers.py
+++ b/packages/radishferryd/src/radishferryd/router/callers.py
@@ -133,6 +133,19 @@
 
     # Called by the connection.
 
+    def describe(self):
+        """Return log fields that tell how far the request has come."""
+        if self._is_done:
+            state = 'answered'
+        else:
+            state = 'in-progress' if self.is_received else 'receiving'
+        return {
+            'request_id': self.request_id,
+            'path': self.head.target[:80],
+            'state': state,
+            'age_s': round(self._connection.now() - self.arrived_at, 4),
+        }
+
     def take_output(self):
         """Return and clear the buffered bytes of the response."""
         output, self._output = self._output, []
@@ -218,6 +231,14 @@
         """Reset the connection at once."""
         self._connection.abort()
 
+    def log_open_requests(self):
+        """Log the requests whose responses have not been sent, in order."""
+        for position, slot in enumerate(self._slots):
+            LOG.warning(
+                'callers: The host stops before it has sent a response.',
+                extra={**slot.describe(), 'position': position},
+            )
+
     def closes_after(self, slot) -> bool:
         """Return whether the connection closes after a response.
 
@@ -293,7 +314,7 @@
     def _close_after_last_response(self):
         # The response has "Connection: close". The caller gets no response to
         # the requests behind it, so they are cancelled.
-        self._cancel_all()
+        self._cancel_all('the connection closed after an earlier response')
         self._is_closing = True
         if self._parser.is_between_messages:
             self._connection.close()
@@ -353,7 +374,7 @@
         """See :class:`radishferryd.net.Handler`."""
         self._is_closing = True
         self._gateway.connections.discard(self)
-        self._cancel_all()
+        self._cancel_all('the caller left')
 
     # Callbacks of the parser.
 
@@ -414,11 +435,11 @@
             self._slots.append(slot)
         self._refuse(slot, refusal)
 
-    def _cancel_all(self):
+    def _cancel_all(self, detail):
         slots, self._slots = list(self._slots), collections.deque()
         for slot in slots:
             if slot.request is not None and not slot.is_done:
-                slot.request.cancel()
+                slot.request.cancel(detail)
 
 
 _EMPTY_HEAD = http_message.Head('', '', 0, (), False)
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -114,8 +114,11 @@
             self._gateway.note_key(self.service, self.key)
         self._start_attempt()
 
-    def cancel(self):
-        """Cancel the request after the caller has disconnected."""
+    def cancel(self, detail):
+        """Cancel the request, since its caller cannot get a response.
+
+        :param detail: The reason, for the log.
+        """
         if self._is_done:
             return
         self._end()
@@ -124,7 +127,7 @@
         # matters without a caller too, and cancelling would not undo it.
         if attempt is not None and self.is_idempotent:
             attempt.cancel()
-        self._gateway.finished(self, 0, 'cancelled', 'the caller left')
+        self._gateway.finished(self, 0, 'cancelled', detail)
 
     def pause(self):
         """Pause reading the response from the server."""
