--- a/packages/radishferry-testing/src/radishferry_testing/users/platform/server.py
+++ b/packages/radishferry-testing/src/radishferry_testing/users/platform/server.py
@@ -10,6 +10,9 @@
 
 from radishferry_testing import http_io
 
+#: Header by which a test sets the seconds of work of one request.
+WORK_HEADER = 'x-test-work-s'
+
 
 class Server:
     """Run requests, keyed ones only while it holds a grant for the key."""
@@ -45,7 +48,7 @@
         self.retry_after = ''
         self._data_centre = data_centre
         self._record_event = record_event
-        self._work_s = work_s
+        self.work_s = work_s
         self._grants = []
         self._seq = 0
         self._requests = weakref.WeakSet()
@@ -171,7 +174,8 @@
         if self.failure == 'reset':
             request.abort()
             return
-        await asyncio.sleep(self._work_s)
+        work_s = float(request.headers.get(WORK_HEADER, self.work_s))
+        await asyncio.sleep(work_s)
         answer = f'{request.method} {request.path} {self.server_id}'.encode()
         if self.failure == 'extra':
             await request.respond(200, b'stale', (('X-Request-Id', 'other'),))
