--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -24,6 +24,7 @@
 from radishferryd.router import links
 from radishferryd.router import metrics as metrics_module
 from radishferryd.router import ownership as ownership_module
+from radishferryd.router import shutdown as shutdown_module
 from radishferryd.router import spoke as spoke_module
 from radishferryd.router import status_http
 from radishferryd.router import store_reader
@@ -35,21 +36,10 @@
 #: sweep shares the timer of the tick so that an idle process wakes up less
 #: often.
 SWEEP_TICKS = 2
-#: Seconds for which a stopping host still accepts new connections: the
-#: platform polls readiness once a second and removes a host only after two
-#: negative answers.
-STOP_LISTEN_S = 2.6
-#: Seconds for which a connection must be idle before a stopping host closes
-#: it, so that a request already sent by the caller is not lost.
-STOP_IDLE_S = 0.5
-#: Seconds before the end of the grace period at which a stopping host exits.
-STOP_MARGIN_S = 0.4
 #: Seconds for which a stopping host keeps granting long holds while the store
 #: does not answer: a few ticks of its timer. Its term ends 0.95 s after the
 #: other hosts are asked for their consent.
 EXTEND_GRANTS_S = 0.4
-#: Seconds between checks whether all connections have been closed.
-STOP_CHECK_S = 0.05
 #: Seconds for which hosts that all start together wait for the granting host
 #: before they read the store themselves.
 FIRST_START_WAIT_S = 2.0
@@ -131,7 +121,13 @@
             (settings.host_name, settings.host_data_centre),
             self,
         )
-        self._stop_at = None
+        self._shutdown = shutdown_module.Shutdown(
+            self._scheduler,
+            self._gateway,
+            settings.stop_grace_s,
+            lambda: self._callers.close(),
+            self._flush_log,
+        )
         self._ticks = 0
         self._granter_timers = ()
         self._callers = None
@@ -288,6 +284,9 @@
         self._gateway.backends.close_old()
         for connection in list(self._gateway.connections):
             connection.check_time(now)
+        self._flush_log()
+
+    def _flush_log(self):
         if self._log_stream is not None:
             self._log_stream.flush()
 
@@ -295,7 +294,7 @@
 
     def is_ready(self) -> bool:
         """Return whether the host accepts requests from callers."""
-        return self._stop_at is None and self._routing_state.is_complete
+        return not self._shutdown.has_begun and self._routing_state.is_complete
 
     def metrics(self) -> bytes:
         """Return all metrics in text format."""
@@ -310,7 +309,7 @@
             'host': self._settings.host_name,
             'is_granter': self._ownership.is_active,
             'is_linked': self._spoke.is_linked,
-            'is_stopping': self._stop_at is not None,
+            'is_stopping': self._shutdown.has_begun,
             'hosts': self._gateway.host_count,
             'configuration': configuration.version if configuration else None,
             'registry_age_s': routing_state.registry.age(now),
@@ -373,19 +372,13 @@
 
     def begin_stop(self):
         """Start a planned stop that lets open requests finish."""
-        if self._stop_at is not None:
+        if self._shutdown.has_begun:
             return
-        self._stop_at = self._scheduler.now()
-        self._gateway.is_stopping = True
-        LOG.info(
-            'app: A planned stop begins.',
-            extra={'open_requests': self._gateway.open_requests},
-        )
         if self._ownership.extend_grants():
             self._scheduler.call_later(EXTEND_GRANTS_S, self._hand_over)
         else:
             self._hand_over()
-        self._scheduler.call_every(STOP_CHECK_S, self._continue_stop)
+        self._shutdown.begin()
 
     def _hand_over(self):
         if self._ownership.is_active:
@@ -393,29 +386,6 @@
             self._ownership.end()
             self._hub.announce_stop()
 
-    def _continue_stop(self):
-        now = self._scheduler.now()
-        elapsed_s = now - self._stop_at
-        is_over = elapsed_s > self._settings.stop_grace_s - STOP_MARGIN_S
-        if elapsed_s > STOP_LISTEN_S:
-            self._callers.close()
-            for connection in list(self._gateway.connections):
-                has_been_idle = now - connection.active_at > STOP_IDLE_S
-                if connection.is_idle and has_been_idle:
-                    connection.close()
-            if not self._gateway.connections:
-                is_over = True
-        if is_over:
-            for connection in self._gateway.connections:
-                connection.log_open_requests()
-            LOG.info(
-                'app: Stopped.',
-                extra={'open_requests': self._gateway.open_requests},
-            )
-            if self._log_stream is not None:
-                self._log_stream.flush()
-            raise SystemExit(0)
-
 
 def run(settings, log_stream=None) -> int:
     """Run the process until a planned stop ends it.
