Refuse requests that come late in a planned stop

Callers saw connections close without a response at the end of the grace period, also those of payments, which they cannot repeat.

Cause: a stopping host sent each request that it read to a server, until it exited. New connections, bodies that end late and pipelined requests bring requests up to the end, and nothing compared the time that a server needs with the time that the host has.

Requests that are not complete when the listener closes, 2.6 s after SIGTERM or after half of a shorter grace period, are refused at once with 503 and a short Retry-After, and so are all later ones. By then the platform has taken the host out of rotation, so that the caller reaches another one; what was read before has the rest of the grace period.

--- a/features/direct_callers.feature
+++ b/features/direct_callers.feature
@@ -30,3 +30,26 @@
     Then the second request is paused
     When the first request is answered
     Then the second request is resumed
+
+  # Guards against requests that reach a server too late in a planned stop.
+  Scenario: A stopping host refuses further requests on a connection
+    Given a connection of a caller with two requests in progress
+    When the host stops
+    And the host refuses requests
+    And the caller sends another request
+    And the caller sends another request
+    Then 2 requests have begun
+    When the first request is answered
+    And the second request is answered
+    Then the caller gets statuses 200, 200, 503
+
+  # Guards against a body that ends so late in a planned stop that no server
+  # can answer the request any more.
+  Scenario: A stopping host refuses a request whose body is incomplete
+    Given a connection of a caller
+    When the host stops
+    And the caller sends a part of a body
+    And the host refuses requests
+    Then 0 requests have begun
+    And the caller gets statuses 503
+    And the connection closes once the caller has closed it
--- a/features/steps/direct_callers_steps.py
+++ b/features/steps/direct_callers_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import re
 
 import behave
 import load_fixtures
@@ -10,8 +11,10 @@
 from radishferry.direct import configuration
 from radishferryd import http_message
 from radishferryd.router import callers
+from radishferryd.router import results
 
 _HEAD = b'POST /p HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n'
+_LOOKUP = b'GET /p HTTP/1.1\r\nHost: h\r\n\r\n'
 _CHUNKED = _HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
 
 
@@ -19,6 +22,7 @@
     """Stand in for a network connection."""
 
     is_open = True
+    has_lingered = False
 
     def __init__(self):
         self.written = b''
@@ -30,6 +34,7 @@
         self.is_open = False
 
     def linger_close(self, call_later):
+        self.has_lingered = True
         self.close()
 
     abort = close
@@ -46,6 +51,14 @@
 
     is_paused = False
 
+    def __init__(self, slot):
+        self._slot = slot
+
+    def stop(self):
+        self._slot.refuse(
+            results.Refusal(504, results.Reason.STOPPING, 'It stops.')
+        )
+
     def pause(self):
         self.is_paused = True
 
@@ -60,6 +73,7 @@
     """Record the requests that have begun."""
 
     is_stopping = False
+    accepts_requests = True
     limits = configuration.Limits()
 
     def __init__(self):
@@ -70,7 +84,11 @@
 
     def begin(self, slot):
         self.begun.append(slot)
-        return _Request()
+        slot.request = _Request(slot)
+        return slot.request
+
+    def stop_refusal(self):
+        return results.Refusal(503, results.Reason.STOPPING, 'It stops.', 0.2)
 
     def refused(self, slot, refusal):
         """Ignore what is only logged."""
@@ -87,8 +105,7 @@
 @behave.given('a connection of a caller with two requests in progress')
 def two_requests(context):
     caller(context)
-    data = b'GET /p HTTP/1.1\r\nHost: h\r\n\r\n'
-    context.connection.received(data + data)
+    context.connection.received(_LOOKUP + _LOOKUP)
     assert len(context.gateway.begun) == 2
 
 
@@ -142,10 +159,46 @@
         slot.stream(b'x' * 50000)
 
 
+@behave.given('the host stops')
+@behave.when('the host stops')
+def host_stops(context):
+    context.gateway.is_stopping = True
+
+
+@behave.when('the host refuses requests')
+def host_refuses(context):
+    context.gateway.accepts_requests = False
+    context.connection.refuse_incomplete(context.gateway.stop_refusal())
+
+
+@behave.when('the host answers the open requests')
+def host_answers(context):
+    context.connection.end_requests()
+
+
+@behave.when('the caller sends another request')
+def sends_another(context):
+    context.connection.received(_LOOKUP)
+
+
+@behave.when('the caller sends a part of a body')
+def sends_part(context):
+    context.connection.received(_HEAD + b'Content-Length: 50\r\n\r\na')
+
+
+def _answer(context, number):
+    slot = context.gateway.begun[number]
+    slot.answer(http_message.Head('', '', 200, (), True), b'abc')
+
+
 @behave.when('the first request is answered')
 def first_answered(context):
-    slot = context.gateway.begun[0]
-    slot.answer(http_message.Head('', '', 200, (), True), b'abc')
+    _answer(context, 0)
+
+
+@behave.when('the second request is answered')
+def second_answered(context):
+    _answer(context, 1)
 
 
 @behave.then('the caller gets status {status:d} and no request has begun')
@@ -155,6 +208,23 @@
     assert not context.gateway.begun
 
 
+@behave.then('{count:d} requests have begun')
+def have_begun(context, count):
+    assert len(context.gateway.begun) == count, context.gateway.begun
+
+
+@behave.then('the caller gets statuses {statuses}')
+def gets_statuses(context, statuses):
+    found = re.findall(rb'HTTP/1.1 (\d+) ', context.socket.written)
+    assert found == statuses.encode().split(b', '), context.socket.written
+
+
+@behave.then('the connection closes once the caller has closed it')
+def lingers(context):
+    assert context.socket.has_lingered
+    assert b'Connection: close' in context.socket.written
+
+
 @behave.then('a request with a body of {size:d} bytes has begun')
 def has_begun(context, size):
     (slot,) = context.gateway.begun
--- a/packages/radishferryd/src/radishferryd/router/callers.py
+++ b/packages/radishferryd/src/radishferryd/router/callers.py
@@ -189,8 +189,9 @@
     def __init__(self, gateway):
         """Create the handler of a new connection.
 
-        :param gateway: Provides ``now``, ``limits``, ``begin``,
-            ``is_stopping``, ``scheduler`` and the set ``connections``.
+        :param gateway: Provides ``now``, ``limits``, ``begin``, ``refused``,
+            ``is_stopping``, ``accepts_requests``, ``stop_refusal``,
+            ``scheduler`` and the set ``connections``.
         """
         self._gateway = gateway
         self._connection = None
@@ -249,6 +250,11 @@
             not self._slots or self._slots[-1] is slot
         )
 
+    def refuse_incomplete(self, refusal):
+        """Refuse the request that is being received, if any."""
+        if self._receiving is not None and not self._is_closing:
+            self._refuse(self._receiving, refusal)
+
     def check_time(self, now):
         """Enforce the idle, head and body timeouts."""
         limits = self._gateway.limits
@@ -386,6 +392,8 @@
         self._slots.append(slot)
         self._receiving = slot
         problem = _check_head(head, self._gateway.limits)
+        if problem is None and not self._gateway.accepts_requests:
+            problem = self._gateway.stop_refusal()
         if problem is not None:
             self._refuse(slot, problem)
             return
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -53,7 +53,10 @@
         """
         self.scheduler = scheduler
         self.connections = set()
+        #: Whether connections close after their next response.
         self.is_stopping = False
+        #: Whether requests are sent to servers; otherwise they are refused.
+        self.accepts_requests = True
         self.host_count = settings.retry_hosts
         self.data_centre = settings.host_data_centre
         self.backends = backends_module.Backends(
@@ -95,6 +98,23 @@
         self.budget.set_hosts(self.host_count)
         self._update_connection_limits()
 
+    # Planned stop.
+
+    def refuse_requests(self):
+        """Refuse the requests that are not complete yet, and all further."""
+        self.accepts_requests = False
+        for connection in list(self.connections):
+            connection.refuse_incomplete(self.stop_refusal())
+
+    def stop_refusal(self):
+        """Return the refusal of a request that comes too late in a stop."""
+        return results.Refusal(
+            503,
+            results.Reason.STOPPING,
+            'The host stops.',
+            admission.retry_after_s(0.0),
+        )
+
     # Called by caller connections.
 
     def begin(self, slot):
--- a/packages/radishferryd/src/radishferryd/router/results.py
+++ b/packages/radishferryd/src/radishferryd/router/results.py
@@ -73,6 +73,7 @@
     NOT_RUN = 'not-run'
     BAD_ANSWER = 'bad-answer'
     TIMEOUT = 'timeout'
+    STOPPING = 'stopping'
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/radishferryd/src/radishferryd/router/shutdown.py
+++ b/packages/radishferryd/src/radishferryd/router/shutdown.py
@@ -6,10 +6,13 @@
 
 LOG = logging.getLogger(__name__)
 
-#: Seconds for which a stopping host still accepts new connections: the
+#: Seconds for which a stopping host accepts new connections and requests: the
 #: platform polls readiness once a second and removes a host only after two
 #: negative answers.
 LISTEN_S = 2.6
+#: Maximum share of the grace period for which requests are accepted, so that
+#: the servers have the rest of it to answer them.
+MAX_LISTEN_SHARE = 0.5
 #: Seconds for which a connection must be idle before a stopping host closes
 #: it, so that a request already sent by the caller is not lost.
 IDLE_S = 0.5
@@ -20,7 +23,12 @@
 
 
 class Shutdown:
-    """Finish the requests of callers, and exit."""
+    """Finish the requests of callers, refuse further ones, and exit.
+
+    First the host is only not ready, and closes connections after their
+    responses. When the platform has noticed that, requests are refused before
+    they reach a server.
+    """
 
     def __init__(
         self, scheduler, gateway, grace_s, close_listener, before_exit
@@ -38,6 +46,7 @@
         self._grace_s = grace_s
         self._close_listener = close_listener
         self._before_exit = before_exit
+        self._listen_s = min(LISTEN_S, grace_s * MAX_LISTEN_SHARE)
         self._begun_at = None
 
     @property
@@ -59,14 +68,17 @@
         now = self._scheduler.now()
         gateway = self._gateway
         elapsed_s = now - self._begun_at
-        is_over = elapsed_s > self._grace_s - EXIT_MARGIN_S
-        if elapsed_s > LISTEN_S:
-            self._close_listener()
-            for connection in list(gateway.connections):
-                if connection.is_idle and now - connection.active_at > IDLE_S:
-                    connection.close()
-            is_over = is_over or not gateway.connections
-        if is_over:
+        if elapsed_s <= self._listen_s:
+            return
+        self._close_listener()
+        gateway.refuse_requests()
+        for connection in list(gateway.connections):
+            if connection.is_idle and now - connection.active_at > IDLE_S:
+                connection.close()
+        if (
+            not gateway.connections
+            or elapsed_s > self._grace_s - EXIT_MARGIN_S
+        ):
             self._exit()
 
     def _exit(self):
