Answer open requests before a planned stop ends

Cause: responses are sent in the order of the requests. A complete one waited behind that of an earlier request which was still at its server, and the exit cut off both.

0.6 s before the end of the grace period the host answers what is still open: 504 for a request that may have run, 503 for one that was not sent; a response that is being streamed goes on until the exit. The responses behind them follow. Servers get no more time than that, and no request is admitted or sent again that is expected to take longer.

--- a/features/direct_callers.feature
+++ b/features/direct_callers.feature
@@ -31,6 +31,14 @@
     When the first request is answered
     Then the second request is resumed
 
+  # Guards against the loss of a complete response behind an unfinished one.
+  Scenario: A stopping host sends the responses behind an unfinished one
+    Given a connection of a caller with two requests in progress
+    When the host stops
+    And the second request is answered
+    And the host answers the open requests
+    Then the caller gets statuses 504, 200
+
   # Guards against requests that reach a server too late in a planned stop.
   Scenario: A stopping host refuses further requests on a connection
     Given a connection of a caller with two requests in progress
--- a/features/direct_requests.feature
+++ b/features/direct_requests.feature
@@ -86,3 +86,31 @@
     And 20 further requests for the key come
     Then the request has been sent to "a, a"
     And the request is refused with status 503
+
+  # Guards against a server that works on after the host has answered in its
+  # place: a stopping host waits only until shortly before its exit.
+  Scenario: A server gets no more time than a stopping host has
+    Given the host stops and ends its requests in 2 seconds
+    When another request for the key comes
+    Then server "a" has been given 1900 to 2000 milliseconds
+
+  # Guards against a retry that a stopping host cannot wait for.
+  Scenario: A request is not sent again when the host is about to exit
+    Given the host stops and ends its requests in 0.04 seconds
+    When server "a" rejects the request
+    And 1 seconds pass for the request
+    Then the request has been sent to "a"
+    And the request is refused with status 503
+
+  # Guards against a promise that a request has not run although a server runs
+  # it when the host stops.
+  Scenario: A request that is at its server when the host stops may have run
+    When the host ends its requests
+    Then the request is refused with status 504
+
+  # Guards against a response that looks complete because the host stops while
+  # it is streamed.
+  Scenario: A streamed response is not replaced when the host stops
+    When server "a" starts a streamed response
+    And the host ends its requests
+    Then the caller has got no refusal
--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -5,6 +5,7 @@
 import bisect
 import collections
 import dataclasses
+import math
 import random
 import types
 
@@ -62,6 +63,7 @@
         self.scheduler = scheduler
         self.now = scheduler.now
         self.host_count = hosts
+        self.ends_at = math.inf
         self.listener = _Listener()
         self.backends = backends.Backends(None, scheduler, 'h', self.listener)
         self.backends.configure({'stock': request_fixtures.SERVICE}, hosts)
--- a/features/steps/direct_requests_steps.py
+++ b/features/steps/direct_requests_steps.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import collections
+import math
+import re
 import types
 
 import behave
@@ -44,6 +46,7 @@
     """Stand in for the gateway of the host."""
 
     host_count = 1
+    ends_at = math.inf
 
     def __init__(self, scheduler):
         self.scheduler = scheduler
@@ -176,6 +179,11 @@
     _stats(context).note_report(running, waiting, 4, context.gateway.now())
 
 
+@behave.given('the host stops and ends its requests in {seconds:g} seconds')
+def host_stops(context, seconds):
+    context.gateway.ends_at = context.gateway.now() + seconds
+
+
 @behave.when('another request for the key comes')
 def another_request(context):
     context.slot = _Slot(context.gateway.now(), 4000)
@@ -221,6 +229,11 @@
     assert context.slot.refusal is None
 
 
+@behave.then('the caller has got no refusal')
+def no_refusal(context):
+    assert context.slot.refusal is None, context.slot.refusal
+
+
 @behave.when('the key moves to server "b"')
 def key_moves(context):
     context.gateway.owner_name = 'b'
@@ -250,6 +263,21 @@
     assert sent == names.split(', '), sent
 
 
+@behave.when('the host ends its requests')
+def ends_requests(context):
+    context.request.stop()
+
+
+@behave.then(
+    'server "a" has been given {least_ms:d} to {most_ms:d} milliseconds'
+)
+def given_time(context, least_ms, most_ms):
+    (given,) = re.findall(
+        rb'(?mi)^x-deadline-ms: (\d+)\r$', context.gateway.sent[-1].data
+    )
+    assert least_ms <= int(given) <= most_ms, given
+
+
 @behave.then('no request is waiting')
 def none_waiting(context):
     assert not context.gateway.waiting
--- a/packages/radishferryd/src/radishferryd/router/callers.py
+++ b/packages/radishferryd/src/radishferryd/router/callers.py
@@ -255,6 +255,13 @@
         if self._receiving is not None and not self._is_closing:
             self._refuse(self._receiving, refusal)
 
+    def end_requests(self):
+        """Answer all open requests; responses behind them are sent then."""
+        self.refuse_incomplete(self._gateway.stop_refusal())
+        for slot in list(self._slots):
+            if slot.request is not None and not slot.is_done:
+                slot.request.stop()
+
     def check_time(self, now):
         """Enforce the idle, head and body timeouts."""
         limits = self._gateway.limits
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import logging
+import math
 
 from radishferry.direct import admission
 from radishferry.direct import announcements
@@ -57,6 +58,9 @@
         self.is_stopping = False
         #: Whether requests are sent to servers; otherwise they are refused.
         self.accepts_requests = True
+        #: When requests that are still open are answered because the host
+        #: stops, infinite if it does not.
+        self.ends_at = math.inf
         self.host_count = settings.retry_hosts
         self.data_centre = settings.host_data_centre
         self.backends = backends_module.Backends(
@@ -100,12 +104,25 @@
 
     # Planned stop.
 
+    def begin_stop(self, ends_at):
+        """Close connections after their next response.
+
+        :param float ends_at: When open requests will be answered.
+        """
+        self.is_stopping = True
+        self.ends_at = ends_at
+
     def refuse_requests(self):
         """Refuse the requests that are not complete yet, and all further."""
         self.accepts_requests = False
         for connection in list(self.connections):
             connection.refuse_incomplete(self.stop_refusal())
 
+    def end_requests(self):
+        """Answer all open requests, since the host is about to exit."""
+        for connection in list(self.connections):
+            connection.end_requests()
+
     def stop_refusal(self):
         """Return the refusal of a request that comes too late in a stop."""
         return results.Refusal(
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -129,6 +129,11 @@
             attempt.cancel()
         self._gateway.finished(self, 0, 'cancelled', detail)
 
+    def stop(self):
+        """Respond because the host stops, unless a response has begun."""
+        if not self._is_done and not self._has_response_started:
+            self._abandon(results.Reason.STOPPING, 'The host stops.')
+
     def pause(self):
         """Pause reading the response from the server."""
         if self._attempt is not None:
@@ -221,7 +226,7 @@
         gateway = self._gateway
         pause_s = RETRY_BACKOFF_S * 2 ** (self._attempts - 1)
         pause_s *= random.uniform(0.5, 1.5)
-        if self._deadline - gateway.now() < pause_s + MIN_ATTEMPT_S:
+        if self._left_s(gateway.now()) < pause_s + MIN_ATTEMPT_S:
             self._give_up(self._last_result)
             return
         self._rejected_by = server.incarnation
@@ -263,7 +268,7 @@
 
     def _start_attempt(self):
         now = self._gateway.now()
-        if self._deadline - now < MIN_ATTEMPT_S:
+        if self._left_s(now) < MIN_ATTEMPT_S:
             self._give_up(self._last_result)
             return
         if self._gateway.is_poison(self):
@@ -384,7 +389,7 @@
             'load': round(stats.load(now), 1),
             'slots': stats.slots,
             'expected_s': round(expected_s, 3),
-            'left_s': round(self._deadline - now, 3),
+            'left_s': round(self._left_s(now), 3),
             'fence': fence,
         }
 
@@ -394,7 +399,7 @@
             stats,
             self._gateway.route_stats(self).service_s,
             expected_s=expected_s,
-            left_s=self._deadline - now,
+            left_s=self._left_s(now),
             now=now,
         )
 
@@ -438,7 +443,7 @@
         ]
         lines = headers.forwarded_headers(
             kept,
-            max(0.001, self._deadline - now - RESPONSE_MARGIN_S),
+            max(0.001, self._left_s(now) - RESPONSE_MARGIN_S),
             server.server_id,
         )
         if self.body or self._head.method not in ('GET', 'HEAD', 'DELETE'):
@@ -475,12 +480,16 @@
 
     # End of the request.
 
+    def _left_s(self, now):
+        """Return the seconds that are left for a response of a server."""
+        return min(self._deadline, self._gateway.ends_at) - now
+
     def _may_retry(self, result):
         gateway = self._gateway
         now = gateway.now()
         if isinstance(result, results.Unknown) and not self.is_idempotent:
             return False
-        if self._deadline - now < MIN_ATTEMPT_S:
+        if self._left_s(now) < MIN_ATTEMPT_S:
             return False
         # The route limits the number of servers that the request is sent to.
         # An unreachable server has not received it. A keyed request may be
@@ -537,21 +546,25 @@
     def _on_timeout(self):
         if self._is_done:
             return
+        if self._attempt is not None:
+            self._attempt.backend.stats.note_failure(self._gateway.now())
+        if self._attempt is not None or self._may_have_run:
+            detail = 'The server took too long.'
+        else:
+            detail = 'No server became free in time.'
+        self._abandon(results.Reason.TIMEOUT, detail)
+
+    def _abandon(self, reason, detail):
+        """Respond without waiting for the server any longer."""
         attempt, self._attempt = self._attempt, None
-        may_have_run = attempt is not None or self._may_have_run
         if attempt is not None:
             attempt.cancel()
-            attempt.backend.stats.note_failure(self._gateway.now())
         if self._has_response_started:
-            self._abort_response('The server took too long.')
-        elif may_have_run:
-            self._refuse(
-                504, results.Reason.TIMEOUT, 'The server took too long.'
-            )
+            self._abort_response(detail)
+        elif attempt is not None or self._may_have_run:
+            self._refuse(504, reason, detail)
         else:
-            self._refuse(
-                503, results.Reason.TIMEOUT, 'No server became free in time.'
-            )
+            self._refuse(503, reason, detail)
 
     def _abort_response(self, detail):
         """Abort a response in progress, so that it looks incomplete."""
--- a/packages/radishferryd/src/radishferryd/router/shutdown.py
+++ b/packages/radishferryd/src/radishferryd/router/shutdown.py
@@ -16,6 +16,10 @@
 #: Seconds for which a connection must be idle before a stopping host closes
 #: it, so that a request already sent by the caller is not lost.
 IDLE_S = 0.5
+#: Seconds before the end of the grace period at which requests that are still
+#: open are answered. Complete responses that wait behind them on pipelined
+#: connections have to be sent before the process exits.
+ANSWER_MARGIN_S = 0.6
 #: Seconds before the end of the grace period at which the process exits.
 EXIT_MARGIN_S = 0.4
 #: Seconds between checks whether all connections have been closed.
@@ -27,7 +31,8 @@
 
     First the host is only not ready, and closes connections after their
     responses. When the platform has noticed that, requests are refused before
-    they reach a server.
+    they reach a server. Shortly before the end of the grace period those that
+    are still open are answered.
     """
 
     def __init__(
@@ -57,7 +62,9 @@
     def begin(self):
         """Start a planned stop."""
         self._begun_at = self._scheduler.now()
-        self._gateway.is_stopping = True
+        self._gateway.begin_stop(
+            self._begun_at + self._grace_s - ANSWER_MARGIN_S
+        )
         LOG.info(
             'app: A planned stop begins.',
             extra={'open_requests': self._gateway.open_requests},
@@ -75,6 +82,8 @@
         for connection in list(gateway.connections):
             if connection.is_idle and now - connection.active_at > IDLE_S:
                 connection.close()
+        if now >= gateway.ends_at:
+            gateway.end_requests()
         if (
             not gateway.connections
             or elapsed_s > self._grace_s - EXIT_MARGIN_S
