Send nothing to servers behind a response that closes the connection

On a pipelined connection of a stopping host a lookup was run by its server, and the connection closed before its response.

Cause: a response gets "Connection: close" when it is complete, if its request is the last one at that time. It may have to wait for its turn, and requests that were read meanwhile were sent to servers, and were cancelled when it had been sent. A request that is refused before its body has been read ends the connection in the same way at any time.

No request is begun any more once the response before it closes the connection; its caller takes it as not read and sends it again elsewhere.

--- a/features/direct_callers.feature
+++ b/features/direct_callers.feature
@@ -31,6 +31,17 @@
     When the first request is answered
     Then the second request is resumed
 
+  # Guards against a request that a server runs although its connection closes
+  # before its response: that of the request before it announces the close.
+  Scenario: Nothing is begun behind a response that closes the connection
+    Given a connection of a caller with two requests in progress
+    When the host stops
+    And the second request is answered
+    And the caller sends another request
+    Then 2 requests have begun
+    When the first request is answered
+    Then the caller gets statuses 200, 200
+
   # Guards against the loss of a complete response behind an unfinished one.
   Scenario: A stopping host sends the responses behind an unfinished one
     Given a connection of a caller with two requests in progress
--- a/packages/radishferryd/src/radishferryd/router/callers.py
+++ b/packages/radishferryd/src/radishferryd/router/callers.py
@@ -393,7 +393,9 @@
 
     def on_head(self, head):
         """Handle the head of a request."""
-        if self._is_closing:
+        if self._is_closing or (
+            self._slots and self._slots[-1].ends_connection
+        ):
             return
         slot = Slot(self, head)
         self._slots.append(slot)
