Close connections only when callers have read the last response

Callers could lose a complete response that closes its connection.

Cause: the host closed the socket at once. Closing a socket with unread bytes, or receiving bytes after the close, resets the connection, and what the caller has not read yet is lost. A caller that pipelines may send its next request at that moment.

The host now sends the end of its direction, reads and drops what comes until the caller closes, for at most 2 s, as it already did after responses to incomplete requests. A caller that asked for the close sends nothing more, so its connection is closed at once.

--- a/features/direct_callers.feature
+++ b/features/direct_callers.feature
@@ -72,3 +72,13 @@
     Then 0 requests have begun
     And the caller gets statuses 503
     And the connection closes once the caller has closed it
+
+  # Guards against a last response that is lost in a reset: a connection that
+  # is closed while a request is on its way is reset.
+  Scenario: A caller that sends a further request gets the last response
+    Given a connection of a caller with two requests in progress
+    When the host stops
+    And the first request is answered
+    And the second request is answered
+    Then the caller gets statuses 200, 200
+    And the connection closes once the caller has closed it
--- a/packages/radishferryd/src/radishferryd/router/callers.py
+++ b/packages/radishferryd/src/radishferryd/router/callers.py
@@ -311,7 +311,7 @@
             self._slots.popleft()
             self.active_at = self._gateway.now()
             if slot.ends_connection:
-                self._close_after_last_response()
+                self._close_after(slot)
                 return
             if len(self._slots) < MAX_PIPELINED:
                 self._connection.resume_reading()
@@ -324,14 +324,15 @@
         if self._slots and self._slots[0].request is not None:
             self._slots[0].request.resume()
 
-    def _close_after_last_response(self):
+    def _close_after(self, slot):
         # The response has "Connection: close". The caller gets no response to
         # the requests behind it, so they are cancelled.
         self._cancel_all('the connection closed after an earlier response')
         self._is_closing = True
-        if self._parser.is_between_messages:
+        if self._parser.is_between_messages and not slot.head.keep_alive:
             self._connection.close()
         else:
+            # The caller may still be sending.
             self._connection.linger_close(self._gateway.scheduler.call_later)
 
     # Callbacks of net.Connection, see net.Handler.
