Let a lookup end after the stop in a scenario of planned stops

The second lookup took 0.1 s and could end before the signal was handled on a busy machine; the connection then closes after the further lookup, which is allowed, and the scenario failed (statuses 200, 200, 200; once in 6 runs). It now takes 0.6 s, so that its response announces the close in each run.

--- a/features/direct_stops.feature
+++ b/features/direct_stops.feature
@@ -29,9 +29,9 @@
   # before its response: the response before it had announced the close, and
   # waited for its turn when the lookup was read.
   Scenario: Nothing is sent on behind a response that closes the connection
-    When lookups with 2 and 0.1 seconds of work are sent on one connection
+    When lookups with 3 and 0.6 seconds of work are sent on one connection
     And host 1 is stopped
-    And 0.5 seconds pass
+    And 1.2 seconds pass
     And a further lookup is sent on the connection
     Then the lookups on the connection get statuses 200 and 200
     And each lookup that a server has run has got a response
