Send a request on no connection of its earlier attempts

Callers could be told "not run, try again" for a request that was running, or it ran at a second server: a request that its server had refused was sent to the same server again, on the connection that had carried the refusal and, since then, a response to another request. When the server wrote the refusal once more, its id matched the attempt that was running.

Only the last request of a connection was compared. The scenario "A request does not return to a connection of an earlier attempt" failed before (the request was sent on the same connection).

A request now knows the connections of its attempts, which are bounded by max_attempts and the failed connects, and uses none of them again. The comparison with the last request stays, for callers that repeat an id.

--- a/features/direct_connections.feature
+++ b/features/direct_connections.feature
@@ -84,3 +84,13 @@
     When request "r2" is sent on it
     And the server sends 3000000 bytes of a signed 503
     Then request "r2" may have run
+
+  # Guards against a second copy of a refusal of an earlier attempt, sent after
+  # another request on the same connection: a request that runs would be
+  # reported as not run, or run at a second server.
+  Scenario: A request does not return to a connection of an earlier attempt
+    Given a connection to a server that has refused request "r1"
+    When request "r2" is sent on it
+    And the server sends a response to "r2"
+    And request "r1" is sent again
+    Then it is sent on another connection
--- a/features/direct_requests.feature
+++ b/features/direct_requests.feature
@@ -86,3 +86,12 @@
     And 20 further requests for the key come
     Then the request has been sent to "a, a"
     And the request is refused with status 503
+
+  # Guards against a second copy of the refusal of an earlier attempt, which
+  # has the same id: it would count as the response to the present attempt.
+  Scenario: An attempt avoids the connections of the earlier attempts
+    When server "a" rejects the request
+    And 0.2 seconds pass for the request
+    And server "a" rejects the request
+    And 0.4 seconds pass for the request
+    Then its attempt 3 may not use the connections of the others
--- a/features/steps/direct_connections_steps.py
+++ b/features/steps/direct_connections_steps.py
@@ -23,9 +23,12 @@
     def __init__(self):
         self.result = None
         self.streamed = 0
+        self.when_done = lambda: None
 
     def on_result(self, attempt, result):
+        assert self.result is None, 'a second result'
         self.result = result
+        self.when_done()
 
     def on_stream_head(self, attempt, head):
         """Ignore the head."""
@@ -41,15 +44,28 @@
         yield opened
 
 
-def _send(context, request_id):
+def _send_unsettled(context, request_id):
+    """Send an attempt; on a new connection it waits for the settle time."""
     sink = _Sink()
+    used = context.used_connections.setdefault(request_id, [])
     attempt = connections.Attempt(
-        context.backend, request_id, 'GET', sink, request_id.encode()
+        context.backend,
+        request_id,
+        'GET',
+        sink,
+        request_id.encode(),
+        used_connections=used,
     )
     assert context.backend.send(attempt, True)
+    used.append(attempt.connection)
     for socket in context.sockets:
         if not socket.handler.is_connected:
             socket.handler.connected(socket)
+    return sink
+
+
+def _send(context, request_id):
+    sink = _send_unsettled(context, request_id)
     context.scheduler.advance(0.01)
     return sink
 
@@ -119,12 +135,49 @@
     }[what]()
 
 
-def _receive_first_response(context, answer):
+def _refusal(status, request_id, size=0):
+    return _format_response(
+        status, request_id, b'x' * size, 'X-Not-Executed: 1'
+    )
+
+
+def _named_bytes(what):
+    """Return bytes around the response to "r2", by their description."""
+    # Ends in a header value, so that the next line continues the head.
+    part = b'HTTP/1.1 503 Any\r\nX-Not-Executed: 1'
+    return {
+        'a response to "r2"': lambda: _success('r2'),
+        'a refusal without a request id': lambda: _refusal(503, None),
+        'a 421 without a request id': lambda: _format_response(421),
+        'a refusal of "r1"': lambda: _refusal(503, 'r1'),
+        'a refusal of "r2"': lambda: _refusal(503, 'r2'),
+        'an unnamed refusal, then the response': lambda: (
+            _refusal(503, None) + _success('r2')
+        ),
+        'a part of an unnamed refusal': lambda: _refusal(503, None, 99)[:-9],
+        'a part of a refusal of "r1"': lambda: _refusal(503, 'r1')[:-20],
+        'a part of a refusal, then the response': lambda: (
+            part + _success('r2')
+        ),
+        'a part of a 421 line, then the response': lambda: (
+            b'HTTP/1.1 421 Misdir' + _success('r2')
+        ),
+        'bytes that are no response': lambda: b'\0\0\0',
+    }[what]()
+
+
+@behave.given('a connection to a server')
+def unused(context):
     context.sockets = behave.use_fixture(network, context)
     context.scheduler = load_fixtures.Scheduler()
+    context.used_connections = {}
     context.backend = backends.Backend(
         None, context.scheduler, _SERVER, 8, idle_limit.IdleLimit()
     )
+
+
+def _receive_first_response(context, answer):
+    unused(context)
     context.sink = _send(context, 'r1')
     context.sockets[0].deliver(answer)
     assert context.sink.result is not None
@@ -155,6 +208,8 @@
 def send_on_it(context, request_id):
     context.sink = _send(context, request_id)
     assert len(context.sockets) == 1, 'the connection was not reused'
+    if 'sends_r3' in context:
+        context.sink.when_done = lambda: _send(context, 'r3')
 
 
 @behave.when('request "{request_id}" is sent again')
@@ -172,6 +227,33 @@
     context.sockets[0].deliver(_response_bytes(what, size))
 
 
+@behave.when('the server sends {what} in parts of {size:d} bytes')
+def sends_parts(context, what, size):
+    data = _named_bytes(what)
+    for start in range(0, len(data), size):
+        context.sockets[0].deliver(data[start : start + size])
+
+
+@behave.when('the server sends a response to "r2"')
+def sends_response(context):
+    context.sockets[0].deliver(_success('r2'))
+
+
+@behave.when('the server sends a response to "r2" and {what}')
+def sends_one_packet(context, what):
+    context.sockets[0].deliver(_success('r2') + _named_bytes(what))
+
+
+@behave.when('request "r2" waits for it to settle')
+def waits_to_settle(context):
+    context.sink = _send_unsettled(context, 'r2')
+
+
+@behave.given('request "r3" is sent as soon as "r2" is answered')
+def sent_after_r2(context):
+    context.sends_r3 = True
+
+
 @behave.when('the server sends a {what}')
 def sends(context, what):
     context.sockets[0].deliver(_response_bytes(f'a {what}', 0))
@@ -190,10 +272,25 @@
     assert len(context.sockets) == 2
 
 
+@behave.then('request "r3" is sent on another connection')
+def r3_on_another(context):
+    context.scheduler.advance(0.01)
+    sent = [socket.sent for socket in context.sockets]
+    assert sent == [[b'r1', b'r2'], [b'r3']], sent
+    assert not context.sockets[0].is_open
+
+
+@behave.then('request "r2" was not sent')
+def r2_not_sent(context):
+    context.scheduler.advance(0.01)
+    assert not context.sockets[0].sent
+    assert not context.sockets[0].is_open
+
+
 @behave.then('it is sent on another connection')
 def on_another(context):
-    assert len(context.sockets) == 2
-    assert len(context.sockets[0].sent) == 1, context.sockets[0].sent
+    assert len(context.sockets) == 2, context.sockets[0].sent
+    assert len(context.sockets[1].sent) == 1, context.sockets[1].sent
 
 
 @behave.then('request "r2" may have run')
--- a/features/steps/direct_requests_steps.py
+++ b/features/steps/direct_requests_steps.py
@@ -4,6 +4,7 @@
 
 import collections
 import types
+from unittest import mock
 
 import behave
 import load_fixtures
@@ -33,6 +34,7 @@
 
     def send(self, attempt, is_idempotent):
         self._sent.append(attempt)
+        attempt.connection = mock.Mock(number=len(self._sent))
         self.stats.note_sent(self._now())
         return True
 
@@ -250,6 +252,14 @@
     assert sent == names.split(', '), sent
 
 
+@behave.then('its attempt {count:d} may not use the connections of the others')
+def may_not_use(context, count):
+    *earlier, last = context.gateway.sent
+    assert len(earlier) == count - 1, earlier
+    for attempt in earlier:
+        assert attempt.connection in last.used_connections
+
+
 @behave.then('no request is waiting')
 def none_waiting(context):
     assert not context.gateway.waiting
--- a/packages/radishferryd/src/radishferryd/router/backends.py
+++ b/packages/radishferryd/src/radishferryd/router/backends.py
@@ -98,9 +98,7 @@
 
         :returns: False if all connections are in use.
         """
-        connection = self._acquire_connection(
-            is_idempotent, attempt.request_id
-        )
+        connection = self._acquire_connection(is_idempotent, attempt)
         if connection is None:
             return False
         self.stats.note_sent(self._scheduler.now())
@@ -224,7 +222,7 @@
         while self._idle:
             self._idle.pop().close()
 
-    def _acquire_connection(self, is_idempotent, request_id):
+    def _acquire_connection(self, is_idempotent, attempt):
         now = self._scheduler.now()
         limit_s = self._idle_limits.limit_s(is_idempotent, now)
         if self._idle:
@@ -232,9 +230,12 @@
             # expire.
             connection = self._idle[-1]
             age = now - connection.idle_since
-            # A late duplicate of the refusal of this request's previous
-            # attempt would be mistaken for the response to the next one.
-            was_used_by_request = connection.last_request_id == request_id
+            # A late duplicate of the refusal of an earlier attempt of this
+            # request would be mistaken for the response to the next one.
+            was_used_by_request = (
+                connection in attempt.used_connections
+                or connection.last_request_id == attempt.request_id
+            )
             if (
                 age <= min(limit_s, connection.idle_limit_s)
                 and not was_used_by_request
--- a/packages/radishferryd/src/radishferryd/router/connections.py
+++ b/packages/radishferryd/src/radishferryd/router/connections.py
@@ -47,8 +47,24 @@
 class Attempt:
     """Represent one attempt to run a request at one server."""
 
-    def __init__(self, backend, request_id, method, sink, data, key=None):
+    def __init__(
+        self,
+        backend,
+        request_id,
+        method,
+        sink,
+        data,
+        key=None,
+        used_connections=(),
+    ):
+        """Create the attempt.
+
+        :param sink: A :class:`Sink`.
+        :param data: Bytes of the request.
+        :param used_connections: Connections of the request's earlier attempts.
+        """
         self.backend = backend
+        self.used_connections = used_connections
         self.key = key
         self.request_id = request_id
         self.method = method
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -63,6 +63,7 @@
         self.key = None
         self._attempt = None
         self._tried = []
+        self._used_connections = []
         self._connect_failures = 0
         self._attempts = 0
         self._selection = {}
@@ -410,6 +411,7 @@
             self,
             self._format_request(server, now),
             self.key,
+            self._used_connections,
         )
         self._attempt = attempt
         if not backend.send(attempt, self.is_idempotent):
@@ -421,6 +423,7 @@
             )
             return
         self._attempts += 1
+        self._used_connections.append(attempt.connection)
         if server.incarnation not in self._tried:
             self._tried.append(server.incarnation)
 
