Take no unnamed response as proof on a reused connection

Callers could be told "not run, try again" for a request that its server was running, or it ran at a second server: a server that wrote an earlier refusal once more, without a request id, on a connection in use again was believed that it had refused the present request. The same held for a 421 and for a refusal in front of the true response, in one packet or split.

Only a success had to name its request.

A response without an id now counts only on a connection that carried no other request; otherwise the request may have run, and the connection is reset. The stand-in names the request in its refusals, as the servers of the users do.

--- a/features/direct_connections.feature
+++ b/features/direct_connections.feature
@@ -94,3 +94,44 @@
     And the server sends a response to "r2"
     And request "r1" is sent again
     Then it is sent on another connection
+
+  # Guards against a second copy of an earlier refusal that does not name its
+  # request, which is no proof for the request that is running.
+  Scenario Outline: A reused connection, <bytes>
+    Given a connection to a server that has answered request "r1"
+    When request "r2" is sent on it
+    And the server sends <bytes> in parts of <size> bytes
+    Then request "r2" may have run
+    And the connection is not used again
+
+    Examples: A response that does not name its request is no proof
+      | bytes                                        | size  |
+      | a refusal without a request id               | 65536 |
+      | a refusal without a request id               | 1     |
+      | a 421 without a request id                   | 65536 |
+      | an unnamed refusal, then the response        | 65536 |
+      | an unnamed refusal, then the response        | 1     |
+      | a part of an unnamed refusal                 | 65536 |
+
+  # Guards against rejecting a proof: a response on a connection that carried
+  # no other request belongs to this one.
+  Scenario Outline: A new connection, <bytes>
+    Given a connection to a server
+    When request "r2" is sent on it
+    And the server sends <bytes> in parts of 1 bytes
+    Then request "r2" has not run
+
+    Examples:
+      | bytes                          |
+      | a refusal without a request id |
+      | a 421 without a request id     |
+      | a refusal of "r2"              |
+
+  # Guards against a refusal before the request is sent that counts as the
+  # response to it.
+  Scenario: A refusal before the request is sent ends the connection
+    Given a connection to a server
+    When request "r2" waits for it to settle
+    And the server sends a refusal of "r2" in parts of 65536 bytes
+    Then request "r2" has not run
+    And request "r2" was not sent
--- a/packages/radishferry-testing/src/radishferry_testing/users/platform/server.py
+++ b/packages/radishferry-testing/src/radishferry_testing/users/platform/server.py
@@ -102,6 +102,7 @@
             headers=(
                 ('X-Not-Executed', '1'),
                 ('X-Instance-Id', self.server_id),
+                *_echoed_id(request),
                 *headers,
             ),
         )
@@ -190,3 +191,9 @@
                 ('X-Server-Load', '1,0,6'),
             ),
         )
+
+
+def _echoed_id(request):
+    """Return the header that names the request, if it has an id."""
+    request_id = request.headers.get('x-request-id')
+    return (('X-Request-Id', request_id),) if request_id else ()
--- a/packages/radishferryd/src/radishferryd/router/connections.py
+++ b/packages/radishferryd/src/radishferryd/router/connections.py
@@ -353,13 +353,17 @@
     def _validation_error(self):
         """Return why the response is not valid for the request, or None."""
         head = self._head
+        names_request = bool(head.header(headers.REQUEST_ID))
+        if not names_request and self._idle_s is not None:
+            # May be a late duplicate of a response to an earlier request.
+            return 'a response on a reused connection that names no request'
         if head.header('content-encoding'):
             return 'the answer has an encoding that nobody asked for'
         if not 200 <= head.status < 300:
             return None
         if not head.header(headers.SIGNATURE):
             return 'a success without a signature'
-        if not head.header(headers.REQUEST_ID):
+        if not names_request:
             return 'a success that names no request'
         return None
 
