Reset a connection whose response is followed by further bytes

Callers could get the failure or, as "not run, try again", the refusal of an earlier request: when a second copy of a response, or a part of one, arrived in one packet with the present response, the connection returned to the pool before the rest of the packet was parsed. The end of the response starts the next request, and it was sent on this connection; the rest of the packet then passed for its response.

The four rows of the scenario "A packet with a response and ..." failed before (the next request was sent on the same connection).

A complete response is now kept until its packet has been parsed. The connection is reused only if nothing follows, also no part of a head.

--- a/features/direct_connections.feature
+++ b/features/direct_connections.feature
@@ -135,3 +135,21 @@
     And the server sends a refusal of "r2" in parts of 65536 bytes
     Then request "r2" has not run
     And request "r2" was not sent
+
+  # Guards against a second copy of a refusal in the same packet as the
+  # response: the request that is sent next, when this response arrives, would
+  # get it.
+  Scenario Outline: A packet with a response and <bytes> ends the connection
+    Given a connection to a server that has answered request "r1"
+    And request "r3" is sent as soon as "r2" is answered
+    When request "r2" is sent on it
+    And the server sends a response to "r2" and <bytes>
+    Then request "r2" gets the response to "r2"
+    And request "r3" is sent on another connection
+
+    Examples:
+      | bytes                          |
+      | a refusal without a request id |
+      | a refusal of "r1"              |
+      | a part of a refusal of "r1"    |
+      | bytes that are no response     |
--- a/packages/radishferryd/src/radishferryd/router/connections.py
+++ b/packages/radishferryd/src/radishferryd/router/connections.py
@@ -114,6 +114,9 @@
         self._backend = backend
         self._scheduler = scheduler
         self._attempt = None
+        #: Attempt and result of a complete response, while the bytes that
+        #: arrived with its end are being parsed.
+        self._completed = None
         self._head = None
         self._parts = []
         self._size = 0
@@ -191,6 +194,16 @@
             self._fail(results.NotRun('the server sent bytes unasked'))
             self._connection.abort()
             return
+        problem = self._parse(data)
+        if self._completed is not None:
+            self._finish_completed(not problem)
+        elif problem:
+            self._abort_with(results.Unknown(problem))
+        elif self._attempt is not None and self._head is None:
+            self._count_unusable(len(data))
+
+    def _parse(self, data):
+        """Parse bytes and return why they are no response, or None."""
         try:
             self._parser.feed(data)
         except (
@@ -198,13 +211,11 @@
             http_message.HeadTooLargeError,
         ) as exc:
             detail = str(exc) or 'a head, trailer or extension without end'
-            self._abort_with(
-                results.Unknown(f'the answer is no HTTP: {detail}')
-            )
-            return
-        if self._attempt is None or self._head is not None:
-            return
-        self._unusable_bytes += len(data)
+            return f'the answer is no HTTP: {detail}'
+        return None
+
+    def _count_unusable(self, size):
+        self._unusable_bytes += size
         if self._unusable_bytes > MAX_UNUSABLE_BYTES:
             self._abort_with(
                 results.Unknown('only answers to other requests came')
@@ -225,6 +236,8 @@
             and self._attempt is not None
         ):
             self._complete()
+        if self._completed is not None:
+            self._finish_completed(False)
         elif self._attempt is not None:
             detail = str(error) if error else 'connection closed'
             if self.is_connected and self._pending_data:
@@ -263,7 +276,7 @@
         attempt = self._attempt
         if attempt is None:
             # A second response arrived together with the first one.
-            self._connection.abort()
+            self._keep_alive = False
             return
         has_length = head.header('content-length') or head.header(
             'transfer-encoding'
@@ -368,18 +381,33 @@
         return None
 
     def _complete(self):
+        """Keep the result until the bytes after the response are parsed.
+
+        The attempt's end may start another request, which must not be sent
+        on a connection that has further bytes to parse.
+        """
         attempt, self._attempt = self._attempt, None
         head, body = self._head, b''.join(self._parts)
         result = self._result(head, body)
         self._head, self._parts = None, []
+        self.idle_limit_s = _idle_limit(head)
+        self._completed = attempt, result
+
+    def _finish_completed(self, is_reusable):
+        """Return the connection to the pool or reset it, and report."""
+        (attempt, result), self._completed = self._completed, None
         # If the server responded before the whole request was sent, the rest
         # must not follow on a connection that is reused.
-        if self._connection.queued_bytes or not self._keep_alive:
+        if (
+            not is_reusable
+            or self._connection.queued_bytes
+            or not self._keep_alive
+            or not self._parser.is_between_messages
+        ):
             self._connection.abort()
         elif self._connection.is_open:
             self._connection.resume_reading()
             self.idle_since = self._scheduler.now()
-            self.idle_limit_s = _idle_limit(head)
             self._backend.connection_idle(self)
         attempt.finish(result)
 
