Pass on no refusal without proof when no server is left

Callers could be told "not run, try again" for an idempotent request that a server may have run: a 503, 429 or 408 of a server without proof starts another attempt, and when no other server could take it, the last result was given to the caller, which was that response.

The scenario "A 503 without proof is not passed on when no server is left" failed before (the caller got the 503).

The last result is now that the request may have run, which the caller gets as a 502.

--- a/features/direct_requests.feature
+++ b/features/direct_requests.feature
@@ -95,3 +95,12 @@
     And server "a" rejects the request
     And 0.4 seconds pass for the request
     Then its attempt 3 may not use the connections of the others
+
+  # Guards against passing on the 503 of a server without proof, which callers
+  # take for a promise that the request has not run, once no other server can
+  # take the request.
+  Scenario: A 503 without proof is not passed on when no server is left
+    Given an idempotent request that any server may run
+    When no other server is left
+    And server "a" responds with status 503 without proof
+    Then the request is refused with status 502
--- a/features/steps/direct_requests_steps.py
+++ b/features/steps/direct_requests_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import types
 from unittest import mock
 
@@ -46,6 +47,7 @@
     """Stand in for the gateway of the host."""
 
     host_count = 1
+    data_centre = 'x'
 
     def __init__(self, scheduler):
         self.scheduler = scheduler
@@ -66,10 +68,18 @@
             for name, server in self._servers.items()
         }
         self.owner_name = 'a'
+        self.registry = self
+        self.left_names = ['a']
+
+    def usable(self, service):
+        return [self._servers[name] for name in self.left_names]
 
     def get(self, server):
         return self._backends[server.server_id]
 
+    def stats(self, server):
+        return self.get(server).stats
+
     def owner(self, service, key):
         server = self._servers[self.owner_name]
         return key_map.Segment(0, 65535, server.incarnation, 1), server
@@ -98,6 +108,8 @@
     def attempt_refused(self, request, attempt, result):
         """Ignore what is only logged."""
 
+    attempt_lost = attempt_refused
+
     def finished(self, request, status, outcome, detail):
         """Ignore what is only logged."""
 
@@ -110,6 +122,7 @@
     def __init__(self, now, remaining_ms):
         self.arrived_at = now
         self.refusal = None
+        self.answered = None
         self.is_aborted = False
         self.head = http_message.Head(
             'GET',
@@ -127,6 +140,9 @@
     def refuse(self, refusal):
         self.refusal = refusal
 
+    def answer(self, head, body):
+        self.answered = head
+
     def begin_stream(self, head):
         """Ignore the head."""
 
@@ -141,16 +157,35 @@
     context.request.start()
 
 
-def _request(context):
+def _request(context, service=request_fixtures.SERVICE):
     return requests.Request(
         context.gateway,
         context.slot,
         request_fixtures.ROUTE,
         'stock',
-        types.SimpleNamespace(services={'stock': request_fixtures.SERVICE}),
+        types.SimpleNamespace(services={'stock': service}),
     )
 
 
+@behave.given('an idempotent request that any server may run')
+def unkeyed_request(context):
+    context.gateway = _Gateway(load_fixtures.Scheduler())
+    context.slot = _Slot(context.gateway.now(), 4000)
+    service = dataclasses.replace(request_fixtures.SERVICE, is_keyed=False)
+    _request(context, service).start()
+
+
+@behave.when('no other server is left')
+def no_other_server(context):
+    context.gateway.left_names = []
+
+
+@behave.when('server "a" responds with status {status:d} without proof')
+def responds_without_proof(context, status):
+    head = http_message.Head('', '', status, (), True)
+    context.gateway.sent[-1].finish(results.Answered(head, b''))
+
+
 @behave.given('an idempotent request for a key of server "a"')
 def idempotent_request(context):
     _start(context, 4000)
@@ -267,4 +302,5 @@
 
 @behave.then('the request is refused with status {status:d}')
 def refused(context, status):
+    assert context.slot.answered is None, context.slot.answered
     assert context.slot.refusal.status == status, context.slot.refusal
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -235,6 +235,7 @@
             # run, but the server has given no proof of that.
             unknown = results.Unknown(f'the server answered {status}')
             self._may_have_run = True
+            self._last_result = unknown
             if self.is_idempotent and self._may_retry(unknown):
                 self._start_attempt()
             else:
