Take no proof from a head that another response continues

Callers could be told "not run, try again" for a request that its server had run: when a server repeated an earlier refusal on a connection in use again and cut it short in its head, the true response continued that head. The parser returned one head with the status or the X-Not-Executed of the refusal and the request id of the true response.

A head whose reason or header value contains a status line is no valid response, so the request may have run.

--- a/features/direct_connections.feature
+++ b/features/direct_connections.feature
@@ -113,6 +113,13 @@
       | an unnamed refusal, then the response        | 1     |
       | a part of an unnamed refusal                 | 65536 |
 
+    Examples: A head of two responses is no proof
+      | bytes                                        | size  |
+      | a part of a refusal, then the response       | 65536 |
+      | a part of a refusal, then the response       | 1     |
+      | a part of a 421 line, then the response      | 65536 |
+      | a part of a 421 line, then the response      | 1     |
+
   # Guards against rejecting a proof: a response on a connection that carried
   # no other request belongs to this one.
   Scenario Outline: A new connection, <bytes>
--- a/packages/radishferryd/src/radishferryd/http_message.py
+++ b/packages/radishferryd/src/radishferryd/http_message.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import http
+import re
 
 import httptools
 
@@ -27,6 +28,9 @@
 )
 
 
+_STATUS_LINE = re.compile(r'HTTP/1\.[01] [1-5]\d\d( |$)')
+
+
 class HeadTooLargeError(Exception):
     """Report a head, trailer or chunk extension that exceeds the limit."""
 
@@ -44,6 +48,7 @@
     :ivar status: Status code, 0 for a request.
     :ivar headers: Pairs of lower-case name and value.
     :ivar keep_alive: Whether the connection stays open after the message.
+    :ivar reason: Reason phrase of a response.
     """
 
     method: str
@@ -51,6 +56,7 @@
     status: int
     headers: tuple[tuple[str, str], ...]
     keep_alive: bool
+    reason: str = ''
 
     def header(self, name, default=''):
         """Return the first value of a header.
@@ -60,6 +66,15 @@
         """
         return next((v for n, v in self.headers if n == name), default)
 
+    def contains_status_line(self) -> bool:
+        """Return whether a status line continues the reason or a header.
+
+        When a response is cut short in its head and another response follows
+        it, the parser returns one head with the fields of both.
+        """
+        texts = (self.reason, *(value for _, value in self.headers))
+        return any(_STATUS_LINE.search(text) for text in texts)
+
 
 class MessageParser:
     """Parse bytes into heads, body chunks and ends of messages.
@@ -78,6 +93,7 @@
         self._is_request = is_request
         self._headers = []
         self._target = b''
+        self._reason = b''
         #: Bytes since the last head, body part or end of a message.
         self._overhead_bytes = 0
         self._is_in_head = True
@@ -120,6 +136,7 @@
         """Reset the state of the previous message."""
         self._headers = []
         self._target = b''
+        self._reason = b''
         self._is_in_head = True
         self._is_in_message = True
 
@@ -127,6 +144,10 @@
         """Collect the request target."""
         self._target += url
 
+    def on_status(self, reason):
+        """Collect the reason phrase."""
+        self._reason += reason
+
     def on_header(self, name, value):
         """Collect a header; trailers are dropped."""
         if not self._is_in_head:
@@ -140,8 +161,10 @@
 
     def on_headers_complete(self):
         """Check the size of the head and pass it to the handler."""
-        size = len(self._target) + sum(
-            len(n) + len(v) + 4 for n, v in self._headers
+        size = (
+            len(self._target)
+            + len(self._reason)
+            + sum(len(n) + len(v) + 4 for n, v in self._headers)
         )
         if size > self._max_head_bytes:
             raise HeadTooLargeError()
@@ -160,6 +183,7 @@
                 0 if self._is_request else parser.get_status_code(),
                 tuple(self._headers),
                 parser.should_keep_alive(),
+                self._reason.decode('latin-1'),
             )
         )
 
--- a/packages/radishferryd/src/radishferryd/router/connections.py
+++ b/packages/radishferryd/src/radishferryd/router/connections.py
@@ -366,6 +366,8 @@
     def _validation_error(self):
         """Return why the response is not valid for the request, or None."""
         head = self._head
+        if head.contains_status_line():
+            return 'a head that another response continues'
         names_request = bool(head.header(headers.REQUEST_ID))
         if not names_request and self._idle_s is not None:
             # May be a late duplicate of a response to an earlier request.
