Close a coordinator connection with bytes after a response

Callers of the coordinator mode could get the response of an earlier request: when a server sent a second copy of a response, or a part of one, in one packet with the response, the connection returned to the pool before the rest of the packet was parsed. The rest of the copy then passed for the response to the next request. The clients of the store and of orders use the same connections.

Two of the three rows of the scenario "A coordinator receives a response and ..." failed before (the connection was reused); bytes that are no response closed it before, too.

The connection returns to the pool once its packet has been parsed, and only if nothing followed the response.

The scenarios of responses that are cut short at any byte passed on the first run, in both modes and for the clients of the store.

--- a/packages/radishferryd/src/radishferryd/http_client.py
+++ b/packages/radishferryd/src/radishferryd/http_client.py
@@ -127,6 +127,9 @@
         ) as exc:
             self._fail(f'bad answer: {exc}')
             self._connection.abort()
+            return
+        if self._exchange is None and self._connection.is_open:
+            self._release()
 
     def pause_producing(self):
         """See :class:`radishferryd.net.Handler`."""
@@ -148,9 +151,12 @@
 
     def on_head(self, head):
         """Handle a response head from the parser."""
+        if self._exchange is None:
+            # A second response arrived together with the first one.
+            self._keep_alive = False
+            return
         self._keep_alive = head.keep_alive
-        if self._exchange is not None:
-            self._exchange.on_head(head)
+        self._exchange.on_head(head)
 
     def on_body(self, data):
         """Handle a part of the body from the parser."""
@@ -160,12 +166,16 @@
     def on_end(self):
         """Handle the end of the response from the parser."""
         exchange, self._exchange = self._exchange, None
-        if exchange is None:
-            return
-        exchange.on_end()
-        if not self._connection.is_open:
-            return
-        if self._keep_alive and self._is_request_sent:
+        if exchange is not None:
+            exchange.on_end()
+
+    def _release(self):
+        """Reuse the connection, unless further bytes followed the response."""
+        if (
+            self._keep_alive
+            and self._is_request_sent
+            and self._parser.is_between_messages
+        ):
             self._connection.resume_reading()
             if self._on_idle is not None:
                 self._on_idle(self)
