Close the connection of a coordinator after a refusal

Callers of the coordinator mode could be told "not-run" for a request that its server was running: refusals of these servers have no request id, and a connection that carried one returned to the pool, so that a second copy of it passed for the refusal of the next request.

A connection that carried a refusal is closed, so a repeated one has no connection to arrive on.

--- a/features/dispatch.feature
+++ b/features/dispatch.feature
@@ -21,6 +21,15 @@
       | refuses with stale-term     | not-run | stale-route |
       | refuses with range-not-held | not-run | stale-route |
 
+  # Guards against a second copy of a refusal on a kept connection: it has no
+  # id, so the next request would be reported as not run although it runs.
+  Scenario: A connection that carried a refusal is closed
+    Given a dispatcher with 1 slot
+    When a job arrives for range 1
+    And the job's server refuses with shed
+    Then the job is refused as not-run because of shed
+    And its connection is closed
+
   Scenario: A broken connection is not reported before a crash can be detected
     Guards against a retry that crashes the next server, because the request
     is not yet a suspect.
--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -248,6 +248,11 @@
     _exchange(context).on_end()
 
 
+@behave.then('its connection is closed')
+def connection_closed(context):
+    assert context.pool.connections[-1].is_aborted
+
+
 @behave.when("the job's server sends {size:d} bytes of its answer")
 def send_answer(context, size):
     _head(context)
--- a/packages/radishferryd/src/radishferryd/job.py
+++ b/packages/radishferryd/src/radishferryd/job.py
@@ -320,9 +320,10 @@
         if self._timer is not None:
             self._timer.cancel()
         connection, self._connection = self._connection, None
-        if connection is not None and not self._server_refusal:
-            # The answer is incomplete, so the connection cannot be reused.
-            # Closing it cancels the work at the server.
+        if connection is not None:
+            # After an incomplete answer the connection cannot be reused, and
+            # closing it cancels the work at the server. A second copy of a
+            # refusal would be mistaken for the refusal of the next request.
             connection.abort()
         now = self._dispatcher.scheduler.now()
         ran = outcome is outcomes.Outcome.RAN
