Tell a handler of the error that closed its connection

A response without a length ends when its server closes the connection in an orderly way. After an error of the host itself the connection was closed as if the server had closed it, so a caller would have got a short body that is framed as whole.

The scenario "An error in the handler of a connection ends only that connection" failed before with the added step (no handler was told that the connection ended with an error). No run showed a caller that got such a body.

The handler now gets the error, and the response counts as incomplete.

--- a/features/poller.feature
+++ b/features/poller.feature
@@ -45,6 +45,7 @@
     Given a loop with a callback echo server and a component echo server
     When the handler of a connection fails on received data
     Then that connection is reset
+    And its handler is told of the error
     And both servers still echo
 
   Scenario: An error before the wait for sockets does not prevent other writes
--- a/features/steps/poller_steps.py
+++ b/features/steps/poller_steps.py
@@ -247,10 +247,15 @@
 
 @behave.when('the handler of a connection fails on received data')
 def handler_fails(context):
+    context.close_errors = []
+
     class Failing(_Echo):
         def received(self, data):
             raise KeyError('unexpected')
 
+        def closed(self, error):
+            context.close_errors.append(error)
+
     listener = net.Listener(context.poller, ('127.0.0.1', 0), Failing)
     context.add_cleanup(listener.close)
     context.sock = _connect(listener.address)
@@ -258,6 +263,12 @@
     context.sock.sendall(b'malformed')
 
 
+@behave.then('its handler is told of the error')
+def told_of_error(context):
+    assert len(context.close_errors) == 1, context.close_errors
+    assert isinstance(context.close_errors[0], KeyError)
+
+
 @behave.then('that connection is reset')
 def is_reset(context):
     try:
--- a/packages/radishferryd/src/radishferryd/net.py
+++ b/packages/radishferryd/src/radishferryd/net.py
@@ -181,10 +181,13 @@
 
     def abort(self):
         """Close immediately with a reset, dropping the queued bytes."""
+        self._reset(None)
+
+    def _reset(self, error):
         if self._is_open:
             linger = b'\x01\x00\x00\x00\x00\x00\x00\x00'
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        self._close(None)
+        self._close(error)
 
     def _set_interest(self, *, reading=None, writing=None):
         if not self._is_open:
@@ -200,10 +203,10 @@
     def _on_ready(self, mask):
         try:
             self._handle(mask)
-        except Exception:
+        except Exception as exc:
             # The state of this connection is not known; others are unaffected.
             LOG.exception('net: Closed a connection after an error.')
-            self.abort()
+            self._reset(exc)
 
     def _handle(self, mask):
         if self._is_connecting:
