--- a/features/direct_connections.feature
+++ b/features/direct_connections.feature
@@ -84,3 +84,79 @@
     When request "r2" is sent on it
     And the server sends 3000000 bytes of a signed 503
     Then request "r2" may have run
+
+  # Guards against a second copy of a refusal of an earlier attempt, sent after
+  # another request on the same connection: a request that runs would be
+  # reported as not run, or run at a second server.
+  Scenario: A request does not return to a connection of an earlier attempt
+    Given a connection to a server that has refused request "r1"
+    When request "r2" is sent on it
+    And the server sends a response to "r2"
+    And request "r1" is sent again
+    Then it is sent on another connection
+
+  # Guards against a second copy of an earlier refusal that does not name its
+  # request, which is no proof for the request that is running.
+  Scenario Outline: A reused connection, <bytes>
+    Given a connection to a server that has answered request "r1"
+    When request "r2" is sent on it
+    And the server sends <bytes> in parts of <size> bytes
+    Then request "r2" may have run
+    And the connection is not used again
+
+    Examples: A response that does not name its request is no proof
+      | bytes                                        | size  |
+      | a refusal without a request id               | 65536 |
+      | a refusal without a request id               | 1     |
+      | a 421 without a request id                   | 65536 |
+      | an unnamed refusal, then the response        | 65536 |
+      | an unnamed refusal, then the response        | 1     |
+      | a part of an unnamed refusal                 | 65536 |
+
+    Examples: A head of two responses is no proof
+      | bytes                                        | size  |
+      | a part of a refusal, then the response       | 65536 |
+      | a part of a refusal, then the response       | 1     |
+      | a part of a 421 line, then the response      | 65536 |
+      | a part of a 421 line, then the response      | 1     |
+
+  # Guards against rejecting a proof: a response on a connection that carried
+  # no other request belongs to this one.
+  Scenario Outline: A new connection, <bytes>
+    Given a connection to a server
+    When request "r2" is sent on it
+    And the server sends <bytes> in parts of 1 bytes
+    Then request "r2" has not run
+
+    Examples:
+      | bytes                          |
+      | a refusal without a request id |
+      | a 421 without a request id     |
+      | a refusal of "r2"              |
+
+  # Guards against a refusal before the request is sent that counts as the
+  # response to it.
+  Scenario: A refusal before the request is sent ends the connection
+    Given a connection to a server
+    When request "r2" waits for it to settle
+    And the server sends a refusal of "r2" in parts of 65536 bytes
+    Then request "r2" has not run
+    And request "r2" was not sent
+
+  # Guards against a second copy of a refusal in the same packet as the
+  # response: the request that is sent next, when this response arrives, would
+  # get it.
+  Scenario Outline: A packet with a response and <bytes> ends the connection
+    Given a connection to a server that has answered request "r1"
+    And request "r3" is sent as soon as "r2" is answered
+    When request "r2" is sent on it
+    And the server sends a response to "r2" and <bytes>
+    Then request "r2" gets the response to "r2"
+    And request "r3" is sent on another connection
+
+    Examples:
+      | bytes                          |
+      | a refusal without a request id |
+      | a refusal of "r1"              |
+      | a part of a refusal of "r1"    |
+      | bytes that are no response     |
--- a/features/direct_requests.feature
+++ b/features/direct_requests.feature
@@ -114,3 +114,21 @@
     When server "a" starts a streamed response
     And the host ends its requests
     Then the caller has got no refusal
+
+  # Guards against a second copy of the refusal of an earlier attempt, which
+  # has the same id: it would count as the response to the present attempt.
+  Scenario: An attempt avoids the connections of the earlier attempts
+    When server "a" rejects the request
+    And 0.2 seconds pass for the request
+    And server "a" rejects the request
+    And 0.4 seconds pass for the request
+    Then its attempt 3 may not use the connections of the others
+
+  # Guards against passing on the 503 of a server without proof, which callers
+  # take for a promise that the request has not run, once no other server can
+  # take the request.
+  Scenario: A 503 without proof is not passed on when no server is left
+    Given an idempotent request that any server may run
+    When no other server is left
+    And server "a" responds with status 503 without proof
+    Then the request is refused with status 502
--- a/features/steps/direct_requests_steps.py
+++ b/features/steps/direct_requests_steps.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import math
 import re
 import types
+from unittest import mock
 
 import behave
 import load_fixtures
@@ -35,6 +37,7 @@
 
     def send(self, attempt, is_idempotent):
         self._sent.append(attempt)
+        attempt.connection = mock.Mock(number=len(self._sent))
         self.stats.note_sent(self._now())
         return True
 
@@ -47,6 +50,7 @@
 
     host_count = 1
     ends_at = math.inf
+    data_centre = 'x'
 
     def __init__(self, scheduler):
         self.scheduler = scheduler
@@ -67,10 +71,18 @@
             for name, server in self._servers.items()
         }
         self.owner_name = 'a'
+        self.registry = self
+        self.left_names = ['a']
+
+    def usable(self, service):
+        return [self._servers[name] for name in self.left_names]
 
     def get(self, server):
         return self._backends[server.server_id]
 
+    def stats(self, server):
+        return self.get(server).stats
+
     def owner(self, service, key):
         server = self._servers[self.owner_name]
         return key_map.Segment(0, 65535, server.incarnation, 1), server
@@ -99,6 +111,8 @@
     def attempt_refused(self, request, attempt, result):
         """Ignore what is only logged."""
 
+    attempt_lost = attempt_refused
+
     def finished(self, request, status, outcome, detail):
         """Ignore what is only logged."""
 
@@ -111,6 +125,7 @@
     def __init__(self, now, remaining_ms):
         self.arrived_at = now
         self.refusal = None
+        self.answered = None
         self.is_aborted = False
         self.head = http_message.Head(
             'GET',
@@ -128,6 +143,9 @@
     def refuse(self, refusal):
         self.refusal = refusal
 
+    def answer(self, head, body):
+        self.answered = head
+
     def begin_stream(self, head):
         """Ignore the head."""
 
@@ -142,16 +160,35 @@
     context.request.start()
 
 
-def _request(context):
+def _request(context, service=request_fixtures.SERVICE):
     return requests.Request(
         context.gateway,
         context.slot,
         request_fixtures.ROUTE,
         'stock',
-        types.SimpleNamespace(services={'stock': request_fixtures.SERVICE}),
+        types.SimpleNamespace(services={'stock': service}),
     )
 
 
+@behave.given('an idempotent request that any server may run')
+def unkeyed_request(context):
+    context.gateway = _Gateway(load_fixtures.Scheduler())
+    context.slot = _Slot(context.gateway.now(), 4000)
+    service = dataclasses.replace(request_fixtures.SERVICE, is_keyed=False)
+    _request(context, service).start()
+
+
+@behave.when('no other server is left')
+def no_other_server(context):
+    context.gateway.left_names = []
+
+
+@behave.when('server "a" responds with status {status:d} without proof')
+def responds_without_proof(context, status):
+    head = http_message.Head('', '', status, (), True)
+    context.gateway.sent[-1].finish(results.Answered(head, b''))
+
+
 @behave.given('an idempotent request for a key of server "a"')
 def idempotent_request(context):
     _start(context, 4000)
@@ -278,6 +315,14 @@
     assert least_ms <= int(given) <= most_ms, given
 
 
+@behave.then('its attempt {count:d} may not use the connections of the others')
+def may_not_use(context, count):
+    *earlier, last = context.gateway.sent
+    assert len(earlier) == count - 1, earlier
+    for attempt in earlier:
+        assert attempt.connection in last.used_connections
+
+
 @behave.then('no request is waiting')
 def none_waiting(context):
     assert not context.gateway.waiting
@@ -285,4 +330,5 @@
 
 @behave.then('the request is refused with status {status:d}')
 def refused(context, status):
+    assert context.slot.answered is None, context.slot.answered
     assert context.slot.refusal.status == status, context.slot.refusal
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -63,6 +63,7 @@
         self.key = None
         self._attempt = None
         self._tried = []
+        self._used_connections = []
         self._connect_failures = 0
         self._attempts = 0
         self._selection = {}
@@ -239,6 +240,7 @@
             # run, but the server has given no proof of that.
             unknown = results.Unknown(f'the server answered {status}')
             self._may_have_run = True
+            self._last_result = unknown
             if self.is_idempotent and self._may_retry(unknown):
                 self._start_attempt()
             else:
@@ -415,6 +417,7 @@
             self,
             self._format_request(server, now),
             self.key,
+            self._used_connections,
         )
         self._attempt = attempt
         if not backend.send(attempt, self.is_idempotent):
@@ -426,6 +429,7 @@
             )
             return
         self._attempts += 1
+        self._used_connections.append(attempt.connection)
         if server.incarnation not in self._tried:
             self._tried.append(server.incarnation)
 
