Take the list of servers of each new link to the granting host

A host that had been cut off sent three requests to a server that had left 13.4 s before. The host remembered that a list had been pushed over its previous link, so the first heartbeat on the new link confirmed its old list as read just now. The list that followed had been encoded up to 0.1 s earlier for another host, seemed older and was dropped; later heartbeats confirmed the old list for good.

Forgetting in Spoke.connect that servers were pushed cures that case. Two related ones would have stayed, each with a scenario of its own: a heartbeat that arrives late makes the list of the host seem newer than the push that follows on the same link, and the first push of a granting host that had no list when the link was opened is a difference from nothing, but was merged into the old list of the host. The spoke therefore keeps the list as pushed over the current link. A push or a heartbeat puts it in force when it is not older than the list known to the host. A list of another granting host that is truly older still has to wait until that host has read the store later; a fourth scenario covers this.

--- a/features/direct_reading.feature
+++ b/features/direct_reading.feature
@@ -90,3 +90,28 @@
     Given a host that is linked and got servers "a, b"
     When it is linked again and gets servers "b", encoded before the last read
     Then it knows servers "b"
+
+  # Guards against requests to a server that left. A heartbeat that arrived
+  # late made the list of the host seem newer than the push that followed.
+  Scenario: A host takes a list that seemed old once the list is confirmed
+    Given a host that is linked and got servers "a, b"
+    When it gets servers "b", read before the list of the last heartbeat
+    And 0.7 seconds of polling pass
+    And the granting host sends a last heartbeat with a list of age 0.1 seconds
+    Then it knows servers "b"
+
+  # Guards against a server that a host never forgets. The first push of a
+  # granting host that had no list yet was added to the old list of the host.
+  Scenario: A host takes the first list of a restarted granting host
+    Given a host that is linked and got servers "a, b"
+    When it is linked to a granting host whose first list of servers is "b"
+    Then it knows servers "b"
+
+  # Guards against requests to a server that left. A granting host that learned
+  # of it later than this host would bring back its older list.
+  Scenario: A host keeps its list until a new granting host has a newer one
+    Given a host that is linked and got servers "a"
+    When it is linked to a granting host that got servers "a, b" 2 seconds ago
+    Then it knows servers "a"
+    When the granting host sends a last heartbeat with a list of age 0.0 seconds
+    Then it knows servers "a, b"
--- a/features/steps/direct_reading_steps.py
+++ b/features/steps/direct_reading_steps.py
@@ -267,7 +267,7 @@
     assert context.reader.changes[-1] is False
 
 
-def _push_servers(context, names, age_s):
+def _push_servers(context, names, age_s, *, is_full=True):
     entries = [
         ttypes.ServerEntry(
             name, 1, 'stock', '127.0.0.1', 1, 'x', 4, False, 0.0
@@ -277,7 +277,7 @@
     context.spoke.link_message(
         context.link,
         'servers_push',
-        ttypes.ServersPush(True, entries, [], age_s),
+        ttypes.ServersPush(is_full, entries, [], age_s),
     )
 
 
@@ -301,6 +301,37 @@
     _push_servers(context, names, 0.7)
 
 
+@behave.when(
+    'it gets servers "{names}", read before the list of the last heartbeat'
+)
+def late_heartbeat(context, names):
+    _send_heartbeat(context, 0.01)
+    _push_servers(context, names, 0.7)
+
+
+@behave.when(
+    'it is linked to a granting host whose first list of servers is "{names}"'
+)
+def linked_to_restarted_granter(context, names):
+    context.time.advance(5.0)
+    context.link.close()
+    _connect(context, '127.0.0.1:2')
+    _send_heartbeat(context, 1e6)
+    _push_servers(context, names, 0.01, is_full=False)
+
+
+@behave.when(
+    'it is linked to a granting host that got servers "{names}" {age_s:g} '
+    'seconds ago'
+)
+def linked_to_stale_granter(context, names, age_s):
+    context.time.advance(1.0)
+    context.link.close()
+    _connect(context, '127.0.0.1:2')
+    _send_heartbeat(context, age_s)
+    _push_servers(context, names, age_s)
+
+
 @behave.then('it knows servers "{names}"')
 def knows_servers(context, names):
     found = sorted(s.server_id for s in context.routing_state.registry.all())
--- a/packages/radishferryd/src/radishferryd/router/knowledge.py
+++ b/packages/radishferryd/src/radishferryd/router/knowledge.py
@@ -39,6 +39,9 @@
         self._configuration_read_at = -math.inf
         self.routes = None
         self.registry = registry_module.Registry()
+        #: The list of the granting host that is in force, None if this host
+        #: has read the list in force itself.
+        self._pushed_servers = None
         self.key_maps = {}
         self.on_configuration = []
         self.on_servers = []
@@ -135,6 +138,7 @@
         known_at = self.registry.read_at
         if known_at is not None and read_at <= known_at:
             return
+        self._pushed_servers = None
         self._apply(servers, read_at, source, is_own=True)
 
     def apply_pushed(self, servers, read_at):
@@ -143,15 +147,36 @@
         Pushes are applied in the order in which they arrive. The clocks of
         the hosts differ, so a push may seem slightly older than the one
         before. A host that has read a newer list from the store itself keeps
-        that list.
+        that list until :meth:`confirm_pushed` shows that the granting host
+        has read the store later.
 
+        :param servers: Every server of the list by id; not modified later.
         :param read_at: When the granting host read the list, in seconds.
         """
         known_at = self.registry.read_at
         if known_at is not None and read_at < known_at - CLOCK_SLACK_S:
             return
-        read_at = max(read_at, known_at or read_at)
-        self._apply(servers, read_at, 'granting host', is_own=False)
+        self._apply_pushed(servers, max(read_at, known_at or read_at))
+
+    def confirm_pushed(self, servers, read_at):
+        """Record that the granting host has read the same list again.
+
+        The list is put in force if it seemed too old when it was pushed.
+
+        :param servers: The mapping that was passed to :meth:`apply_pushed`.
+        :param read_at: When the granting host last read the list, in seconds.
+        """
+        known_at = self.registry.read_at
+        if known_at is not None and read_at <= known_at:
+            return
+        if servers is self._pushed_servers:
+            self.registry.note_unchanged(read_at)
+        else:
+            self._apply_pushed(servers, read_at)
+
+    def _apply_pushed(self, servers, read_at):
+        self._pushed_servers = servers
+        self._apply(servers.values(), read_at, 'granting host', is_own=False)
 
     def note_leaving(self, incarnation, age_s, source):
         """Mark a server as leaving that announced this itself.
--- a/packages/radishferryd/src/radishferryd/router/spoke.py
+++ b/packages/radishferryd/src/radishferryd/router/spoke.py
@@ -54,7 +54,9 @@
         self._link = None
         self._has_heartbeat = False
         self._address = None
-        self._pushed_servers_at = None
+        #: Servers by id as pushed over the current link, None before the
+        #: first push.
+        self._pushed_servers = None
         self._granter_read_at = scheduler.now()
         self._granter_configuration_read_at = scheduler.now()
         self._link_changed_at = scheduler.now()
@@ -107,6 +109,7 @@
             self._drop()
         self._address = address
         self._has_heartbeat = False
+        self._pushed_servers = None
         ip, _, port = address.rpartition(':')
         self._link = links.Link(self._scheduler, self)
         self._link.connect(self._poller, (ip, int(port)))
@@ -225,7 +228,6 @@
             )
         self._note_holds(message)
         self._owner.set_host_count(message.hosts)
-        registry = self._routing_state.registry
         read_at = now - message.registry_age_s
         self._granter_read_at = read_at
         # A granting host of an older version does not send the age of its
@@ -237,9 +239,8 @@
         )
         # Pushes and heartbeats arrive in order on the link, so the pushed list
         # has not changed up to this time.
-        if registry.read_at is not None and registry.read_at < read_at:
-            if self._pushed_servers_at is not None:
-                registry.note_unchanged(read_at)
+        if self._pushed_servers is not None:
+            self._routing_state.confirm_pushed(self._pushed_servers, read_at)
         if message.is_stopping:
             self._drop()
 
@@ -259,22 +260,14 @@
 
     def _on_servers_push(self, message):
         read_at = self._scheduler.now() - message.age_s
-        changed = {e.server_id: _server(e) for e in message.changed}
-        if message.is_full:
-            servers = list(changed.values())
-        else:
-            registry = self._routing_state.registry
-            gone = set(message.gone)
-            servers = [
-                *changed.values(),
-                *(
-                    server
-                    for server in registry.all()
-                    if server.server_id not in changed
-                    and server.server_id not in gone
-                ),
-            ]
-        self._pushed_servers_at = read_at
+        # The first push of a granting host that had no list when the link was
+        # opened is not marked as full.
+        has_base = not message.is_full and self._pushed_servers is not None
+        servers = dict(self._pushed_servers) if has_base else {}
+        for server_id in message.gone:
+            servers.pop(server_id, None)
+        servers.update((e.server_id, _server(e)) for e in message.changed)
+        self._pushed_servers = servers
         self._routing_state.apply_pushed(servers, read_at)
 
     def _on_key_map_push(self, message):
