Log which list of servers a host keeps on a new link

The logs show when a host removes a server, but not why one does not: a list of the granting host that seems older than the known one was dropped in silence.

Log the dropped list with both ages and the servers that stay usable only because of it, and the age of both lists when the granting host answers.

--- a/packages/radishferryd/src/radishferryd/router/knowledge.py
+++ b/packages/radishferryd/src/radishferryd/router/knowledge.py
@@ -17,6 +17,8 @@
 CLOCK_SLACK_S = 0.1
 #: Age in seconds that is reported for what has never been read.
 MAX_AGE_S = 1e6
+#: Maximum number of servers that one log record names.
+MAX_LOGGED_SERVERS = 10
 
 
 class RoutingState:
@@ -155,6 +157,7 @@
         """
         known_at = self.registry.read_at
         if known_at is not None and read_at < known_at - CLOCK_SLACK_S:
+            self._log_ignored(servers, read_at)
             return
         self._apply_pushed(servers, max(read_at, known_at or read_at))
 
@@ -178,6 +181,24 @@
         self._pushed_servers = servers
         self._apply(servers.values(), read_at, 'granting host', is_own=False)
 
+    def _log_ignored(self, servers, read_at):
+        usable = {s.incarnation for s in servers.values() if not s.is_leaving}
+        kept = [
+            server.server_id
+            for server in self.registry.all()
+            if not server.is_leaving and server.incarnation not in usable
+        ]
+        now = self._now()
+        LOG.info(
+            'knowledge: Ignored servers that were read before the known ones.',
+            extra={
+                'age_s': round(now - read_at, 3),
+                'known_age_s': round(self.registry.age(now), 3),
+                'kept': kept[:MAX_LOGGED_SERVERS],
+                'kept_count': len(kept),
+            },
+        )
+
     def note_leaving(self, incarnation, age_s, source):
         """Mark a server as leaving that announced this itself.
 
--- a/packages/radishferryd/src/radishferryd/router/spoke.py
+++ b/packages/radishferryd/src/radishferryd/router/spoke.py
@@ -9,6 +9,7 @@
 from radishferry.direct import pacing
 from radishferry.direct import registry as registry_module
 from radishferryd.gen.router import ttypes
+from radishferryd.router import knowledge
 from radishferryd.router import links
 from radishferryd.router import store_reader
 
@@ -219,12 +220,20 @@
 
     def _on_beat(self, message):
         now = self._scheduler.now()
+        registry = self._routing_state.registry
         if not self._has_heartbeat:
             self._has_heartbeat = True
             self._link_changed_at = now
             LOG.info(
                 'spoke: The granting host answers.',
-                extra={'address': self._address, 'hosts': message.hosts},
+                extra={
+                    'address': self._address,
+                    'hosts': message.hosts,
+                    'registry_age_s': round(
+                        min(registry.age(now), knowledge.MAX_AGE_S), 3
+                    ),
+                    'granter_registry_age_s': round(message.registry_age_s, 3),
+                },
             )
         self._note_holds(message)
         self._owner.set_host_count(message.hosts)
