--- a/features/direct_reading.feature
+++ b/features/direct_reading.feature
@@ -115,3 +115,14 @@
     Then it knows servers "a"
     When the granting host sends a last heartbeat with a list of age 0.0 seconds
     Then it knows servers "a, b"
+
+  # Guards against requests to a server that left. A host that has had no answer
+  # of the store keeps servers that are missing from its next list, and on a new
+  # link to the granting host it kept them for good.
+  Scenario: A host forgets servers that it kept after an outage of the store
+    Given a host that is linked and got servers "a, b"
+    When it reads servers "b" after an outage and is linked to a granting host that got "b" 0.5 seconds ago
+    Then it knows servers "a, b"
+    When 0.4 seconds of polling pass
+    And the granting host sends a last heartbeat with a list of age 0.2 seconds
+    Then it knows servers "b"
--- a/features/steps/direct_reading_steps.py
+++ b/features/steps/direct_reading_steps.py
@@ -332,6 +332,23 @@
     _push_servers(context, names, age_s)
 
 
+@behave.when(
+    'it reads servers "{own}" after an outage and is linked to a granting '
+    'host that got "{names}" {age_s:g} seconds ago'
+)
+def linked_after_outage(context, own, names, age_s):
+    context.time.advance(5.0)
+    context.link.close()
+    registry = context.routing_state.registry
+    now = context.time.now()
+    registry.note_outage(now)
+    servers = [registry.get(name) for name in own.split(', ')]
+    context.routing_state.apply_servers(servers, now, 'store')
+    _connect(context, '127.0.0.1:2')
+    _send_heartbeat(context, age_s)
+    _push_servers(context, names, age_s)
+
+
 @behave.then('it knows servers "{names}"')
 def knows_servers(context, names):
     found = sorted(s.server_id for s in context.routing_state.registry.all())
