Exit only after the last responses of a planned stop are sent

Cause: a check that came late, after the time of the exit, answered the open requests and ended the process in the same call, before the loop had sent what it had queued.

The process exits 0.25 s after it has answered. The stop begins before keys are handed over, so that an error there cannot prevent it, and its times count from the signal and not from the loop's next round. Requests are refused by the clock, not from the next check on.

The scenarios also fail now if the listener is never closed.

--- a/features/steps/direct_shutdown_steps.py
+++ b/features/steps/direct_shutdown_steps.py
@@ -23,6 +23,14 @@
 
         self.call_later(interval_s, repeat)
 
+    def skip(self, seconds):
+        """Let time pass in which nothing runs."""
+        self._now += seconds
+        self._calls = sorted(
+            (max(due, self._now), order, handle)
+            for due, order, handle in self._calls
+        )
+
 
 class _Connection:
     """Stand in for a connection of a caller."""
@@ -51,10 +59,15 @@
         self.connections.add(_Connection(self, is_idle))
         self.times = {}
 
-    def begin_stop(self, ends_at):
+    @property
+    def accepts_requests(self):
+        return self.now() < self._refuses_at
+
+    def begin_stop(self, refuses_at, ends_at):
+        self._refuses_at = refuses_at
         self.ends_at = ends_at
 
-    def refuse_requests(self):
+    def refuse_incomplete_requests(self):
         self.times.setdefault('refused', self.now())
 
     def end_requests(self):
@@ -68,7 +81,9 @@
         context.scheduler,
         context.gateway,
         grace_s,
-        lambda: None,
+        lambda: context.gateway.times.setdefault(
+            'closed', context.scheduler.now()
+        ),
         lambda: None,
     )
 
@@ -89,7 +104,7 @@
 
 def _run(context):
     context.begun_at = context.scheduler.now()
-    context.shutdown.begin()
+    context.shutdown.begin(context.begun_at)
     try:
         context.scheduler.advance(60.0)
     except SystemExit:
@@ -101,6 +116,17 @@
     _run(context)
 
 
+@behave.when(
+    'it is stopped, and its process is late from {start_s:g} to {end_s:g} '
+    'seconds'
+)
+def stop_late(context, start_s, end_s):
+    context.scheduler.call_later(
+        start_s, lambda: context.scheduler.skip(end_s - start_s)
+    )
+    _run(context)
+
+
 @behave.when('it is stopped and the request ends after {seconds:g} seconds')
 def stop_and_end(context, seconds):
     context.scheduler.call_later(seconds, context.gateway.connections.clear)
@@ -112,6 +138,11 @@
     assert abs(took_s - seconds) <= _TOLERANCE_S, (name, took_s)
 
 
+@behave.then('the listener is closed after {seconds:g} seconds')
+def closed(context, seconds):
+    _assert_time(context, 'closed', seconds)
+
+
 @behave.then('requests are refused after {seconds:g} seconds')
 def refused(context, seconds):
     _assert_time(context, 'refused', seconds)
--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -370,15 +370,18 @@
 
     # Planned stop.
 
-    def begin_stop(self):
-        """Start a planned stop that lets open requests finish."""
+    def begin_stop(self, signalled_at):
+        """Start a planned stop that lets open requests finish.
+
+        :param float signalled_at: When the host was told to stop, in seconds.
+        """
         if self._shutdown.has_begun:
             return
+        self._shutdown.begin(signalled_at)
         if self._ownership.extend_grants():
             self._scheduler.call_later(EXTEND_GRANTS_S, self._hand_over)
         else:
             self._hand_over()
-        self._shutdown.begin()
 
     def _hand_over(self):
         if self._ownership.is_active:
@@ -402,11 +405,12 @@
         return 1
     scheduler = app._scheduler
 
+    def stop(*_):
+        signalled_at = scheduler.now()
+        scheduler.call_later(0.0, lambda: app.begin_stop(signalled_at))
+
     def install_handlers():
-        signal.signal(
-            signal.SIGTERM,
-            lambda *_: scheduler.call_later(0.0, app.begin_stop),
-        )
+        signal.signal(signal.SIGTERM, stop)
         signal.signal(
             signal.SIGHUP, lambda *_: scheduler.call_later(0.0, app.reload)
         )
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -56,10 +56,9 @@
         self.connections = set()
         #: Whether connections close after their next response.
         self.is_stopping = False
-        #: Whether requests are sent to servers; otherwise they are refused.
-        self.accepts_requests = True
-        #: When requests that are still open are answered because the host
-        #: stops, infinite if it does not.
+        #: When a stopping host begins to refuse requests, and when it answers
+        #: those that are still open; infinite if it does not stop.
+        self.refuses_at = math.inf
         self.ends_at = math.inf
         self.host_count = settings.retry_hosts
         self.data_centre = settings.host_data_centre
@@ -87,6 +86,11 @@
         """Return the configured limits for callers."""
         return self._routing_state.limits
 
+    @property
+    def accepts_requests(self) -> bool:
+        """Return whether further requests are sent to servers."""
+        return self.now() < self.refuses_at
+
     @property
     def registry(self):
         """Return the registry of known servers."""
@@ -104,17 +108,18 @@
 
     # Planned stop.
 
-    def begin_stop(self, ends_at):
+    def begin_stop(self, refuses_at, ends_at):
         """Close connections after their next response.
 
+        :param float refuses_at: When further requests will be refused.
         :param float ends_at: When open requests will be answered.
         """
         self.is_stopping = True
+        self.refuses_at = refuses_at
         self.ends_at = ends_at
 
-    def refuse_requests(self):
-        """Refuse the requests that are not complete yet, and all further."""
-        self.accepts_requests = False
+    def refuse_incomplete_requests(self):
+        """Refuse the requests that are being received."""
         for connection in list(self.connections):
             connection.refuse_incomplete(self.stop_refusal())
 
--- a/packages/radishferryd/src/radishferryd/router/shutdown.py
+++ b/packages/radishferryd/src/radishferryd/router/shutdown.py
@@ -20,8 +20,8 @@
 #: open are answered. Complete responses that wait behind them on pipelined
 #: connections have to be sent before the process exits.
 ANSWER_MARGIN_S = 0.6
-#: Seconds before the end of the grace period at which the process exits.
-EXIT_MARGIN_S = 0.4
+#: Seconds from these answers to the exit, in which they are sent.
+EXIT_DELAY_S = 0.25
 #: Seconds between checks whether all connections have been closed.
 CHECK_S = 0.05
 
@@ -53,17 +53,22 @@
         self._before_exit = before_exit
         self._listen_s = min(LISTEN_S, grace_s * MAX_LISTEN_SHARE)
         self._begun_at = None
+        self._answered_at = None
 
     @property
     def has_begun(self) -> bool:
         """Return whether a planned stop has begun."""
         return self._begun_at is not None
 
-    def begin(self):
-        """Start a planned stop."""
-        self._begun_at = self._scheduler.now()
+    def begin(self, signalled_at):
+        """Start a planned stop.
+
+        :param float signalled_at: When the grace period began.
+        """
+        self._begun_at = signalled_at
         self._gateway.begin_stop(
-            self._begun_at + self._grace_s - ANSWER_MARGIN_S
+            signalled_at + self._listen_s,
+            signalled_at + self._grace_s - ANSWER_MARGIN_S,
         )
         LOG.info(
             'app: A planned stop begins.',
@@ -74,20 +79,25 @@
     def _continue(self):
         now = self._scheduler.now()
         gateway = self._gateway
-        elapsed_s = now - self._begun_at
-        if elapsed_s <= self._listen_s:
+        if gateway.accepts_requests:
             return
         self._close_listener()
-        gateway.refuse_requests()
+        gateway.refuse_incomplete_requests()
         for connection in list(gateway.connections):
             if connection.is_idle and now - connection.active_at > IDLE_S:
                 connection.close()
         if now >= gateway.ends_at:
-            gateway.end_requests()
-        if (
-            not gateway.connections
-            or elapsed_s > self._grace_s - EXIT_MARGIN_S
-        ):
+            self._answer_open_requests(now)
+        if not gateway.connections:
+            self._exit()
+
+    def _answer_open_requests(self, now):
+        # The process exits in a later call: the responses are sent after this
+        # one, however late it is.
+        if self._answered_at is None:
+            self._answered_at = now
+        self._gateway.end_requests()
+        if now - self._answered_at > EXIT_DELAY_S:
             self._exit()
 
     def _exit(self):
