Confirm a configuration only once the link has brought it

The first heartbeat on a new link made a host report its old configuration as just confirmed (metric and state dump, and its own heartbeats if it became the granting host at that moment), though the configuration follows later on the link: the same cause as the lost list of servers. Note the age only when the link has brought a configuration; pushes and heartbeats arrive in order.

The scenario failed before (age 0.0 s after 5 s without a link), as 1 of 17 in direct_reading.feature; 17 of 17 pass now.

--- a/features/direct_reading.feature
+++ b/features/direct_reading.feature
@@ -126,3 +126,13 @@
     When 0.4 seconds of polling pass
     And the granting host sends a last heartbeat with a list of age 0.2 seconds
     Then it knows servers "b"
+
+  # Guards against a host that reports an old configuration as just confirmed.
+  # The first heartbeat on a new link arrives before the configuration.
+  Scenario: A heartbeat confirms no configuration that the link has not brought
+    Given a host that is linked and got its configuration
+    When it is linked again after 5 seconds and gets a heartbeat
+    Then the age of its configuration is at least 5 seconds
+    When it gets its configuration
+    And the granting host sends a last heartbeat with a list of age 0.2 seconds
+    Then the age of its configuration is below 1 second
--- a/features/steps/direct_reading_steps.py
+++ b/features/steps/direct_reading_steps.py
@@ -353,3 +353,43 @@
 def knows_servers(context, names):
     found = sorted(s.server_id for s in context.routing_state.registry.all())
     assert found == names.split(', '), found
+
+
+@behave.given('a host that is linked and got its configuration')
+def linked_with_configuration(context):
+    _add_spoke(context)
+    _connect(context, '127.0.0.1:1')
+    push_configuration(context)
+    _send_heartbeat(context, 0.3)
+
+
+@behave.when(
+    'it is linked again after {seconds:g} seconds and gets a heartbeat'
+)
+def linked_with_heartbeat(context, seconds):
+    context.time.advance(seconds)
+    context.link.close()
+    _connect(context, '127.0.0.1:1')
+    _send_heartbeat(context, 0.3)
+
+
+@behave.when('it gets its configuration')
+def push_configuration(context):
+    """Push the configuration that the host has already."""
+    context.spoke.link_message(
+        context.link,
+        'configuration_push',
+        ttypes.ConfigurationPush(context.routing_state.document),
+    )
+
+
+@behave.then('the age of its configuration is at least {seconds:g} seconds')
+def configuration_is_older(context, seconds):
+    age_s = context.routing_state.configuration_age_s
+    assert age_s >= seconds, age_s
+
+
+@behave.then('the age of its configuration is below {seconds:g} second')
+def configuration_is_younger(context, seconds):
+    age_s = context.routing_state.configuration_age_s
+    assert age_s < seconds, age_s
--- a/packages/radishferryd/src/radishferryd/router/spoke.py
+++ b/packages/radishferryd/src/radishferryd/router/spoke.py
@@ -58,6 +58,8 @@
         #: Servers by id as pushed over the current link, None before the
         #: first push.
         self._pushed_servers = None
+        #: Whether the current link has brought the configuration.
+        self._has_configuration = False
         self._granter_read_at = scheduler.now()
         self._granter_configuration_read_at = scheduler.now()
         self._link_changed_at = scheduler.now()
@@ -111,6 +113,7 @@
         self._address = address
         self._has_heartbeat = False
         self._pushed_servers = None
+        self._has_configuration = False
         ip, _, port = address.rpartition(':')
         self._link = links.Link(self._scheduler, self)
         self._link.connect(self._poller, (ip, int(port)))
@@ -243,11 +246,12 @@
         # configuration.
         configuration_age_s = message.configuration_age_s or 0.0
         self._granter_configuration_read_at = now - configuration_age_s
-        self._routing_state.note_configuration_read(
-            self._granter_configuration_read_at
-        )
-        # Pushes and heartbeats arrive in order on the link, so the pushed list
-        # has not changed up to this time.
+        # Pushes and heartbeats arrive in order on the link, so what has been
+        # pushed over it has not changed up to these times.
+        if self._has_configuration:
+            self._routing_state.note_configuration_read(
+                self._granter_configuration_read_at
+            )
         if self._pushed_servers is not None:
             self._routing_state.confirm_pushed(self._pushed_servers, read_at)
         if message.is_stopping:
@@ -265,6 +269,7 @@
             )
 
     def _on_configuration_push(self, message):
+        self._has_configuration = True
         self._routing_state.apply_document(message.document, 'granting host')
 
     def _on_servers_push(self, message):
