Refuse requests that ask for another protocol before they begin

A payment with "Connection: Upgrade" was sent to its server with an empty body.

Cause: for such a request the parser reports the end of the message right after the head, and the error that stands for the upgrade only then. By that time the request had begun.

The upgrade is now detected when the head is complete, and the request is refused with 400, as it was meant to be.

--- a/features/direct_callers.feature
+++ b/features/direct_callers.feature
@@ -15,6 +15,7 @@
       | 40000 bytes of a chunk extension          | 431    |
       | 40000 bytes of trailers                   | 431    |
       | 40000 bytes of empty lines                | 431    |
+      | a body and asks for another protocol      | 400    |
 
   # Guards against limits that reject valid requests.
   Scenario: A long body in many small chunks is taken
--- a/features/steps/direct_callers_steps.py
+++ b/features/steps/direct_callers_steps.py
@@ -132,6 +132,14 @@
     _send_slowly(context, b'a' * 20)
 
 
+@behave.when('the caller sends a body and asks for another protocol')
+def upgrade(context):
+    context.connection.received(
+        _HEAD + b'Connection: Upgrade\r\nUpgrade: other\r\n'
+        b'Content-Length: 4\r\n\r\nabcd'
+    )
+
+
 @behave.when('the caller sends {size:d} bytes of {what}')
 def endless(context, size, what):
     start, part = {
--- a/packages/radishferryd/src/radishferryd/http_message.py
+++ b/packages/radishferryd/src/radishferryd/http_message.py
@@ -124,7 +124,7 @@
             raise BadMessageError('protocol upgrade') from exc
         except httptools.HttpParserCallbackError as exc:
             cause = exc.__context__
-            if isinstance(cause, HeadTooLargeError):
+            if isinstance(cause, (HeadTooLargeError, BadMessageError)):
                 raise cause from exc
             raise
         except httptools.HttpParserError as exc:
@@ -170,6 +170,9 @@
             raise HeadTooLargeError()
         self._is_in_head = False
         parser = self._parser
+        if self._is_request and parser.should_upgrade():
+            # The parser would report the end of the message without its body.
+            raise BadMessageError('protocol upgrade')
         self._is_interim = (
             not self._is_request and parser.get_status_code() < 200
         )
