Keep the responses before one that breaks off while it is streamed

Callers of a pipelined connection got no response to earlier requests when the server of a later one broke off a large response, or was too slow: the connection was reset at once, and requests at sound servers were cancelled.

Cause: a response is streamed from 768 kB on, also while it is buffered until its turn, and a streamed response that failed aborted the connection without regard to its position.

If nothing of it has been sent, the response is replaced by a 502 in its turn. Otherwise the connection closes after what was queued before; a short body or a missing last chunk shows that the response is incomplete. The log names that reason for the requests behind it.

The scenario of a streamed response at a stop now also fails if the stream is aborted.

--- a/features/direct_callers.feature
+++ b/features/direct_callers.feature
@@ -83,3 +83,22 @@
     And the second request is answered
     Then the caller gets statuses 200, 200
     And the connection closes once the caller has closed it
+
+  # Guards against the loss of the responses before one that breaks off while it
+  # is streamed: the connection was reset at once.
+  Scenario: A response that breaks off before its turn is replaced
+    Given a connection of a caller with two requests in progress
+    When the response to the second request streams 900000 bytes
+    And the response to the second request breaks off
+    And the first request is answered
+    Then the caller gets statuses 200, 502
+
+  # Guards against a response that looks complete although it broke off, and
+  # against the loss of those before it.
+  Scenario: A response that breaks off while it is sent closes the connection
+    Given a connection of a caller with two requests in progress
+    When the first request is answered
+    And the response to the second request streams 100000 bytes
+    And the response to the second request breaks off
+    Then the caller gets statuses 200, 200
+    And the last response is incomplete and the connection is closed
--- a/features/direct_requests.feature
+++ b/features/direct_requests.feature
@@ -113,7 +113,7 @@
   Scenario: A streamed response is not replaced when the host stops
     When server "a" starts a streamed response
     And the host ends its requests
-    Then the caller has got no refusal
+    Then the response to the caller goes on
 
   # Guards against a second copy of the refusal of an earlier attempt, which
   # has the same id: it would count as the response to the present attempt.
--- a/features/steps/direct_callers_steps.py
+++ b/features/steps/direct_callers_steps.py
@@ -167,6 +167,19 @@
         slot.stream(b'x' * 50000)
 
 
+@behave.when('the response to the second request breaks off')
+def breaks_off(context):
+    context.gateway.begun[1].break_off(
+        results.Refusal(502, results.Reason.BAD_ANSWER, 'It broke off.')
+    )
+
+
+@behave.then('the last response is incomplete and the connection is closed')
+def is_incomplete(context):
+    assert not context.socket.written.endswith(http_message.LAST_CHUNK)
+    assert not context.socket.is_open
+
+
 @behave.given('the host stops')
 @behave.when('the host stops')
 def host_stops(context):
--- a/features/steps/direct_requests_steps.py
+++ b/features/steps/direct_requests_steps.py
@@ -149,7 +149,7 @@
     def begin_stream(self, head):
         """Ignore the head."""
 
-    def abort(self):
+    def break_off(self, refusal):
         self.is_aborted = True
 
 
@@ -266,9 +266,10 @@
     assert context.slot.refusal is None
 
 
-@behave.then('the caller has got no refusal')
-def no_refusal(context):
+@behave.then('the response to the caller goes on')
+def goes_on(context):
     assert context.slot.refusal is None, context.slot.refusal
+    assert not context.slot.is_aborted
 
 
 @behave.when('the key moves to server "b"')
--- a/packages/radishferryd/src/radishferryd/router/callers.py
+++ b/packages/radishferryd/src/radishferryd/router/callers.py
@@ -53,6 +53,7 @@
         self._buffered_bytes = 0
         self._is_done = False
         self._is_chunked = False
+        self._has_begun = False
         self._ends_connection = False
 
     @property
@@ -127,9 +128,19 @@
         self._write(refusal.status, lines, body)
         self._finish()
 
-    def abort(self):
-        """Abort a response in progress, so that it looks incomplete."""
-        self._connection.abort()
+    def break_off(self, refusal):
+        """End a response in progress that will not become complete.
+
+        It is replaced if nothing of it has been sent. Otherwise the connection
+        closes, so that the response is incomplete.
+
+        :param refusal: A :class:`~radishferryd.router.results.Refusal`.
+        """
+        if self._has_begun:
+            self._connection.break_off()
+        else:
+            self.take_output()
+            self.refuse(refusal)
 
     # Called by the connection.
 
@@ -152,6 +163,10 @@
         self._buffered_bytes = 0
         return output
 
+    def begin_sending(self):
+        """Record that the connection sends the response from now on."""
+        self._has_begun = True
+
     def is_overdue(self, now) -> bool:
         """Return whether the request deadline passed while receiving."""
         limit_s = headers.parse_remaining_s(
@@ -228,9 +243,11 @@
         self._is_closing = True
         self._connection.close()
 
-    def abort(self):
-        """Reset the connection at once."""
-        self._connection.abort()
+    def break_off(self):
+        """Close in the middle of a response, after what was queued before."""
+        self._is_closing = True
+        self._cancel_all('an earlier response on the connection broke off')
+        self._connection.linger_close(self._gateway.scheduler.call_later)
 
     def log_open_requests(self):
         """Log the requests whose responses have not been sent, in order."""
@@ -305,6 +322,7 @@
         while self._slots and self._connection.is_open:
             slot = self._slots[0]
             for data in slot.take_output():
+                slot.begin_sending()
                 self._connection.write(data)
             if not slot.is_done:
                 return
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -574,7 +574,9 @@
         """Abort a response in progress, so that it looks incomplete."""
         self._end()
         self._gateway.finished(self, 0, 'broken', detail)
-        self._slot.abort()
+        self._slot.break_off(
+            results.Refusal(502, results.Reason.BAD_ANSWER, detail)
+        )
 
     def _refuse_overloaded(self, reason, expected_s, detail):
         if self._may_have_run and not self.is_idempotent:
