Let callers of a coordinator read the last response before a close

In the coordinator mode a response could be lost in a reset when a further request was on its way: after a pipelined request, or in a planned stop.

The new scenario of entry.feature failed before.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -117,3 +117,11 @@
     Then the request was granted 0 bytes
     When the caller reads again
     Then the request was granted 262144 bytes
+
+  # Guards against a response that is lost in a reset: a connection that is
+  # closed while a further request is on its way is reset.
+  Scenario: A caller that sends a further request gets the whole response
+    Given a caller connection with a running request
+    When the caller sends a further request
+    And the running request is answered
+    Then the connection closes once its caller has closed it
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -194,6 +194,8 @@
 class _Socket:
     """Fake the connection to the caller."""
 
+    has_lingered = False
+
     def __init__(self):
         self.written = b''
 
@@ -204,7 +206,7 @@
         pass
 
     def linger_close(self, call_later):
-        """Ignore the end of the connection."""
+        self.has_lingered = True
 
     pause_reading = resume_reading = abort = close
 
@@ -291,6 +293,22 @@
     context.connection.received(b'POST /lots/a HTTP/1.1\r\nHost: a\r\n\r\n')
 
 
+@behave.when('the caller sends a further request')
+def send_further(context):
+    context.connection.received(b'POST /lots/a HTTP/1.1\r\nHost: a\r\n\r\n')
+
+
+@behave.when('the running request is answered')
+def answer_running(context):
+    context.gateway.answer.on_head(200, (('content-length', '1'),))
+    context.gateway.answer.on_chunk(b'a', True)
+
+
+@behave.then('the connection closes once its caller has closed it')
+def lingers(context):
+    assert context.socket.has_lingered
+
+
 @behave.when('the caller connection is closed')
 def close_caller(context):
     context.connection.closed(None)
--- a/packages/radishferryd/src/radishferryd/http_server.py
+++ b/packages/radishferryd/src/radishferryd/http_server.py
@@ -77,6 +77,7 @@
         self._is_chunked = False
         self._is_head_sent = False
         self._keep_alive = True
+        self._is_caller_closing = False
         self._is_head_method = False
         self._body_size = 0
         self._body_limit = 0
@@ -147,6 +148,7 @@
         self._is_responding = True
         self._is_head_sent = False
         self._keep_alive = head.keep_alive
+        self._is_caller_closing = not head.keep_alive
         self._is_head_method = head.method == 'HEAD'
         self._body_size = 0
         self._is_body_received = not _has_body(head)
@@ -362,9 +364,10 @@
         self._gateway.finished(request, status, refusal)
         if self._keep_alive:
             self._connection.resume_reading()
-        elif self._is_body_received:
+        elif self._is_body_received and self._is_caller_closing:
             self._connection.close()
         else:
+            # The caller may still be sending.
             self._connection.linger_close(self._gateway.call_later)
 
 
