Mend four smaller faults on connections of callers

- "100 Continue" was written into the response to an earlier request that was being streamed.
- Each further piece of an invalid request was refused again, which added a request and a log line each time.
- A write that failed while several responses were sent raised an IndexError in place of the end of the connection; at the end of a planned stop it kept other connections waiting for their responses.
- A request that was not sent before the end of a planned stop was told nothing about when to come again.

--- a/features/direct_callers.feature
+++ b/features/direct_callers.feature
@@ -102,3 +102,26 @@
     And the response to the second request breaks off
     Then the caller gets statuses 200, 200
     And the last response is incomplete and the connection is closed
+
+  # Guards against an interim response inside of the response to an earlier
+  # request.
+  Scenario: A caller is told to send its body only in its turn
+    Given a connection of a caller with two requests in progress
+    When the first request is answered
+    And the response to the second request streams 100000 bytes
+    And the caller announces a body
+    Then the caller gets statuses 200, 200
+
+  # Guards against a growing number of refusals for one invalid request.
+  Scenario: Bytes after an invalid request are not refused again
+    Given a connection of a caller with two requests in progress
+    When the caller sends 6 pieces of an invalid request
+    Then the connection has 3 open requests
+
+  # Guards against an error in place of the end of a connection whose caller
+  # has reset it.
+  Scenario: A write that fails ends the connection
+    Given a connection of a caller with two requests in progress
+    When the second request is answered
+    And the caller resets the connection after the first response
+    Then the connection has 0 open requests
--- a/features/direct_requests.feature
+++ b/features/direct_requests.feature
@@ -108,6 +108,14 @@
     When the host ends its requests
     Then the request is refused with status 504
 
+  # Guards against a caller that waits longer than needed: another host takes
+  # its request at once.
+  Scenario: A request that was not sent when the host stops may come again
+    When server "a" rejects the request
+    And the host ends its requests
+    Then the request is refused with status 503
+    And the caller is told to retry after 0.1 to 0.2 seconds
+
   # Guards against a response that looks complete because the host stops while
   # it is streamed.
   Scenario: A streamed response is not replaced when the host stops
--- a/features/steps/direct_callers_steps.py
+++ b/features/steps/direct_callers_steps.py
@@ -23,11 +23,16 @@
 
     is_open = True
     has_lingered = False
+    #: Called in place of the second write, None if it succeeds.
+    on_second_write = None
 
     def __init__(self):
         self.written = b''
 
     def write(self, data):
+        if self.written and self.on_second_write is not None:
+            self.on_second_write()
+            return
         self.written += data
 
     def close(self):
@@ -180,6 +185,32 @@
     assert not context.socket.is_open
 
 
+@behave.when('the caller announces a body')
+def announces_body(context):
+    context.connection.received(
+        _HEAD + b'Expect: 100-continue\r\nContent-Length: 5\r\n\r\n'
+    )
+
+
+@behave.when('the caller sends {count:d} pieces of an invalid request')
+def invalid_pieces(context, count):
+    for _ in range(count):
+        context.connection.received(b'\x00\x01 nothing\r\n')
+
+
+@behave.when('the caller resets the connection after the first response')
+def resets(context):
+    context.socket.on_second_write = lambda: context.connection.closed(
+        ConnectionResetError()
+    )
+    _answer(context, 0)
+
+
+@behave.then('the connection has {count:d} open requests')
+def has_open(context, count):
+    assert context.connection.open_requests == count
+
+
 @behave.given('the host stops')
 @behave.when('the host stops')
 def host_stops(context):
--- a/packages/radishferryd/src/radishferryd/router/callers.py
+++ b/packages/radishferryd/src/radishferryd/router/callers.py
@@ -324,7 +324,8 @@
             for data in slot.take_output():
                 slot.begin_sending()
                 self._connection.write(data)
-            if not slot.is_done:
+            # A failed write closes the connection.
+            if not slot.is_done or not self._slots:
                 return
             self._slots.popleft()
             self.active_at = self._gateway.now()
@@ -425,7 +426,9 @@
         if problem is not None:
             self._refuse(slot, problem)
             return
-        if head.header('expect').lower() == '100-continue':
+        expects_interim = head.header('expect').lower() == '100-continue'
+        if expects_interim and self._slots[0] is slot:
+            # Before its turn it would become a part of another response.
             self._connection.write(b'HTTP/1.1 100 Continue\r\n\r\n')
         if len(self._slots) >= MAX_PIPELINED:
             self._connection.pause_reading()
@@ -467,6 +470,8 @@
             return
         slot = self._receiving
         if slot is None:
+            if self._slots and self._slots[-1].ends_connection:
+                return
             slot = Slot(self, _EMPTY_HEAD)
             self._slots.append(slot)
         self._refuse(slot, refusal)
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -133,7 +133,11 @@
     def stop(self):
         """Respond because the host stops, unless a response has begun."""
         if not self._is_done and not self._has_response_started:
-            self._abandon(results.Reason.STOPPING, 'The host stops.')
+            self._abandon(
+                results.Reason.STOPPING,
+                'The host stops.',
+                admission.retry_after_s(0.0),
+            )
 
     def pause(self):
         """Pause reading the response from the server."""
@@ -558,8 +562,12 @@
             detail = 'No server became free in time.'
         self._abandon(results.Reason.TIMEOUT, detail)
 
-    def _abandon(self, reason, detail):
-        """Respond without waiting for the server any longer."""
+    def _abandon(self, reason, detail, retry_after_s=None):
+        """Respond without waiting for the server any longer.
+
+        :param retry_after_s: Seconds after which the caller may retry if the
+            request was not sent to a server.
+        """
         attempt, self._attempt = self._attempt, None
         if attempt is not None:
             attempt.cancel()
@@ -568,7 +576,7 @@
         elif attempt is not None or self._may_have_run:
             self._refuse(504, reason, detail)
         else:
-            self._refuse(503, reason, detail)
+            self._refuse(503, reason, detail, retry_after_s)
 
     def _abort_response(self, detail):
         """Abort a response in progress, so that it looks incomplete."""
