Let the soak find requests that planned stops lose

Each run begins with planned stops of two or three hosts that overlap, before the random faults. The stand-in records the end of each run, and whether the server broke it off.

The check "lost at a planned stop" follows the rule of the users and replaces the example "a request cut off by a planned stop" of the check "planned stop". It is stricter: stops of other hosts, configurations, leaving servers and limits are no excuse, requests that were read and not passed on count, and it applies until 1 s after the grace period. It excuses what that rule excuses.

--- a/packages/radishferry-testing/src/radishferry_testing/http_io.py
+++ b/packages/radishferry-testing/src/radishferry_testing/http_io.py
@@ -46,6 +46,12 @@
         self.body = connection.body
         self.started = False
         self.ended = False
+        self._is_aborted = False
+
+    @property
+    def is_aborted(self) -> bool:
+        """Return whether :meth:`abort` has closed the connection."""
+        return self._is_aborted
 
     @property
     def is_reusable(self) -> bool:
@@ -80,6 +86,7 @@
 
     def abort(self):
         """Close the connection without completing the response."""
+        self._is_aborted = True
         self._connection.transport.abort()
 
     def close(self):
--- a/packages/radishferry-testing/src/radishferry_testing/soak/__main__.py
+++ b/packages/radishferry-testing/src/radishferry_testing/soak/__main__.py
@@ -16,8 +16,8 @@
 from radishferry_testing.soak import report
 from radishferry_testing.soak import cluster as cluster_module
 
-#: Number of callers of a run, each with one request at a time.
-CALLER_COUNT = 12
+#: Number of callers of a run.
+CALLER_COUNT = 16
 #: Interval between samples of the hosts, in seconds.
 SAMPLE_INTERVAL_S = 0.5
 
@@ -36,13 +36,11 @@
         tempfile.TemporaryDirectory() as directory,
         cluster_module.running(directory) as cluster,
     ):
-        ports = {
-            name: cluster.processes.port(name, 'callers')
-            for name in plan.HOSTS
-        }
-        callers = callers_module.Callers(ports, CALLER_COUNT, seed)
         samples = []
         start = time.monotonic()
+        callers = _create_callers(
+            cluster, seed, start + seconds + checks.RECOVERY_WINDOW_S
+        )
         callers.start()
         threads = [
             threading.Thread(target=_inject, args=(cluster, fault, start))
@@ -77,6 +75,15 @@
     return findings
 
 
+def _create_callers(cluster, seed, stop_at):
+    """Return callers whose longest work ends before they are stopped."""
+    ports = {
+        name: cluster.processes.port(name, 'callers') for name in plan.HOSTS
+    }
+    long_until = stop_at - callers_module.LONG_WORK_S[1]
+    return callers_module.Callers(ports, CALLER_COUNT, seed, long_until)
+
+
 def _inject(cluster, fault, start):
     time.sleep(max(0.0, start + fault.at_s - time.monotonic()))
     cluster.inject(fault)
@@ -118,7 +125,7 @@
     seeds: list[int] = (),
     first: int = 1,
     count: int = 1,
-    seconds: float = 40.0,
+    seconds: float = 50.0,
     plots: pathlib.Path | None = None,
     keep: pathlib.Path | None = None,
 ) -> int:
--- a/packages/radishferry-testing/src/radishferry_testing/soak/checks.py
+++ b/packages/radishferry-testing/src/radishferry_testing/soak/checks.py
@@ -28,6 +28,23 @@
 #: Seconds after the store has a configuration from which each host must use
 #: it, in the direct mode.
 CONFIGURATION_S = 2.0
+#: Kinds of faults that excuse no lost request.
+PLANNED_KINDS = (
+    'stop-host',
+    'configuration',
+    'server-leave',
+    'server-rate-limit',
+)
+#: Seconds after the grace period until which a lost request counts.
+STOP_SLACK_S = 1.0
+#: A request whose connection ends within this many seconds after its last byte
+#: may have crossed the close.
+CROSSING_S = 0.2
+#: Seconds after SIGTERM until which a request may be sent, and share of the
+#: grace period at whose end its server may still be at work on it, so that it
+#: may be lost.
+LATE_SENT_S = 3.0
+LATE_WORK_SHARE = 1 / 6
 #: Time bounds apply to a request after this many seconds without a fault.
 STABLE_S = 3.0
 #: Seconds at the end of a run in which the hosts must have recovered.
@@ -80,14 +97,18 @@
     :param samples: :class:`Sample` entries in the order of their times.
     """
     runs = collections.defaultdict(list)
+    run_ends = collections.defaultdict(list)
     for kind, server, detail, at in events:
         if kind == 'run':
             runs[detail['id']].append((server, at))
+        elif kind == 'run-end':
+            run_ends[detail['id']].append((detail['is_broken_off'], at))
     yield from _check_requests(calls, runs)
     yield from _check_owners(events, cluster.fault_log)
     yield from _check_leaving(calls, runs, cluster.fault_log)
     yield from _check_limits(runs, cluster.fault_log)
-    yield from _check_stops(calls, runs, cluster)
+    yield from _check_stops(cluster.stops)
+    yield from _check_lost(calls, runs, run_ends, cluster)
     yield from _check_samples(samples)
     yield from _check_configurations(samples, cluster)
     yield from _check_recovery(calls)
@@ -224,26 +245,86 @@
                 break
 
 
-def _check_stops(calls, runs, cluster):
-    for name, status, took_s in cluster.exits:
-        if status != 0 or took_s > cluster_module.GRACE_S:
+def _check_stops(stops):
+    for stop in stops:
+        is_regular = (
+            stop.exit_status == 0 and stop.took_s <= cluster_module.GRACE_S
+        )
+        if stop.has_started and not is_regular:
             yield Finding(
-                'planned stop', f'{name} ended with {status} after {took_s} s'
+                'planned stop',
+                f'{stop.host} ended with {stop.exit_status} after '
+                f'{stop.took_s} s',
             )
-    spans = list(_spans(cluster.fault_log))
-    stops = [span for span in spans if span[2].kind == 'stop-host']
-    for call, (began, ended, fault) in itertools.product(calls, stops):
-        if call.status != callers.CONNECTION_LOST or call.host != fault.target:
-            continue
-        if not began < call.ended_at < ended or not runs[call.request_id]:
+
+
+def _check_lost(calls, runs, run_ends, cluster):
+    """Check that planned stops lose no request that the host has read."""
+    unplanned = [
+        (began, ended)
+        for began, ended, fault in _spans(cluster.fault_log)
+        if fault.kind not in PLANNED_KINDS
+    ]
+    for call, stop in itertools.product(calls, cluster.stops):
+        if not _is_cut_off_by(call, stop):
             continue
-        others = [span for span in spans if span[2] is not fault]
-        is_undisturbed = not any(
-            start < call.ended_at and end > call.sent_at - STABLE_S
-            for start, end, _ in others
+        was_passed_on = bool(runs[call.request_id])
+        ends = run_ends[call.request_id]
+        is_disturbed = any(
+            began < call.ended_at and ended > call.sent_at - STABLE_S
+            for began, ended in unplanned
         )
-        if is_undisturbed:
-            yield Finding('planned stop', f'{call} was cut off')
+        if (
+            (was_passed_on or _was_read_alone(call))
+            and not is_disturbed
+            and not _has_timed_out(call)
+            and not any(is_broken_off for is_broken_off, _ in ends)
+            and not (was_passed_on and _had_late_work(call, stop, ends))
+        ):
+            yield Finding(
+                'lost at a planned stop',
+                f'{call} ended {call.ended_at - stop.signalled_at:.2f} s '
+                f'after SIGTERM; passed on: {was_passed_on}',
+            )
+
+
+def _is_cut_off_by(call, stop):
+    """Return whether a call is lost between SIGTERM and the last exit."""
+    until = stop.signalled_at + cluster_module.GRACE_S + STOP_SLACK_S
+    return (
+        call.status == callers.CONNECTION_LOST
+        and call.host == stop.host
+        and stop.signalled_at < call.ended_at < until
+    )
+
+
+def _was_read_alone(call):
+    """Return whether the host must have read a call that was not passed on."""
+    return (
+        call.whole_at is not None
+        and call.ended_at - call.whole_at > CROSSING_S
+        and not call.is_behind
+    )
+
+
+def _has_timed_out(call):
+    timeout_s = min(call.deadline_s, cluster_module.ROUTE_TIMEOUT_S)
+    return call.ended_at - call.sent_at >= timeout_s
+
+
+def _had_late_work(call, stop, ends):
+    """Return whether a server worked on a call at the end of the stop.
+
+    :param ends: Ends of its runs; empty if it has not ended.
+    """
+    late_at = stop.signalled_at + cluster_module.GRACE_S * (
+        1 - LATE_WORK_SHARE
+    )
+    worked_until = max((at for _, at in ends), default=call.ended_at)
+    sent_at = call.sent_at if call.whole_at is None else call.whole_at
+    return (
+        worked_until > late_at and sent_at <= stop.signalled_at + LATE_SENT_S
+    )
 
 
 def _check_samples(samples):
--- a/packages/radishferry-testing/src/radishferry_testing/soak/cluster.py
+++ b/packages/radishferry-testing/src/radishferry_testing/soak/cluster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import http.client
 import itertools
 import json
@@ -18,6 +19,8 @@
 
 #: Grace period of a planned stop in the settings of the hosts, in seconds.
 GRACE_S = 6.0
+#: Timeout of the routes, in seconds; longer than any work of a request.
+ROUTE_TIMEOUT_S = 10.0
 #: Delay that a slow link adds, in milliseconds.
 DELAY_MS = 250
 
@@ -33,6 +36,27 @@
 }
 
 
+@dataclasses.dataclass(frozen=True)
+class Stop:
+    """Describe a planned stop of a host.
+
+    :ivar signalled_at: Monotonic time of SIGTERM in seconds, as ``ended_at``.
+    :ivar exit_status: Exit status of the process.
+    :ivar has_started: Whether the host had started before.
+    """
+
+    host: str
+    signalled_at: float
+    ended_at: float
+    exit_status: int
+    has_started: bool = True
+
+    @property
+    def took_s(self) -> float:
+        """Return its duration, in seconds."""
+        return self.ended_at - self.signalled_at
+
+
 def call(port, method, path, body=None, timeout_s=10.0):
     """Send one request to a loopback port and return status and body.
 
@@ -55,15 +79,14 @@
         fault.
     :ivar configurations: Tuples of the monotonic time at which the store had a
         configuration, and its version.
-    :ivar exits: Tuples of name, exit status and seconds of planned stops of
-        hosts that had started.
+    :ivar stops: :class:`Stop` entries.
     """
 
     def __init__(self, processes, directory):
         self.processes = processes
         self.fault_log = []
         self.configurations = []
-        self.exits = []
+        self.stops = []
         self._directory = pathlib.Path(directory)
         self._versions = itertools.count(2)
         self._lock = threading.Lock()
@@ -81,6 +104,16 @@
             raise RuntimeError(f'/test/{name} answered {status}')
         return json.loads(body)
 
+    def configure(self):
+        """Write the next version of the configuration."""
+        with self._lock:
+            version = next(self._versions)
+        self.call_platform(
+            'configure', version=version, timeout_s=ROUTE_TIMEOUT_S
+        )
+        with self._lock:
+            self.configurations.append((time.monotonic(), version))
+
     def state(self, host):
         """Return the state dump of a host, or None if it does not answer."""
         try:
@@ -153,12 +186,13 @@
             # A process that is still loading its modules has no signal handler
             # yet: the signal kills it.
             has_started = self.state(name) is not None
-            began = time.monotonic()
+            signalled_at = time.monotonic()
             self.processes.signal(name, signal.SIGTERM)
             status = self.processes.wait_ended(name, 30.0)
-            if has_started:
-                took_s = time.monotonic() - began
-                self.exits.append((name, status, took_s))
+            ended_at = time.monotonic()
+            self.stops.append(
+                Stop(name, signalled_at, ended_at, status, has_started)
+            )
             self.processes.start(name)
 
     def _pause_host(self, fault):
@@ -197,11 +231,7 @@
         self.call_platform('restart', server_id=fault.target)
 
     def _configuration(self, fault):
-        with self._lock:
-            version = next(self._versions)
-        self.call_platform('configure', version=version)
-        with self._lock:
-            self.configurations.append((time.monotonic(), version))
+        self.configure()
 
 
 def _platform_spec():
@@ -248,4 +278,6 @@
         ),
     ]
     with processes_module.running(directory, specs) as processes:
-        yield Cluster(processes, directory)
+        cluster = Cluster(processes, directory)
+        cluster.configure()
+        yield cluster
--- a/packages/radishferry-testing/src/radishferry_testing/soak/plan.py
+++ b/packages/radishferry-testing/src/radishferry_testing/soak/plan.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 import random
 
 HOSTS = ('host1', 'host2', 'host3')
@@ -15,6 +16,11 @@
 #: hosts must recover.
 FAULT_FREE_START_S = 3.0
 FAULT_FREE_END_S = 14.0
+#: Seconds from the start of the series of planned stops to the first random
+#: fault; longer than the stops, so that they occur without other faults.
+STOP_SERIES_S = 10.0
+#: Maximum interval between two planned stops of the series, in seconds.
+STOP_INTERVAL_S = 2.0
 
 #: Kinds of faults with their possible targets.
 KINDS = {
@@ -61,13 +67,14 @@
 def generate(seed: int, seconds: float) -> tuple[Fault, ...]:
     """Return the faults of a run in the order of their start times.
 
-    The faults often come in series of one kind, and often overlap.
+    Planned stops of several hosts that overlap come first. The random faults
+    after them often come in series of one kind, and often overlap.
 
     :param seconds: Duration of the load, in seconds.
     """
     rng = random.Random(seed)
-    faults = []
-    at_s = FAULT_FREE_START_S
+    faults = list(_stop_series(rng))
+    at_s = FAULT_FREE_START_S + STOP_SERIES_S
     while at_s < seconds - FAULT_FREE_END_S:
         kind = rng.choice(tuple(KINDS))
         for _ in range(rng.choice((1, 1, 2, 3))):
@@ -79,3 +86,12 @@
             if at_s >= seconds - FAULT_FREE_END_S:
                 break
     return tuple(faults)
+
+
+def _stop_series(rng):
+    """Yield planned stops of two or three hosts."""
+    hosts = rng.sample(HOSTS, rng.choice((2, 3)))
+    intervals = (rng.uniform(0.3, STOP_INTERVAL_S) for _ in hosts)
+    start_times = itertools.accumulate(intervals, initial=FAULT_FREE_START_S)
+    for host, at_s in zip(hosts, start_times, strict=False):
+        yield Fault(at_s, 0.0, 'stop-host', host)
--- a/packages/radishferry-testing/src/radishferry_testing/users/platform/server.py
+++ b/packages/radishferry-testing/src/radishferry_testing/users/platform/server.py
@@ -171,6 +171,16 @@
         self._record_event(
             'run', self, {'id': request_id, 'path': request.path}
         )
+        try:
+            await self._work(request, request_id, body)
+        finally:
+            self._record_event(
+                'run-end',
+                self,
+                {'id': request_id, 'is_broken_off': request.is_aborted},
+            )
+
+    async def _work(self, request, request_id, body):
         if self.failure == 'reset':
             request.abort()
             return
