--- a/features/direct_callers.feature
+++ b/features/direct_callers.feature
@@ -30,3 +30,55 @@
     Then the second request is paused
     When the first request is answered
     Then the second request is resumed
+
+  # Guards against a request that a server runs although its connection closes
+  # before its response: that of the request before it announces the close.
+  Scenario: Nothing is begun behind a response that closes the connection
+    Given a connection of a caller with two requests in progress
+    When the host stops
+    And the second request is answered
+    And the caller sends another request
+    Then 2 requests have begun
+    When the first request is answered
+    Then the caller gets statuses 200, 200
+
+  # Guards against the loss of a complete response behind an unfinished one.
+  Scenario: A stopping host sends the responses behind an unfinished one
+    Given a connection of a caller with two requests in progress
+    When the host stops
+    And the second request is answered
+    And the host answers the open requests
+    Then the caller gets statuses 504, 200
+
+  # Guards against requests that reach a server too late in a planned stop.
+  Scenario: A stopping host refuses further requests on a connection
+    Given a connection of a caller with two requests in progress
+    When the host stops
+    And the host refuses requests
+    And the caller sends another request
+    And the caller sends another request
+    Then 2 requests have begun
+    When the first request is answered
+    And the second request is answered
+    Then the caller gets statuses 200, 200, 503
+
+  # Guards against a body that ends so late in a planned stop that no server
+  # can answer the request any more.
+  Scenario: A stopping host refuses a request whose body is incomplete
+    Given a connection of a caller
+    When the host stops
+    And the caller sends a part of a body
+    And the host refuses requests
+    Then 0 requests have begun
+    And the caller gets statuses 503
+    And the connection closes once the caller has closed it
+
+  # Guards against a last response that is lost in a reset: a connection that
+  # is closed while a request is on its way is reset.
+  Scenario: A caller that sends a further request gets the last response
+    Given a connection of a caller with two requests in progress
+    When the host stops
+    And the first request is answered
+    And the second request is answered
+    Then the caller gets statuses 200, 200
+    And the connection closes once the caller has closed it
--- a/packages/radishferryd/src/radishferryd/router/callers.py
+++ b/packages/radishferryd/src/radishferryd/router/callers.py
@@ -189,8 +189,9 @@
     def __init__(self, gateway):
         """Create the handler of a new connection.
 
-        :param gateway: Provides ``now``, ``limits``, ``begin``,
-            ``is_stopping``, ``scheduler`` and the set ``connections``.
+        :param gateway: Provides ``now``, ``limits``, ``begin``, ``refused``,
+            ``is_stopping``, ``accepts_requests``, ``stop_refusal``,
+            ``scheduler`` and the set ``connections``.
         """
         self._gateway = gateway
         self._connection = None
@@ -249,6 +250,18 @@
             not self._slots or self._slots[-1] is slot
         )
 
+    def refuse_incomplete(self, refusal):
+        """Refuse the request that is being received, if any."""
+        if self._receiving is not None and not self._is_closing:
+            self._refuse(self._receiving, refusal)
+
+    def end_requests(self):
+        """Answer all open requests; responses behind them are sent then."""
+        self.refuse_incomplete(self._gateway.stop_refusal())
+        for slot in list(self._slots):
+            if slot.request is not None and not slot.is_done:
+                slot.request.stop()
+
     def check_time(self, now):
         """Enforce the idle, head and body timeouts."""
         limits = self._gateway.limits
@@ -298,7 +311,7 @@
             self._slots.popleft()
             self.active_at = self._gateway.now()
             if slot.ends_connection:
-                self._close_after_last_response()
+                self._close_after(slot)
                 return
             if len(self._slots) < MAX_PIPELINED:
                 self._connection.resume_reading()
@@ -311,14 +324,15 @@
         if self._slots and self._slots[0].request is not None:
             self._slots[0].request.resume()
 
-    def _close_after_last_response(self):
+    def _close_after(self, slot):
         # The response has "Connection: close". The caller gets no response to
         # the requests behind it, so they are cancelled.
         self._cancel_all('the connection closed after an earlier response')
         self._is_closing = True
-        if self._parser.is_between_messages:
+        if self._parser.is_between_messages and not slot.head.keep_alive:
             self._connection.close()
         else:
+            # The caller may still be sending.
             self._connection.linger_close(self._gateway.scheduler.call_later)
 
     # Callbacks of net.Connection, see net.Handler.
@@ -380,12 +394,16 @@
 
     def on_head(self, head):
         """Handle the head of a request."""
-        if self._is_closing:
+        if self._is_closing or (
+            self._slots and self._slots[-1].ends_connection
+        ):
             return
         slot = Slot(self, head)
         self._slots.append(slot)
         self._receiving = slot
         problem = _check_head(head, self._gateway.limits)
+        if problem is None and not self._gateway.accepts_requests:
+            problem = self._gateway.stop_refusal()
         if problem is not None:
             self._refuse(slot, problem)
             return
