--- a/packages/radishferryd/src/radishferryd/router/callers.py
+++ b/packages/radishferryd/src/radishferryd/router/callers.py
@@ -5,12 +5,10 @@
 import collections
 import logging
 
-import orjson
-
 from radishferryd import http_message
 from radishferryd import net
-from radishferryd.platform import headers
 from radishferryd.router import results
+from radishferryd.router import slots
 
 LOG = logging.getLogger(__name__)
 
@@ -19,183 +17,6 @@
 #: Maximum size of one request body in bytes, even if the configured limit is
 #: larger.
 MAX_BODY_BYTES = 67108864
-#: Bytes of a response that are buffered while earlier responses of the
-#: connection are pending; above it reading from the server is paused.
-MAX_BUFFERED_RESPONSE_BYTES = 1048576
-#: Seconds for receiving the body of a request without a deadline header.
-BODY_TIMEOUT_S = 60.0
-
-#: Response headers that are not passed on, since they concern the connection
-#: or only the hosts.
-_STRIPPED_HEADERS = http_message.HOP_BY_HOP_HEADERS | {
-    'content-length',
-    headers.LOAD,
-    headers.LEAVING,
-    headers.LIMIT,
-    headers.SERVER_ID,
-    headers.NOT_RUN,
-    headers.HANDOVER,
-}
-
-
-class Slot:
-    """Hold one request of a connection and its response until its turn."""
-
-    def __init__(self, connection, head):
-        self.head = head
-        self.request = None
-        self.arrived_at = connection.now()
-        self.body = []
-        self.body_size = 0
-        self.is_received = False
-        self._connection = connection
-        self._output = []
-        self._buffered_bytes = 0
-        self._is_done = False
-        self._is_chunked = False
-        self._has_begun = False
-        self._ends_connection = False
-
-    @property
-    def request_id(self) -> str:
-        """Return the id that the caller gave its request."""
-        return self.head.header(headers.REQUEST_ID)
-
-    @property
-    def is_done(self) -> bool:
-        """Return whether the response is complete."""
-        return self._is_done
-
-    @property
-    def ends_connection(self) -> bool:
-        """Return whether the connection closes after the response."""
-        return self._ends_connection or not self.head.keep_alive
-
-    # Called by the request.
-
-    def answer(self, head, body):
-        """Send a server's complete response."""
-        lines = _response_headers(head)
-        if head.status not in (204, 304):
-            lines.append(('Content-Length', str(len(body))))
-        self._write(head.status, lines, body)
-        self._finish()
-
-    def begin_stream(self, head):
-        """Send the head of a response whose body is streamed."""
-        lines = _response_headers(head)
-        length = head.header('content-length')
-        self._is_chunked = not length
-        lines.append(
-            ('Content-Length', length)
-            if length
-            else ('Transfer-Encoding', 'chunked')
-        )
-        self._write(head.status, lines, b'')
-
-    def stream(self, data):
-        """Send a part of the body."""
-        if self._is_chunked:
-            data = http_message.format_chunk(data)
-        self._emit(data)
-
-    def end_stream(self):
-        """Complete a streamed response."""
-        if self._is_chunked:
-            self._emit(http_message.LAST_CHUNK)
-        self._finish()
-
-    def refuse(self, refusal):
-        """Respond with a refusal by this host.
-
-        :param refusal: A :class:`~radishferryd.router.results.Refusal`.
-        """
-        body = orjson.dumps(
-            {'reason': refusal.reason.value, 'detail': refusal.detail}
-        )
-        lines = [
-            ('Content-Type', 'application/json'),
-            ('Content-Length', str(len(body))),
-        ]
-        if refusal.retry_after_s is not None:
-            lines.append(('Retry-After', f'{refusal.retry_after_s:.3f}'))
-        if self.request_id:
-            lines.append((headers.REQUEST_ID, self.request_id))
-        if not self.is_received:
-            # To reuse the connection, the rest of the body would have to be
-            # read first.
-            self._ends_connection = True
-        self._write(refusal.status, lines, body)
-        self._finish()
-
-    def break_off(self, refusal):
-        """End a response in progress that will not become complete.
-
-        It is replaced if nothing of it has been sent. Otherwise the connection
-        closes, so that the response is incomplete.
-
-        :param refusal: A :class:`~radishferryd.router.results.Refusal`.
-        """
-        if self._has_begun:
-            self._connection.break_off()
-        else:
-            self.take_output()
-            self.refuse(refusal)
-
-    # Called by the connection.
-
-    def describe(self):
-        """Return log fields that tell how far the request has come."""
-        if self._is_done:
-            state = 'answered'
-        else:
-            state = 'in-progress' if self.is_received else 'receiving'
-        return {
-            'request_id': self.request_id,
-            'path': self.head.target[:80],
-            'state': state,
-            'age_s': round(self._connection.now() - self.arrived_at, 4),
-        }
-
-    def take_output(self):
-        """Return and clear the buffered bytes of the response."""
-        output, self._output = self._output, []
-        self._buffered_bytes = 0
-        return output
-
-    def begin_sending(self):
-        """Record that the connection sends the response from now on."""
-        self._has_begun = True
-
-    def is_overdue(self, now) -> bool:
-        """Return whether the request deadline passed while receiving."""
-        limit_s = headers.parse_remaining_s(
-            self.head.header(headers.REMAINING_MS)
-        )
-        if limit_s is None:
-            limit_s = BODY_TIMEOUT_S
-        return now - self.arrived_at > limit_s
-
-    def _write(self, status, lines, body):
-        if self._connection.closes_after(self) or self.ends_connection:
-            self._ends_connection = True
-            lines = [*lines, ('Connection', 'close')]
-        data = http_message.format_response(status, lines)
-        self._emit(data if self.head.method == 'HEAD' else data + body)
-
-    def _emit(self, data):
-        self._output.append(data)
-        self._buffered_bytes += len(data)
-        self._connection.flush()
-        if (
-            self._buffered_bytes > MAX_BUFFERED_RESPONSE_BYTES
-            and self.request is not None
-        ):
-            self.request.pause()
-
-    def _finish(self):
-        self._is_done = True
-        self._connection.flush()
 
 
 class CallerConnection:
@@ -417,7 +238,7 @@
             self._slots and self._slots[-1].ends_connection
         ):
             return
-        slot = Slot(self, head)
+        slot = slots.Slot(self, head)
         self._slots.append(slot)
         self._receiving = slot
         problem = _check_head(head, self._gateway.limits)
@@ -472,13 +293,13 @@
         if slot is None:
             if self._slots and self._slots[-1].ends_connection:
                 return
-            slot = Slot(self, _EMPTY_HEAD)
+            slot = slots.Slot(self, _EMPTY_HEAD)
             self._slots.append(slot)
         self._refuse(slot, refusal)
 
     def _cancel_all(self, detail):
-        slots, self._slots = list(self._slots), collections.deque()
-        for slot in slots:
+        cancelled, self._slots = list(self._slots), collections.deque()
+        for slot in cancelled:
             if slot.request is not None and not slot.is_done:
                 slot.request.cancel(detail)
 
@@ -504,17 +325,6 @@
     return results.Refusal(400, results.Reason.BAD_REQUEST, detail)
 
 
-def _response_headers(head):
-    connection_options = {
-        name.strip().lower() for name in head.header('connection').split(',')
-    }
-    return [
-        (name, value)
-        for name, value in head.headers
-        if name not in _STRIPPED_HEADERS and name not in connection_options
-    ]
-
-
 def listen(poller, address, gateway) -> net.Listener:
     """Listen for connections of callers.
 
