--- a/features/direct_shutdown.feature
+++ b/features/direct_shutdown.feature
@@ -29,8 +29,8 @@
     When it is stopped and the request ends after 3 seconds
     Then it exits after 3 seconds
 
-  # Guards against a host that exits without waiting for a connection that is
-  # still in use.
+  # Guards against a host that waits for idle connections until its grace period
+  # ends.
   Scenario: Idle connections are closed when requests are refused
     Given a host with an idle connection and a grace period of 6 seconds
     When it is stopped and the request stays open
