Tell lost links of a host from failed servers in log and metrics

A host that loses its links to all servers logged the same lines as one whose servers died, and the granting host logged neither why a lease ended nor that it withheld grants from a server whose connection was lost.

A monitor now counts servers that cannot be reached, or that acknowledge no bytes, since one last gave a sign of life. Leases that expire and grants that are withheld are logged, a line an episode.

--- a/features/steps/direct_granting_steps.py
+++ b/features/steps/direct_granting_steps.py
@@ -14,6 +14,7 @@
 from radishferry.direct import managed_range
 from radishferry.direct import registry
 from radishferryd import http_client
+from radishferryd.router import link_monitor
 from radishferryd.router import orders
 
 #: A2 is the incarnation of A after a restart under the same id.
@@ -314,6 +315,7 @@
         lambda order: True,
         lambda: None,
         lambda server: None,
+        link_monitor.LinkMonitor(None, context.scheduler, registry.Registry()),
     )
     context.server = registry.Server(
         'A', 1, 's', ('127.0.0.1', 1), 'x', 4, False
--- a/features/steps/direct_long_holds_steps.py
+++ b/features/steps/direct_long_holds_steps.py
@@ -17,6 +17,7 @@
 from radishferry.direct import managed_range
 from radishferry.direct import registry
 from radishferryd.router import knowledge as knowledge_module
+from radishferryd.router import link_monitor
 from radishferryd.router import ownership as ownership_module
 from radishferryd.router import term as term_module
 
@@ -293,7 +294,14 @@
         holds=True, silent_s=silent_s, version=7
     )
     context.ownership = ownership_module.Ownership(
-        None, time, routing_state, context.term, 10.0, 'a', lambda: 2
+        None,
+        time,
+        routing_state,
+        context.term,
+        10.0,
+        'a',
+        lambda: 2,
+        link_monitor.LinkMonitor(None, time, routing_state.registry),
     )
     context.ownership.servers_changed(None)
     context.ownership.order_sender = context.order_sender = _OrderSender()
--- a/packages/radishferry/src/radishferry/direct/granting.py
+++ b/packages/radishferry/src/radishferry/direct/granting.py
@@ -375,6 +375,7 @@
                 is_first = True
                 self.revision += 1
             managed.confirmed_until = sent_at + order.hold_s
+            managed.is_expiry_reported = False
             managed.handover = ''
             managed.next_grant_at = now + RENEW_S
         return is_first
@@ -485,6 +486,21 @@
                 )
         return was_holder
 
+    def take_expired(self, now):
+        """Return the ranges whose owner may no longer rely on its lease.
+
+        Each range is returned once, until its owner gets another lease.
+        """
+        expired = [
+            managed
+            for managed in self._ranges
+            if 0.0 < managed.confirmed_until <= now
+            and not managed.is_expiry_reported
+        ]
+        for managed in expired:
+            managed.is_expiry_reported = True
+        return expired
+
     def expired_ranges(self, now):
         """Return the ranges whose owner has no lease.
 
--- a/packages/radishferry/src/radishferry/direct/managed_range.py
+++ b/packages/radishferry/src/radishferry/direct/managed_range.py
@@ -60,6 +60,8 @@
         #: Whether the owner has rejected the last grant as stale. It gets no
         #: other one until the range has a new fencing token.
         self.is_rejected = False
+        #: Whether it has been reported that the lease of the owner expired.
+        self.is_expiry_reported = False
 
     @property
     def previous(self):
@@ -108,4 +110,5 @@
         copy.next_release_at = dict(self.next_release_at)
         copy.released = self.released
         copy.moved_at = self.moved_at
+        copy.is_expiry_reported = self.is_expiry_reported
         return copy
--- a/packages/radishferry/src/radishferry/direct/selection.py
+++ b/packages/radishferry/src/radishferry/direct/selection.py
@@ -180,6 +180,15 @@
         pause = INITIAL_BACKOFF_S * 2 ** (self._connection_failures - 1)
         self._backoff_until = now + min(MAX_BACKOFF_S, pause)
 
+    def forget_failures(self):
+        """Forget failures whose cause was not the server, and end a backoff.
+
+        A pause that the server has requested goes on.
+        """
+        self._connection_failures = 0
+        self._backoff_until = -math.inf
+        self._failure_average = 0.0
+
     def note_requested_pause(self, pause_s, now):
         """Record that the server has requested a pause of some seconds.
 
--- a/packages/radishferryd/src/radishferryd/platform/orders.py
+++ b/packages/radishferryd/src/radishferryd/platform/orders.py
@@ -29,12 +29,14 @@
 
     :ivar handover: Token of the state handed over by a release, empty if none.
     :ivar is_leaving: Whether the server announced that it is about to stop.
+    :ivar is_answered: Whether a response arrived, whatever its status.
     """
 
     status: OrderStatus
     handover: str = ''
     detail: str = ''
     is_leaving: bool = False
+    is_answered: bool = True
 
 
 def expected_server_headers(server_id):
@@ -95,7 +97,7 @@
         status = (
             OrderStatus.UNKNOWN if response.was_sent else OrderStatus.NOT_SENT
         )
-        return OrderResult(status, detail=response.detail)
+        return OrderResult(status, detail=response.detail, is_answered=False)
     is_leaving = headers.is_leaving(response)
     if response.status == 200:
         return OrderResult(
--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -104,6 +104,7 @@
             settings.grants_hold_max_s,
             settings.host_name,
             lambda: self._gateway.host_count,
+            self._gateway.links,
         )
         self._routing_state.on_servers.append(self._ownership.servers_changed)
         self._hub = hub_module.Hub(
@@ -309,6 +310,7 @@
             'host': self._settings.host_name,
             'is_granter': self._ownership.is_active,
             'is_linked': self._spoke.is_linked,
+            'is_isolated': self._gateway.links.is_isolated,
             'is_stopping': self._shutdown.has_begun,
             'hosts': self._gateway.host_count,
             'configuration': configuration.version if configuration else None,
@@ -364,6 +366,8 @@
             configuration.version if configuration else 0
         )
         metrics.is_granter.set(int(self._ownership.is_active))
+        metrics.is_isolated.set(int(self._gateway.links.is_isolated))
+        metrics.failed_servers.set(self._gateway.links.failed_servers)
         metrics.open_requests.set(self._gateway.open_requests)
         if self._log_stream is not None:
             metrics.dropped_lines.set(self._log_stream.dropped)
--- a/packages/radishferryd/src/radishferryd/router/backends.py
+++ b/packages/radishferryd/src/radishferryd/router/backends.py
@@ -54,6 +54,7 @@
         host_name='',
         listener=None,
         hosts=1,
+        links=None,
     ):
         """Create the backend without a connection.
 
@@ -66,8 +67,12 @@
             different order that depends on it.
         :param listener: A :class:`Listener`, or None.
         :param int hosts: Number of hosts of the deployment.
+        :param links: The
+            :class:`~radishferryd.router.link_monitor.LinkMonitor` of this
+            host, or None.
         """
         self._listener = listener
+        self._links = links
         self._idle_limits = idle_limits
         self._poller = poller
         self._scheduler = scheduler
@@ -121,6 +126,9 @@
         if isinstance(result, results.Answered):
             elapsed = now - attempt.sent_at
             waiting = self.last_queue_length
+            if self._was_held_up(attempt):
+                # Its time says nothing about the speed of the server.
+                waiting = max(1, waiting)
             self.stats.note_answer(elapsed, waiting, now)
             if result.head.status >= 500:
                 self.stats.note_failure(now)
@@ -130,10 +138,29 @@
         elif isinstance(result, results.NotRun):
             if result.is_unreachable:
                 self.stats.note_connection_failure(now)
+                if self._links is not None:
+                    self._links.note_connect_failed(self.server)
             elif not result.is_misdirected:
                 self.stats.note_failure(now)
         elif result is not None:
             self.stats.note_failure(now)
+            if result.is_unacknowledged and self._links is not None:
+                self._links.note_unacknowledged(self.server)
+
+    def _was_held_up(self, attempt):
+        """Return whether this host was isolated after it sent an attempt."""
+        links = self._links
+        return links is not None and attempt.sent_at < links.restored_at
+
+    def note_connected(self):
+        """Record that the server accepted a connection."""
+        if self._links is not None:
+            self._links.note_connected()
+
+    def note_answering(self, attempt):
+        """Record that the server answers an attempt."""
+        if self._links is not None:
+            self._links.note_answered(attempt.sent_at)
 
     def note_load(self, head):
         """Record the load that the server reports in a response."""
@@ -267,9 +294,12 @@
 class Backends:
     """Hold a :class:`Backend` for each incarnation of a server."""
 
-    def __init__(self, poller, scheduler, host_name='', listener=None):
+    def __init__(
+        self, poller, scheduler, host_name='', listener=None, links=None
+    ):
         self._host_name = host_name
         self._listener = listener
+        self._links = links
         self._poller = poller
         self._scheduler = scheduler
         self._by_incarnation = {}
@@ -307,6 +337,7 @@
                 self._host_name,
                 self._listener,
                 self._hosts,
+                self._links,
             )
         found.server = server
         return found
@@ -330,6 +361,15 @@
         for backend in self:
             backend.close_old()
 
+    def forget_failures(self):
+        """Forget the failures of all servers.
+
+        Called when this host reaches the servers again after its own links
+        were the cause of the failures.
+        """
+        for backend in self:
+            backend.stats.forget_failures()
+
     def _limit(self, service):
         total = self._limits.get(service, 64) * CONNECTION_SHARE
         return max(MIN_CONNECTIONS, int(total / self._hosts))
--- a/packages/radishferryd/src/radishferryd/router/connections.py
+++ b/packages/radishferryd/src/radishferryd/router/connections.py
@@ -180,6 +180,7 @@
     def connected(self, connection):
         self.is_connected = True
         self._timer.cancel()
+        self._backend.note_connected()
         if self._pending_data:
             self._timer = self._scheduler.call_later(
                 SETTLE_S, self._send_pending
@@ -246,14 +247,19 @@
                 if self._idle_s is not None and self._head is None:
                     took_s = self._scheduler.now() - self._attempt.sent_at
                     self._backend.note_reset(self._idle_s, took_s)
-                self._fail(results.Unknown(detail, is_connection_lost=True))
+                self._fail(
+                    results.Unknown(
+                        detail,
+                        is_connection_lost=True,
+                        is_unacknowledged=_errno(error) == errno.ETIMEDOUT,
+                    )
+                )
             else:
                 self._fail(
                     results.NotRun(
                         f'no connection: {error}',
                         is_unreachable=True,
-                        is_server_dead=getattr(error, 'errno', None)
-                        == errno.ECONNREFUSED,
+                        is_server_dead=_errno(error) == errno.ECONNREFUSED,
                     )
                 )
         self._backend.connection_closed(self)
@@ -309,6 +315,7 @@
         if problem:
             self._abort_with(results.Unknown(problem))
             return
+        self._backend.note_answering(attempt)
         self._backend.note_announcements(head)
         if attempt.method == 'HEAD':
             # The parser does not know the method and would wait for the body
@@ -434,6 +441,10 @@
         attempt.finish(result)
 
 
+def _errno(error):
+    return getattr(error, 'errno', None)
+
+
 def _idle_limit(head):
     for field in head.header('keep-alive').split(','):
         name, _, value = field.strip().partition('=')
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -11,6 +11,7 @@
 from radishferry.direct import announcements
 from radishferry.direct import budget as budget_module
 from radishferryd.router import backends as backends_module
+from radishferryd.router import link_monitor
 from radishferryd.router import requests
 from radishferryd.router import results
 
@@ -62,8 +63,11 @@
         self.ends_at = math.inf
         self.host_count = settings.retry_hosts
         self.data_centre = settings.host_data_centre
+        self.links = link_monitor.LinkMonitor(
+            poller, scheduler, routing_state.registry
+        )
         self.backends = backends_module.Backends(
-            poller, scheduler, settings.host_name, self
+            poller, scheduler, settings.host_name, self, self.links
         )
         self.announcements = announcements.Announcements()
         self.budget = budget_module.RetryBudget(
--- a/packages/radishferryd/src/radishferryd/router/metrics.py
+++ b/packages/radishferryd/src/radishferryd/router/metrics.py
@@ -78,6 +78,19 @@
         'gauge',
         'Whether this host may grant keys.',
     ),
+    _METRIC(
+        'is_isolated',
+        'radishferry_is_isolated',
+        'gauge',
+        'Whether this host reaches no server at all.',
+    ),
+    _METRIC(
+        'failed_servers',
+        'radishferry_failed_servers',
+        'gauge',
+        'Servers that could not be reached since one last gave a sign of '
+        'life.',
+    ),
     _METRIC(
         'open_requests',
         'radishferry_open_requests',
--- a/packages/radishferryd/src/radishferryd/router/orders.py
+++ b/packages/radishferryd/src/radishferryd/router/orders.py
@@ -37,6 +37,7 @@
         may_order,
         on_step_possible,
         on_leaving,
+        links,
     ):
         """Create a sender without connections.
 
@@ -46,7 +47,11 @@
             a range, when the next step of a move can follow.
         :param on_leaving: Called with a server whose answer says that it is
             about to stop.
+        :param links: The
+            :class:`~radishferryd.router.link_monitor.LinkMonitor` of this
+            host.
         """
+        self.links = links
         self.on_leaving = on_leaving
         self.on_step_possible = on_step_possible
         self._poller = poller
@@ -97,6 +102,7 @@
         self._queue = collections.deque()
         self._in_flight = 0
         self._connection_lost_at = None
+        self._is_withheld = False
         self.failures = 0
         self._client = http_client.JsonClient(
             sender._poller,
@@ -132,6 +138,7 @@
             and current.incarnation == self._server.incarnation
         ):
             self._connection_lost_at = None
+            self._is_withheld = False
             return False
         return True
 
@@ -141,11 +148,12 @@
             order, granter = self._queue.popleft()
             now = sender._scheduler.now()
             is_grant = isinstance(order, granting.Grant)
-            may_send = (
-                sender._may_order(order)
-                and granter.is_current(order, now)
-                and not (is_grant and self._may_be_another_process())
+            may_send = sender._may_order(order) and granter.is_current(
+                order, now
             )
+            if may_send and is_grant and self._may_be_another_process():
+                may_send = False
+                self._log_withheld(now)
             if not may_send:
                 self._report_failure(order, granter, False)
                 continue
@@ -154,6 +162,26 @@
             sender.counts['grant' if is_grant else 'release'] += 1
             self._send(order, granter, now, is_grant)
 
+    def _log_withheld(self, now):
+        """Log once that the server gets no grants for now."""
+        if self._is_withheld:
+            return
+        self._is_withheld = True
+        current = self._sender._registry.get(self._server.server_id)
+        LOG.warning(
+            'orders: %s gets no grants until a newer list of servers shows '
+            'that it still runs; a connection to it was lost.',
+            self._server.server_id,
+            extra={
+                'lost_ago_s': round(now - self._connection_lost_at, 3),
+                'born_ms': self._server.born_ms,
+                'listed_born_ms': current.born_ms if current else None,
+                'registry_age_s': round(
+                    min(self._sender._registry.age(now), 1e6), 3
+                ),
+            },
+        )
+
     def _send(self, order, granter, sent_at, is_grant):
         def done(result):
             self._in_flight -= 1
@@ -177,6 +205,10 @@
     def _handle_result(self, order, granter, sent_at, result):
         now = self._sender._scheduler.now()
         status = result.status
+        if status is wire.OrderStatus.NOT_SENT:
+            self._sender.links.note_connect_failed(self._server)
+        elif result.is_answered:
+            self._sender.links.note_answered(sent_at)
         if result.is_leaving:
             self._sender.on_leaving(self._server)
         if status is wire.OrderStatus.DONE:
--- a/packages/radishferryd/src/radishferryd/router/ownership.py
+++ b/packages/radishferryd/src/radishferryd/router/ownership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import itertools
 import logging
@@ -44,6 +45,8 @@
 #: for their consent to long holds: the renewal due after 0.6 s is still
 #: unanswered, though an answer normally takes a few milliseconds.
 ASK_CONSENT_S = 0.65
+#: Maximum number of servers that one log line names.
+MAX_LOGGED_OWNERS = 8
 
 
 class _ServiceState:
@@ -72,7 +75,15 @@
     """Plan which server owns which keys, store it and order it."""
 
     def __init__(
-        self, poller, scheduler, routing_state, term, hold_max_s, name, hosts
+        self,
+        poller,
+        scheduler,
+        routing_state,
+        term,
+        hold_max_s,
+        name,
+        hosts,
+        links,
     ):
         """Create an inactive instance; :meth:`begin` activates it.
 
@@ -81,8 +92,12 @@
         :param name: Name of this host, part of the ids of writes.
         :param hosts: Callable that returns the number of hosts in the
             deployment.
+        :param links: The
+            :class:`~radishferryd.router.link_monitor.LinkMonitor` of this
+            host.
         """
         self._scheduler = scheduler
+        self._links = links
         self._routing_state = routing_state
         self._term = term
         self._hold_max_s = hold_max_s
@@ -109,6 +124,7 @@
             self._may_order,
             self._schedule_step,
             self._on_server_leaving,
+            links,
         )
         #: Called with the name of a service and its changed segments.
         self.on_segments = []
@@ -345,6 +361,7 @@
         self._drop_ended(granter)
         for order in granter.due(now, self._hold_s()):
             self._send_order(order, granter, now)
+        self._log_expired(granter, now)
         self._publish(service)
         if service.pending is not None:
             self._write(service)
@@ -379,6 +396,37 @@
                     },
                 )
 
+    def _log_expired(self, granter, now):
+        """Log leases that have expired at servers that should have them."""
+        expired = granter.take_expired(now)
+        if not expired:
+            return
+        owners = collections.Counter(found.owner for found in expired)
+        unreachable = [
+            owner
+            for owner in owners
+            if self.order_sender.is_unreachable(owner)
+        ]
+        LOG.warning(
+            'ownership: Leases of %d ranges of %s have expired; they were not '
+            'renewed in time.',
+            len(expired),
+            granter.service,
+            extra={
+                'owners': ' '.join(
+                    f'{owner[0]}:{count}'
+                    for owner, count in owners.most_common(MAX_LOGGED_OWNERS)
+                ),
+                'owner_count': len(owners),
+                'unreachable_count': len(unreachable),
+                'is_isolated': self._links.is_isolated,
+                'store_silent_s': round(self._term.silent_s, 3),
+                'registry_age_s': round(
+                    self._routing_state.registry.age(now), 3
+                ),
+            },
+        )
+
     def _send_order(self, order, granter, now):
         is_grant = isinstance(order, granting.Grant)
         incarnation = order.segment.owner if is_grant else order.incarnation
--- a/packages/radishferryd/src/radishferryd/router/results.py
+++ b/packages/radishferryd/src/radishferryd/router/results.py
@@ -42,6 +42,8 @@
     """Report that the server may have run the request.
 
     :ivar is_connection_lost: Whether the connection was lost.
+    :ivar is_unacknowledged: Whether it was lost because the server
+        acknowledged none of the sent bytes.
     :ivar has_response_started: Whether a part of the response has been sent
         to the caller, so that no other response is possible.
     """
@@ -49,6 +51,7 @@
     detail: str
     is_connection_lost: bool = False
     has_response_started: bool = False
+    is_unacknowledged: bool = False
 
 
 class Reason(enum.Enum):
