Try unreachable servers without orders again, and plan nothing when isolated

Callers saw lookups fail for good after a cut: the granting host had given 346 of 352 ranges to the first server that answered it again. A server counted as unreachable until an order to it succeeded; one without keys gets no order, so it was no candidate any more and load was never balanced.

Such a server is now tried with a connection every second and is a candidate again once it accepts one. The end of an isolation clears the failures of all servers, since the links were the cause, and a host that is isolated plans no moves.

--- a/packages/radishferryd/src/radishferryd/router/orders.py
+++ b/packages/radishferryd/src/radishferryd/router/orders.py
@@ -8,6 +8,7 @@
 from radishferry.direct import granting
 from radishferryd import http_client
 from radishferryd.platform import orders as wire
+from radishferryd.router import link_monitor
 
 LOG = logging.getLogger(__name__)
 
@@ -18,6 +19,9 @@
 RELEASE_TIMEOUT_S = 2.0
 #: Consecutive failed orders after which a server counts as unreachable.
 UNREACHABLE_FAILURES = 2
+#: Seconds between attempts to connect to an unreachable server for which no
+#: order is queued. One without keys gets no orders that could succeed.
+PROBE_INTERVAL_S = 1.0
 #: Maximum orders in flight to one server, each on its own connection.
 MAX_PARALLEL = 3
 #: A server whose connection broke gets no grant until a list of servers that
@@ -59,6 +63,7 @@
         self._registry = registry
         self._may_order = may_order
         self._servers = {}
+        links.on_restored.append(self._forget_failures)
         self.counts = collections.Counter()
 
     def send(self, order, server, granter):
@@ -79,7 +84,12 @@
     def is_unreachable(self, incarnation) -> bool:
         """Return whether the last orders to a server have failed."""
         found = self._servers.get(incarnation)
-        return found is not None and found.failures >= UNREACHABLE_FAILURES
+        return found is not None and found.is_unreachable
+
+    def _forget_failures(self):
+        """Count all servers as reachable, since the links were the cause."""
+        for found in self._servers.values():
+            found.failures = 0
 
     def drop(self, incarnation):
         """Discard the queue and the connections of a server that has ended."""
@@ -103,6 +113,8 @@
         self._in_flight = 0
         self._connection_lost_at = None
         self._is_withheld = False
+        self._is_dropped = False
+        self._probe_timer = None
         self.failures = 0
         self._client = http_client.JsonClient(
             sender._poller,
@@ -119,8 +131,49 @@
         self._send_queued()
 
     def close(self):
+        self._is_dropped = True
         self._queue.clear()
         self._client.close()
+        if self._probe_timer is not None:
+            self._probe_timer.cancel()
+
+    @property
+    def is_unreachable(self):
+        return self.failures >= UNREACHABLE_FAILURES
+
+    def _schedule_probe(self):
+        if self._probe_timer is None and not self._is_dropped:
+            self._probe_timer = self._sender._scheduler.call_later(
+                PROBE_INTERVAL_S, self._probe
+            )
+
+    def _probe(self):
+        """Try to connect, unless orders show whether that is possible."""
+        self._probe_timer = None
+        if self._is_dropped or not self.is_unreachable:
+            return
+        if self._queue or self._in_flight:
+            self._schedule_probe()
+            return
+        link_monitor.probe(
+            self._sender._poller,
+            self._sender._scheduler,
+            self._server,
+            self._on_probed,
+        )
+
+    def _on_probed(self, is_reached):
+        if is_reached and self.is_unreachable:
+            # The next failed order makes it unreachable again.
+            self.failures = UNREACHABLE_FAILURES - 1
+            self._sender.links.note_connected()
+            LOG.info(
+                'orders: %s accepts connections again.',
+                self._server.server_id,
+                extra={'born_ms': self._server.born_ms},
+            )
+        elif not is_reached:
+            self._schedule_probe()
 
     def _on_lost(self):
         self._connection_lost_at = self._sender._scheduler.now()
@@ -253,6 +306,14 @@
             granter.note_ended(self._server.incarnation)
         if status is not wire.OrderStatus.STALE:
             self.failures += 1
+            if self.failures == UNREACHABLE_FAILURES:
+                LOG.warning(
+                    'orders: %s counts as unreachable.',
+                    self._server.server_id,
+                    extra={'born_ms': self._server.born_ms},
+                )
+            if self.is_unreachable:
+                self._schedule_probe()
         LOG.warning(
             'orders: %s did not confirm %s of keys %d to %d.',
             self._server.server_id,
--- a/packages/radishferryd/src/radishferryd/router/ownership.py
+++ b/packages/radishferryd/src/radishferryd/router/ownership.py
@@ -447,6 +447,9 @@
 
     def _plan(self, service, now):
         """Return a new layout, or None to keep the current one."""
+        if self._links.is_isolated:
+            # Failed orders say nothing about the servers now.
+            return None
         granter = service.granter
         servers = self._candidates(granter.service)
         if not servers:
