--- a/features/steps/direct_announcements_steps.py
+++ b/features/steps/direct_announcements_steps.py
@@ -22,6 +22,7 @@
 from radishferryd.router import crashes
 from radishferryd.router import hub as hub_module
 from radishferryd.router import knowledge as knowledge_module
+from radishferryd.router import links
 
 #: 2026-12-04 12:00:00 UTC, the date of the responses in these scenarios.
 _CLOCK_S = 1796385600.0
@@ -308,7 +309,8 @@
         ownership,
         crashes.CrashCounts(),
         1000.0,
+        hub_fixtures.directory(scheduler),
     )
-    link = types.SimpleNamespace(host='host2')
+    link = links.Link(scheduler, hub)
     hub.link_message(link, 'load_report', context.report)
     assert ownership.keys == {'stock': [1]}
--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -66,6 +66,7 @@
         self.ends_at = math.inf
         self.listener = _Listener()
         self.backends = backends.Backends(None, scheduler, 'h', self.listener)
+        self.relays = request_fixtures.relays(scheduler)
         self.backends.configure({'stock': request_fixtures.SERVICE}, hosts)
         self.budget = budget.RetryBudget(0.2, 60, 10.0)
         self.told_at = None
@@ -155,7 +156,7 @@
             request_fixtures.ROUTE,
             'stock',
             types.SimpleNamespace(
-                services={'stock': request_fixtures.SERVICE}
+                services={'stock': request_fixtures.SERVICE}, version=1
             ),
         ).start()
         for socket in self._sockets[known:]:
--- a/features/steps/direct_links_steps.py
+++ b/features/steps/direct_links_steps.py
@@ -97,6 +97,7 @@
         hub_fixtures.Ownership(),
         crashes.CrashCounts(),
         1000.0,
+        hub_fixtures.directory(context.scheduler),
     )
     context.hub.begin(count)
 
--- a/features/steps/direct_pacing_steps.py
+++ b/features/steps/direct_pacing_steps.py
@@ -100,6 +100,7 @@
         context.ownership,
         crashes.CrashCounts(),
         link_mbps,
+        hub_fixtures.directory(context.scheduler),
     )
     context.hub.begin(1)
 
--- a/features/steps/direct_requests_steps.py
+++ b/features/steps/direct_requests_steps.py
@@ -28,6 +28,8 @@
 class _Backend:
     """Record the attempts at one server."""
 
+    is_relay = False
+
     def __init__(self, server, sent, now):
         self.server = server
         self.stats = selection.ServerStats(server.slots)
@@ -58,6 +60,7 @@
         self.sent = []
         self.waiting = {}
         self.backends = self
+        self.relays = request_fixtures.relays(scheduler)
         self.budget = budget.RetryBudget(0.2, 10, 10.0)
         self._stats = admission.RouteStats(configuration.Kind.SAFE)
         self._servers = {
@@ -166,7 +169,7 @@
         context.slot,
         request_fixtures.ROUTE,
         'stock',
-        types.SimpleNamespace(services={'stock': service}),
+        types.SimpleNamespace(services={'stock': service}, version=1),
     )
 
 
--- a/features/steps/hub_fixtures.py
+++ b/features/steps/hub_fixtures.py
@@ -3,6 +3,16 @@
 from __future__ import annotations
 
 from radishferry.direct import long_holds
+from radishferryd.router import relay_directory
+
+RELAY_HOST = relay_directory.RelayHost('host1', 'x', ('127.0.0.1', 1))
+
+
+def directory(scheduler, own=RELAY_HOST, reaches_servers=lambda: True):
+    """Return a directory whose hosts the granting host ignores."""
+    return relay_directory.RelayDirectory(
+        scheduler, own, reaches_servers, lambda hosts: None
+    )
 
 
 class Ownership:
--- a/features/steps/store_fixtures.py
+++ b/features/steps/store_fixtures.py
@@ -74,7 +74,8 @@
 class Host:
     """Fake host that records the callbacks of a leader elector or spoke."""
 
-    def __init__(self):
+    def __init__(self, *, reaches_servers=True):
+        self._reaches_servers = reaches_servers
         self.owners = []
         self.is_granter = False
         self.is_linked = False
@@ -102,5 +103,8 @@
         self.is_granter = False
         self.losses += 1
 
+    def reaches_servers(self):
+        return self._reaches_servers
+
     def set_host_count(self, count):
         """Ignore the number of hosts."""
--- a/packages/radishferry-testing/src/radishferry_testing/process_specs.py
+++ b/packages/radishferry-testing/src/radishferry_testing/process_specs.py
@@ -85,7 +85,7 @@
     address = f'{http_io.LOOPBACK}:{{}}'
     listen = {
         option: address.format('{' + option + '}')
-        for option in ('callers', 'ready', 'links', 'metrics')
+        for option in ('callers', 'ready', 'links', 'relays', 'metrics')
     }
     settings = {
         'host': {'name': name, 'data_centre': 'a'},
--- a/packages/radishferry/src/radishferry/direct/budget.py
+++ b/packages/radishferry/src/radishferry/direct/budget.py
@@ -39,6 +39,11 @@
         """Count a request of a caller."""
         self._requests[service].append(now)
 
+    def forget_request(self, service: str):
+        """Stop counting the newest request, which another host counts."""
+        if self._requests[service]:
+            self._requests[service].pop()
+
     def allows(self, service: str, now: float) -> bool:
         """Return whether one more resend is allowed, without counting it."""
         requests = self._trim(self._requests[service], now)
--- a/packages/radishferryd/idl/router.thrift
+++ b/packages/radishferryd/idl/router.thrift
@@ -9,6 +9,10 @@
 struct Hello {
   1: string host
   2: string data_centre
+  /* Address as ip:port on which the sender takes requests that other hosts
+   * relay; missing if it takes none.
+   */
+  3: optional string relay_address
 }
 
 /* Heartbeat that the granting host sends at a fixed interval. */
@@ -113,6 +117,23 @@
   /* Fingerprints of requests in flight when servers crashed. */
   3: list<i64> suspects
   4: list<ServerNotice> notices
+  /* Whether the sender reaches servers and does not stop. */
+  5: bool reaches_servers
+}
+
+/* Host that reaches servers and takes requests that other hosts relay. */
+struct RelayHost {
+  1: string host
+  2: string data_centre
+  3: string ip
+  4: i32 port
+}
+
+/* Hosts to which the receiver may relay requests. Sent only to hosts that
+ * named a relay address, since older versions do not know this message.
+ */
+struct RelayHosts {
+  1: list<RelayHost> hosts
 }
 
 /* Fingerprints of requests that crashed servers, with crash counts. */
@@ -135,4 +156,5 @@
   7: optional PoisonPush poison_push
   8: optional Packed packed
   9: optional LongHoldConsent long_hold_consent
+  10: optional RelayHosts relay_hosts
 }
--- a/packages/radishferryd/src/radishferryd/gen/router/ttypes.py
+++ b/packages/radishferryd/src/radishferryd/gen/router/ttypes.py
@@ -21,13 +21,15 @@
     Attributes:
      - host
      - data_centre
+     - relay_address
 
     """
 
 
-    def __init__(self, host=None, data_centre=None,):
+    def __init__(self, host=None, data_centre=None, relay_address=None,):
         self.host = host
         self.data_centre = data_centre
+        self.relay_address = relay_address
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -48,6 +50,11 @@
                     self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.relay_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -66,6 +73,10 @@
             oprot.writeFieldBegin('data_centre', TType.STRING, 2)
             oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
             oprot.writeFieldEnd()
+        if self.relay_address is not None:
+            oprot.writeFieldBegin('relay_address', TType.STRING, 3)
+            oprot.writeString(self.relay_address.encode('utf-8') if sys.version_info[0] == 2 else self.relay_address)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1022,15 +1033,17 @@
      - speeds
      - suspects
      - notices
+     - reaches_servers
 
     """
 
 
-    def __init__(self, keys=None, speeds=None, suspects=None, notices=None,):
+    def __init__(self, keys=None, speeds=None, suspects=None, notices=None, reaches_servers=None,):
         self.keys = keys
         self.speeds = speeds
         self.suspects = suspects
         self.notices = notices
+        self.reaches_servers = reaches_servers
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1089,6 +1102,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.reaches_servers = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1131,6 +1149,166 @@
                 iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.reaches_servers is not None:
+            oprot.writeFieldBegin('reaches_servers', TType.BOOL, 5)
+            oprot.writeBool(self.reaches_servers)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RelayHost(object):
+    """
+    Attributes:
+     - host
+     - data_centre
+     - ip
+     - port
+
+    """
+
+
+    def __init__(self, host=None, data_centre=None, ip=None, port=None,):
+        self.host = host
+        self.data_centre = data_centre
+        self.ip = ip
+        self.port = port
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.ip = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayHost')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 2)
+            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+            oprot.writeFieldEnd()
+        if self.ip is not None:
+            oprot.writeFieldBegin('ip', TType.STRING, 3)
+            oprot.writeString(self.ip.encode('utf-8') if sys.version_info[0] == 2 else self.ip)
+            oprot.writeFieldEnd()
+        if self.port is not None:
+            oprot.writeFieldBegin('port', TType.I32, 4)
+            oprot.writeI32(self.port)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RelayHosts(object):
+    """
+    Attributes:
+     - hosts
+
+    """
+
+
+    def __init__(self, hosts=None,):
+        self.hosts = hosts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.hosts = []
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = RelayHost()
+                        _elem98.read(iprot)
+                        self.hosts.append(_elem98)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayHosts')
+        if self.hosts is not None:
+            oprot.writeFieldBegin('hosts', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.hosts))
+            for iter99 in self.hosts:
+                iter99.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1172,11 +1350,11 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.crashes = {}
-                    (_ktype94, _vtype95, _size93) = iprot.readMapBegin()
-                    for _i97 in range(_size93):
-                        _key98 = iprot.readI64()
-                        _val99 = iprot.readI32()
-                        self.crashes[_key98] = _val99
+                    (_ktype101, _vtype102, _size100) = iprot.readMapBegin()
+                    for _i104 in range(_size100):
+                        _key105 = iprot.readI64()
+                        _val106 = iprot.readI32()
+                        self.crashes[_key105] = _val106
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1193,9 +1371,9 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.MAP, 1)
             oprot.writeMapBegin(TType.I64, TType.I32, len(self.crashes))
-            for kiter100, viter101 in self.crashes.items():
-                oprot.writeI64(kiter100)
-                oprot.writeI32(viter101)
+            for kiter107, viter108 in self.crashes.items():
+                oprot.writeI64(kiter107)
+                oprot.writeI32(viter108)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1285,11 +1463,12 @@
      - poison_push
      - packed
      - long_hold_consent
+     - relay_hosts
 
     """
 
 
-    def __init__(self, hello=None, beat=None, configuration_push=None, servers_push=None, key_map_push=None, load_report=None, poison_push=None, packed=None, long_hold_consent=None,):
+    def __init__(self, hello=None, beat=None, configuration_push=None, servers_push=None, key_map_push=None, load_report=None, poison_push=None, packed=None, long_hold_consent=None, relay_hosts=None,):
         self.hello = hello
         self.beat = beat
         self.configuration_push = configuration_push
@@ -1299,6 +1478,7 @@
         self.poison_push = poison_push
         self.packed = packed
         self.long_hold_consent = long_hold_consent
+        self.relay_hosts = relay_hosts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1363,6 +1543,12 @@
                     self.long_hold_consent.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRUCT:
+                    self.relay_hosts = RelayHosts()
+                    self.relay_hosts.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1409,6 +1595,10 @@
             oprot.writeFieldBegin('long_hold_consent', TType.STRUCT, 9)
             self.long_hold_consent.write(oprot)
             oprot.writeFieldEnd()
+        if self.relay_hosts is not None:
+            oprot.writeFieldBegin('relay_hosts', TType.STRUCT, 10)
+            self.relay_hosts.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1430,6 +1620,7 @@
     None,  # 0
     (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'data_centre', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'relay_address', 'UTF8', None, ),  # 3
 )
 all_structs.append(Beat)
 Beat.thrift_spec = (
@@ -1515,6 +1706,20 @@
     (2, TType.LIST, 'speeds', (TType.STRUCT, [ServerSpeed, None], False), None, ),  # 2
     (3, TType.LIST, 'suspects', (TType.I64, None, False), None, ),  # 3
     (4, TType.LIST, 'notices', (TType.STRUCT, [ServerNotice, None], False), None, ),  # 4
+    (5, TType.BOOL, 'reaches_servers', None, None, ),  # 5
+)
+all_structs.append(RelayHost)
+RelayHost.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'data_centre', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'ip', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'port', None, None, ),  # 4
+)
+all_structs.append(RelayHosts)
+RelayHosts.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'hosts', (TType.STRUCT, [RelayHost, None], False), None, ),  # 1
 )
 all_structs.append(PoisonPush)
 PoisonPush.thrift_spec = (
@@ -1538,6 +1743,7 @@
     (7, TType.STRUCT, 'poison_push', [PoisonPush, None], None, ),  # 7
     (8, TType.STRUCT, 'packed', [Packed, None], None, ),  # 8
     (9, TType.STRUCT, 'long_hold_consent', [LongHoldConsent, None], None, ),  # 9
+    (10, TType.STRUCT, 'relay_hosts', [RelayHosts, None], None, ),  # 10
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/radishferryd/src/radishferryd/platform/headers.py
+++ b/packages/radishferryd/src/radishferryd/platform/headers.py
@@ -146,15 +146,30 @@
     return is_not_run(head) or head.status in NOT_RUN_STATUSES
 
 
-def forwarded_headers(headers, remaining_s, server_id):
-    """Return the headers of a request to a server.
+def parse_delay_s(text) -> float | None:
+    """Return the seconds in a ``Retry-After`` header of another host.
+
+    :returns: None if it is missing or malformed.
+    """
+    try:
+        delay_s = float(text)
+    except ValueError:
+        return None
+    return delay_s if 0 <= delay_s < 86400 else None
+
+
+def forwarded_headers(headers, remaining_s, server_id=None):
+    """Return the headers of a request to a server or to another host.
 
     :param headers: Headers of the caller without hop-by-hop headers.
     :param remaining_s: Seconds for which the server may work.
-    :param server_id: The only server that may run the request.
+    :param server_id: The only server that may run the request, None if
+        another host chooses it.
     """
-    return [
+    lines = [
         *((n, v) for n, v in headers if n not in _RESERVED_NAMES),
         (REMAINING_MS, str(max(1, int(remaining_s * 1000)))),
-        (EXPECTED_SERVER, server_id),
     ]
+    if server_id is not None:
+        lines.append((EXPECTED_SERVER, server_id))
+    return lines
--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -24,6 +24,8 @@
 from radishferryd.router import links
 from radishferryd.router import metrics as metrics_module
 from radishferryd.router import ownership as ownership_module
+from radishferryd.router import relay_directory
+from radishferryd.router import relay_gateway
 from radishferryd.router import shutdown as shutdown_module
 from radishferryd.router import spoke as spoke_module
 from radishferryd.router import status_http
@@ -107,31 +109,46 @@
             self._gateway.links,
         )
         self._routing_state.on_servers.append(self._ownership.servers_changed)
+        self._relay_directory = relay_directory.RelayDirectory(
+            self._scheduler,
+            relay_directory.RelayHost(
+                settings.host_name,
+                settings.host_data_centre,
+                settings.listen_relays,
+            ),
+            self.reaches_servers,
+            self._set_own_relay_hosts,
+        )
         self._hub = hub_module.Hub(
             self._scheduler,
             self._routing_state,
             self._ownership,
             self._crashes,
             settings.host_link_mbps,
+            self._relay_directory,
         )
         self._spoke = spoke_module.Spoke(
             self._poller,
             self._scheduler,
             self._routing_state,
             self._reader,
-            (settings.host_name, settings.host_data_centre),
+            (
+                settings.host_name,
+                settings.host_data_centre,
+                '{}:{}'.format(*settings.listen_relays),
+            ),
             self,
         )
         self._shutdown = shutdown_module.Shutdown(
             self._scheduler,
             self._gateway,
             settings.stop_grace_s,
-            lambda: self._callers.close(),
+            self._close_listeners,
             self._flush_log,
         )
         self._ticks = 0
         self._granter_timers = ()
-        self._callers = None
+        self._caller_listeners = ()
         self._started_at = self._scheduler.now()
 
     def listen(self):
@@ -142,8 +159,14 @@
         settings = self._settings
         poller, scheduler = self._poller, self._scheduler
         links.listen(poller, scheduler, settings.listen_links, self._hub)
-        self._callers = callers.listen(
-            poller, settings.listen_callers, self._gateway
+        self._caller_listeners = (
+            callers.listen(poller, settings.listen_callers, self._gateway),
+            callers.listen(
+                poller,
+                settings.listen_relays,
+                relay_gateway.RelayGateway(self._gateway),
+                names_refusals=True,
+            ),
         )
         status_http.listen(poller, settings.listen_ready, self)
         status_http.listen(poller, settings.listen_metrics, self)
@@ -233,6 +256,24 @@
         """Return the load seen by this host since the last call."""
         return self._gateway.take_load()
 
+    def reaches_servers(self) -> bool:
+        """Return whether this host reaches servers, and does not stop."""
+        return not (
+            self._gateway.links.is_isolated or self._shutdown.has_begun
+        )
+
+    def set_relay_hosts(self, hosts):
+        """Set the hosts to which requests may be relayed.
+
+        :param hosts: Tuples of name, data centre and address.
+        """
+        self._gateway.relays.set_hosts(hosts)
+
+    def _set_own_relay_hosts(self, hosts):
+        self.set_relay_hosts(
+            [(host.name, host.data_centre, host.address) for host in hosts]
+        )
+
     def repeat_announcements(self):
         """Queue all announcements of servers for the next load report."""
         self._gateway.announcements.resend_all()
@@ -283,6 +324,7 @@
     def _sweep(self):
         now = self._scheduler.now()
         self._gateway.backends.close_old()
+        self._gateway.relays.close_old()
         for connection in list(self._gateway.connections):
             connection.check_time(now)
         self._flush_log()
@@ -313,6 +355,7 @@
             'is_isolated': self._gateway.links.is_isolated,
             'is_stopping': self._shutdown.has_begun,
             'hosts': self._gateway.host_count,
+            'relay_hosts': self._gateway.relays.host_count,
             'configuration': configuration.version if configuration else None,
             'registry_age_s': routing_state.registry.age(now),
             'configuration_age_s': routing_state.configuration_age_s,
@@ -387,6 +430,10 @@
         else:
             self._hand_over()
 
+    def _close_listeners(self):
+        for listener in self._caller_listeners:
+            listener.close()
+
     def _hand_over(self):
         if self._ownership.is_active:
             self._term.release(self._ownership.has_usual_holds)
--- a/packages/radishferryd/src/radishferryd/router/backends.py
+++ b/packages/radishferryd/src/radishferryd/router/backends.py
@@ -44,6 +44,9 @@
 class Backend:
     """Hold the connection pool and the statistics of one server."""
 
+    #: Whether the server is a host that takes relayed requests.
+    is_relay = False
+
     def __init__(
         self,
         poller,
@@ -295,8 +298,15 @@
     """Hold a :class:`Backend` for each incarnation of a server."""
 
     def __init__(
-        self, poller, scheduler, host_name='', listener=None, links=None
+        self,
+        poller,
+        scheduler,
+        host_name='',
+        listener=None,
+        links=None,
+        backend_class=Backend,
     ):
+        self._backend_class = backend_class
         self._host_name = host_name
         self._listener = listener
         self._links = links
@@ -328,16 +338,18 @@
         """Return the backend of a server, and create it if necessary."""
         found = self._by_incarnation.get(server.incarnation)
         if found is None:
-            found = self._by_incarnation[server.incarnation] = Backend(
-                self._poller,
-                self._scheduler,
-                server,
-                self._limit(server.service),
-                self._idle_limits,
-                self._host_name,
-                self._listener,
-                self._hosts,
-                self._links,
+            found = self._by_incarnation[server.incarnation] = (
+                self._backend_class(
+                    self._poller,
+                    self._scheduler,
+                    server,
+                    self._limit(server.service),
+                    self._idle_limits,
+                    self._host_name,
+                    self._listener,
+                    self._hosts,
+                    self._links,
+                )
             )
         found.server = server
         return found
--- a/packages/radishferryd/src/radishferryd/router/callers.py
+++ b/packages/radishferryd/src/radishferryd/router/callers.py
@@ -22,14 +22,16 @@
 class CallerConnection:
     """Serve one HTTP/1.1 connection of a caller."""
 
-    def __init__(self, gateway):
+    def __init__(self, gateway, names_refusals=False):
         """Create the handler of a new connection.
 
         :param gateway: Provides ``now``, ``limits``, ``begin``, ``refused``,
             ``is_stopping``, ``accepts_requests``, ``stop_refusal``,
             ``scheduler`` and the set ``connections``.
+        :param names_refusals: Whether a header names the reason of a refusal.
         """
         self._gateway = gateway
+        self._names_refusals = names_refusals
         self._connection = None
         self._slots = collections.deque()
         self._receiving = None
@@ -238,7 +240,7 @@
             self._slots and self._slots[-1].ends_connection
         ):
             return
-        slot = slots.Slot(self, head)
+        slot = slots.Slot(self, head, self._names_refusals)
         self._slots.append(slot)
         self._receiving = slot
         problem = _check_head(head, self._gateway.limits)
@@ -293,7 +295,7 @@
         if slot is None:
             if self._slots and self._slots[-1].ends_connection:
                 return
-            slot = slots.Slot(self, _EMPTY_HEAD)
+            slot = slots.Slot(self, _EMPTY_HEAD, self._names_refusals)
             self._slots.append(slot)
         self._refuse(slot, refusal)
 
@@ -325,9 +327,12 @@
     return results.Refusal(400, results.Reason.BAD_REQUEST, detail)
 
 
-def listen(poller, address, gateway) -> net.Listener:
+def listen(poller, address, gateway, *, names_refusals=False) -> net.Listener:
     """Listen for connections of callers.
 
+    :param names_refusals: Whether a header names the reason of a refusal.
     :raises OSError: The address cannot be bound.
     """
-    return net.Listener(poller, address, lambda: CallerConnection(gateway))
+    return net.Listener(
+        poller, address, lambda: CallerConnection(gateway, names_refusals)
+    )
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -12,6 +12,7 @@
 from radishferry.direct import budget as budget_module
 from radishferryd.router import backends as backends_module
 from radishferryd.router import link_monitor
+from radishferryd.router import relays as relays_module
 from radishferryd.router import requests
 from radishferryd.router import results
 
@@ -69,6 +70,13 @@
         self.backends = backends_module.Backends(
             poller, scheduler, settings.host_name, self, self.links
         )
+        self.relays = relays_module.Relays(
+            poller,
+            scheduler,
+            settings.host_name,
+            settings.host_data_centre,
+            self.links,
+        )
         self.announcements = announcements.Announcements()
         self.budget = budget_module.RetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
@@ -80,6 +88,8 @@
         self._keys = collections.defaultdict(list)
         self._waiting = collections.defaultdict(dict)
         self.open_requests = 0
+        #: Requests of other hosts among them.
+        self.open_relayed_requests = 0
         self.set_host_count(self.host_count)
         routing_state.on_configuration.append(self._on_configuration)
         routing_state.on_servers.append(self._on_servers)
@@ -90,6 +100,12 @@
         """Return the configured limits for callers."""
         return self._routing_state.limits
 
+    @property
+    def configuration_version(self) -> int:
+        """Return the version in force, 0 without a configuration."""
+        configuration = self._routing_state.configuration
+        return configuration.version if configuration is not None else 0
+
     @property
     def accepts_requests(self) -> bool:
         """Return whether further requests are sent to servers."""
@@ -143,14 +159,16 @@
 
     # Called by caller connections.
 
-    def begin(self, slot):
+    def begin(self, slot, origin=None):
         """Route a request that has been received, and start it.
 
+        :param origin: The :class:`~radishferryd.router.relay_headers.Origin`
+            of a request that another host has relayed.
         :returns: The request, None if it was refused.
         """
         configuration = self._routing_state.configuration
         if not self._routing_state.is_complete:
-            self._refuse(
+            self.refuse(
                 slot,
                 results.Refusal(
                     503,
@@ -165,27 +183,44 @@
             head.header('host'), head.target
         )
         if route is None:
-            self._refuse(
+            self.refuse(
                 slot,
                 results.Refusal(
                     404, results.Reason.NO_ROUTE, 'No route matches.'
                 ),
             )
             return None
-        service = self._routing_state.choose_part(route)
-        request = requests.Request(self, slot, route, service, configuration)
-        self.budget.note_request(service, self.now())
+        service = self._choose_part(route, origin)
+        request = requests.Request(
+            self, slot, route, service, configuration, origin
+        )
+        if origin is None or not origin.attempts:
+            self.budget.note_request(service, self.now())
         self.open_requests += 1
+        self.open_relayed_requests += request.is_relayed
         # The slot must know its request before a response arrives.
         slot.request = request
         request.start()
         return request
 
+    def _choose_part(self, route, origin):
+        """Return the service of a request.
+
+        The relaying host has chosen the part of a route already; another
+        choice would change the shares of the parts.
+        """
+        if origin is not None and any(
+            part.service == origin.service for part in route.parts
+        ):
+            return origin.service
+        return self._routing_state.choose_part(route)
+
     def refused(self, slot, refusal):
         """Record a request that was refused before it was routed."""
         self._log_refusal(slot, refusal)
 
-    def _refuse(self, slot, refusal):
+    def refuse(self, slot, refusal):
+        """Refuse a request that has not been routed."""
         self._log_refusal(slot, refusal)
         slot.refuse(refusal)
 
@@ -388,11 +423,18 @@
     def finished(self, request, status, outcome, detail):
         """Record and log the end of a request."""
         self.open_requests -= 1
+        self.open_relayed_requests -= request.is_relayed
         now = self.now()
         took_s = now - request.arrived_at
-        self._metrics.count_request(
-            request.service, request.route.name, outcome, took_s
-        )
+        if request.is_relayed:
+            # The relaying host counts the request of the caller.
+            self._metrics.count_relay('received', outcome)
+        else:
+            self._metrics.count_request(
+                request.service, request.route.name, outcome, took_s
+            )
+        if request.relays:
+            self._metrics.count_relay('sent', outcome)
         in_time = took_s <= request.route.target_latency_s
         configuration = self._routing_state.configuration
         LOG.info(
@@ -406,6 +448,7 @@
                 'outcome': outcome,
                 'detail': detail,
                 'took_s': round(took_s, 4),
+                'is_relayed': request.is_relayed,
                 **request.selection_fields,
                 'registry_age_s': round(self.registry.age(now), 3),
                 'configuration': configuration.version,
--- a/packages/radishferryd/src/radishferryd/router/hub.py
+++ b/packages/radishferryd/src/radishferryd/router/hub.py
@@ -4,11 +4,13 @@
 
 import logging
 
+from radishferry import field_checks
 from radishferry.direct import announcements
 from radishferry.direct import pacing
 from radishferryd.gen.router import ttypes
 from radishferryd.router import knowledge as knowledge_module
 from radishferryd.router import links
+from radishferryd.router import relay_directory as relay_directory_module
 
 LOG = logging.getLogger(__name__)
 
@@ -31,7 +33,13 @@
     """Serve the links of the other hosts to the granting host."""
 
     def __init__(
-        self, scheduler, routing_state, ownership, crashes, link_mbps
+        self,
+        scheduler,
+        routing_state,
+        ownership,
+        crashes,
+        link_mbps,
+        relay_directory,
     ):
         """Create a hub without links.
 
@@ -39,7 +47,10 @@
         :param crashes: The
             :class:`~radishferryd.router.crashes.CrashCounts` of this host.
         :param link_mbps: Bandwidth of this host in Mbit/s.
+        :param relay_directory: A
+            :class:`~radishferryd.router.relay_directory.RelayDirectory`.
         """
+        self._relay_directory = relay_directory
         self._scheduler = scheduler
         self._routing_state = routing_state
         self._ownership = ownership
@@ -100,6 +111,7 @@
         self._snapshot_cache = None
         for link in list(self._links):
             link.close()
+        self._relay_directory.clear()
 
     def announce_stop(self):
         """Tell all hosts that this one is about to stop."""
@@ -152,8 +164,10 @@
         if name == 'hello':
             link.host = message.host
             link.data_centre = message.data_centre
+            self._relay_directory.note_hello(link, _relay_host(message))
             self._accept(link)
         elif name == 'load_report':
+            self._relay_directory.note_report(link, message.reaches_servers)
             self._ownership.note_load(
                 message.keys,
                 [(s.server_id, s.total_s, s.answers) for s in message.speeds],
@@ -185,6 +199,7 @@
         """See :class:`radishferryd.router.links.Link`."""
         if link in self._links:
             self._links.discard(link)
+            self._relay_directory.note_closed(link)
             self._ownership.consent.note_lost(link)
             LOG.info(
                 'hub: The link to %s has ended.',
@@ -337,6 +352,23 @@
         return len(data)
 
 
+def _relay_host(message):
+    """Return where a host takes relayed requests, None if it takes none."""
+    address = message.relay_address
+    if address is None:
+        return None
+    problem = field_checks.check_address(address)
+    if problem:
+        LOG.warning(
+            'hub: %s takes no relayed requests: %s.', message.host, problem
+        )
+        return None
+    ip, _, port = address.rpartition(':')
+    return relay_directory_module.RelayHost(
+        message.host, message.data_centre, (ip, int(port))
+    )
+
+
 def _server_entry(server):
     ip, port = server.address
     return ttypes.ServerEntry(
--- a/packages/radishferryd/src/radishferryd/router/metrics.py
+++ b/packages/radishferryd/src/radishferryd/router/metrics.py
@@ -33,6 +33,15 @@
         'Requests answered before they were routed.',
         {'reason': ()},
     ),
+    _METRIC(
+        'relayed_requests',
+        'radishferry_relayed_requests_total',
+        'counter',
+        'Requests sent to another host because this one did not reach a '
+        'server, and requests received from such hosts, by outcome.',
+        {'direction': ('sent', 'received'), 'outcome': ()},
+        _MAX_SERIES,
+    ),
     _METRIC(
         'announcements',
         'radishferry_server_announcements_total',
@@ -122,6 +131,10 @@
         """Count a request that was answered before it was routed."""
         self.refusals.inc(reason)
 
+    def count_relay(self, direction, outcome):
+        """Count a request that was sent to or received from another host."""
+        self.relayed_requests.inc(direction, outcome)
+
     def count_announcement(self, kind):
         """Count an announcement of a server."""
         self.announcements.inc(kind)
--- /dev/null
+++ b/packages/radishferryd/src/radishferryd/router/relay_gateway.py
@@ -0,0 +1,104 @@
+"""Serve requests that other hosts relay."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from radishferry.direct import admission
+from radishferryd.router import relay_headers
+from radishferryd.router import results
+
+#: Relayed requests in progress above which further ones are refused, so that
+#: the callers of this host are still served: with 40 % of all hosts left, a
+#: host has about 30 on the users' deployments.
+MAX_OPEN_REQUESTS = 256
+#: Bytes that the headers of a relaying host add to the head of a request.
+EXTRA_HEADER_BYTES = 1024
+
+
+class RelayGateway:
+    """Start relayed requests; they are not relayed again.
+
+    Offers what :class:`~radishferryd.router.callers.CallerConnection` needs.
+    """
+
+    def __init__(self, gateway):
+        """Create the gateway.
+
+        :param gateway: The :class:`~radishferryd.router.gateway.Gateway`,
+            which handles the requests of callers.
+        """
+        self._gateway = gateway
+        self.scheduler = gateway.scheduler
+        self.connections = gateway.connections
+        self.now = gateway.now
+        self.refused = gateway.refused
+        self.stop_refusal = gateway.stop_refusal
+
+    @property
+    def limits(self):
+        """Return the limits for callers, with room for further headers."""
+        limits = self._gateway.limits
+        return dataclasses.replace(
+            limits,
+            max_header_bytes=limits.max_header_bytes + EXTRA_HEADER_BYTES,
+        )
+
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether connections close after their next response."""
+        return self._gateway.is_stopping
+
+    @property
+    def accepts_requests(self) -> bool:
+        """Return whether further requests are sent to servers."""
+        return self._gateway.accepts_requests
+
+    def begin(self, slot):
+        """Route a relayed request and start it.
+
+        :returns: The request, None if it was refused.
+        """
+        text = slot.head.header(relay_headers.RELAY)
+        try:
+            origin = relay_headers.parse_origin(text)
+        except ValueError as exc:
+            self._gateway.refuse(
+                slot,
+                results.Refusal(
+                    400,
+                    results.Reason.BAD_REQUEST,
+                    f'No valid {relay_headers.RELAY} header: {exc}.',
+                ),
+            )
+            return None
+        refusal = self._refusal(origin)
+        if refusal is not None:
+            self._gateway.refuse(slot, refusal)
+            return None
+        return self._gateway.begin(slot, origin)
+
+    def _refusal(self, origin):
+        gateway = self._gateway
+        if gateway.links.is_isolated:
+            return results.Refusal(
+                503,
+                results.Reason.NO_SERVER,
+                'This host reaches no server either.',
+                admission.retry_after_s(0.5),
+            )
+        if gateway.open_relayed_requests >= MAX_OPEN_REQUESTS:
+            return results.Refusal(
+                503,
+                results.Reason.RELAY_LIMIT,
+                'This host handles too many requests of other hosts.',
+                admission.retry_after_s(0.3),
+            )
+        if gateway.configuration_version < origin.configuration_version:
+            return results.Refusal(
+                503,
+                results.Reason.NO_CONFIGURATION,
+                'This host has an older configuration.',
+                admission.retry_after_s(0.3),
+            )
+        return None
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -13,6 +13,8 @@
 from radishferryd import http_message
 from radishferryd.platform import headers
 from radishferryd.router import connections
+from radishferryd.router import relay_headers
+from radishferryd.router import relays
 from radishferryd.router import results
 
 LOG = logging.getLogger(__name__)
@@ -38,11 +40,40 @@
 RETRY_BACKOFF_S = 0.06
 
 
+#: Refusals after which a relayed request is sent to another host: the first
+#: one is no better off, or has no capacity for it.
+_REFUSED_BY_HOST = frozenset(
+    (
+        results.Reason.NO_SERVER,
+        results.Reason.NO_CONFIGURATION,
+        results.Reason.RELAY_LIMIT,
+        results.Reason.STOPPING,
+    )
+)
+#: Refusals that show that another host does not reach a server either.
+_UNREACHABLE = frozenset(
+    (
+        results.Reason.NO_SERVER,
+        results.Reason.OWNER_UNREACHABLE,
+        results.Reason.NOT_RUN,
+    )
+)
+
+
 class Request:
     """Track one request of a caller from its arrival to its response."""
 
-    def __init__(self, gateway, slot, route, service, configuration):
+    def __init__(
+        self, gateway, slot, route, service, configuration, origin=None
+    ):
+        """Create a request; :meth:`start` sends it.
+
+        :param origin: The :class:`~radishferryd.router.relay_headers.Origin`
+            of a request that another host has relayed, else None.
+        """
         self._gateway = gateway
+        self._origin = origin
+        self._configuration_version = configuration.version
         self._slot = slot
         self.route = route
         self.service = service
@@ -65,7 +96,12 @@
         self._tried = []
         self._used_connections = []
         self._connect_failures = 0
-        self._attempts = 0
+        #: Attempts that the relaying host has made, and all attempts.
+        self._earlier_attempts = origin.attempts if origin else 0
+        self._attempts = self._earlier_attempts
+        #: Names of the hosts that the request was relayed to.
+        self._relays = []
+        self._relay_target = None
         self._selection = {}
         self._may_have_run = False
         self._is_waiting = False
@@ -87,10 +123,24 @@
         """Return whether the request may run more than once."""
         return self.route.kind.is_idempotent
 
+    @property
+    def is_relayed(self) -> bool:
+        """Return whether another host has relayed the request to this one."""
+        return self._origin is not None
+
+    @property
+    def relays(self):
+        """Return the names of the hosts that the request was relayed to."""
+        return tuple(self._relays)
+
     @property
     def selection_fields(self):
         """Return the log fields that describe the last server selection."""
-        return {'attempts': self._attempts, **self._selection}
+        return {
+            'attempts': self._attempts,
+            'relayed_to': ' '.join(self._relays),
+            **self._selection,
+        }
 
     @property
     def fingerprint(self):
@@ -112,7 +162,8 @@
                     400, results.Reason.BAD_KEY, f'No key: "{text[:20]}".'
                 )
                 return
-            self._gateway.note_key(self.service, self.key)
+            if not self.is_relayed:
+                self._gateway.note_key(self.service, self.key)
         self._start_attempt()
 
     def cancel(self, detail):
@@ -195,6 +246,9 @@
         if self._is_done:
             return
         self._attempt = None
+        if attempt.backend.is_relay:
+            self._handle_relay_result(attempt, result)
+            return
         self._last_result = result
         if isinstance(result, results.Answered):
             self._answer(attempt, result)
@@ -209,7 +263,8 @@
             self._connect_failures += result.is_unreachable
             self._gateway.attempt_refused(self, attempt, result)
         if not self._may_retry(result):
-            self._give_up(result)
+            if not self._relay_after(attempt, result):
+                self._give_up(result)
         elif (
             self.is_keyed
             and isinstance(result, results.NotRun)
@@ -222,6 +277,140 @@
         else:
             self._start_attempt()
 
+    # Relaying, see radishferryd.router.relays.
+
+    def _relay(self, now, target=None):
+        """Send the request to a host that may reach the servers.
+
+        :param target: What this host does not reach, see
+            :meth:`radishferryd.router.relays.Relays.may_help`; None if it
+            reaches no server.
+        :returns: Whether it has been sent.
+        """
+        gateway = self._gateway
+        if self.is_relayed or len(self._relays) >= relays.MAX_RELAYS:
+            return False
+        if self._left_s(now) < MIN_ATTEMPT_S:
+            return False
+        backend = gateway.relays.choose(self._relays)
+        if backend is None:
+            return False
+        origin = relay_headers.Origin(
+            self._configuration_version,
+            self._attempts - self._connect_failures + len(self._relays),
+            self.service,
+        )
+        attempt = connections.Attempt(
+            backend,
+            self.request_id,
+            self._head.method,
+            self,
+            self._format_request(now, origin=origin),
+            None,
+            self._used_connections,
+        )
+        self._attempt = attempt
+        if not backend.send(attempt, self.is_idempotent):
+            self._attempt = None
+            return False
+        if not origin.attempts:
+            gateway.budget.forget_request(self.service)
+        self._relay_target = target
+        self._relays.append(backend.server.server_id)
+        self._used_connections.append(attempt.connection)
+        return True
+
+    def _relay_around(self, target, now):
+        """Relay the request if only this host may fail to reach a target."""
+        return self._gateway.relays.may_help(target) and self._relay(
+            now, target
+        )
+
+    def _relay_after(self, attempt, result):
+        """Relay the request after its last attempt to connect failed."""
+        if not isinstance(result, results.NotRun) or (
+            not result.is_unreachable
+        ):
+            return False
+        target = attempt.server.incarnation if self.is_keyed else self.service
+        return self._relay_around(target, self._gateway.now())
+
+    def _handle_relay_result(self, attempt, result):
+        """Handle the response or the failure of a host it was relayed to."""
+        if isinstance(result, results.Answered):
+            self._handle_relay_answer(attempt, result)
+            return
+        self._last_result = result
+        if isinstance(result, results.Unknown):
+            self._may_have_run = True
+            LOG.info(
+                'request: A relayed request failed; a server may have run it.',
+                extra=self._relay_fields(attempt, result.detail),
+            )
+            if result.has_response_started:
+                self._abort_response(result.detail)
+                return
+            if not self._may_retry(result):
+                self._give_up(result)
+                return
+        else:
+            LOG.info(
+                'request: A host did not take a relayed request.',
+                extra=self._relay_fields(attempt, result.detail),
+            )
+        self._start_attempt()
+
+    def _relay_fields(self, attempt, detail):
+        return {
+            'request_id': self.request_id,
+            'host': attempt.server.server_id,
+            'detail': detail,
+        }
+
+    def _handle_relay_answer(self, attempt, result):
+        head = result.head
+        reason = head.header(relay_headers.REASON)
+        if reason:
+            self._handle_relay_refusal(attempt, result, reason)
+        elif headers.implies_not_run(head):
+            # Neither the other host nor a proof of the server vouches for
+            # what this status promises.
+            self._may_have_run = True
+            self._give_up(
+                results.Unknown(f'another host answered {head.status}')
+            )
+        else:
+            # The time includes that of the other host's queue, so only the
+            # size is a sample.
+            self._gateway.route_stats(self).note(len(result.body), 0.0, 1)
+            self._finish_answer(result)
+
+    def _handle_relay_refusal(self, attempt, result, reason_name):
+        """Try another host, or pass on the refusal of the other host."""
+        head = result.head
+        reason = results.Reason.of(reason_name)
+        detail = f'{attempt.server.server_id} refused it: {reason_name}.'
+        is_not_run = head.status in headers.NOT_RUN_STATUSES
+        LOG.info(
+            'request: Another host refused a relayed request.',
+            extra=self._relay_fields(attempt, f'{head.status} {reason_name}'),
+        )
+        if not is_not_run:
+            self._may_have_run = True
+        elif self._relay_target is not None and reason in _UNREACHABLE:
+            self._gateway.relays.note_refuted(self._relay_target)
+        elif reason in _REFUSED_BY_HOST:
+            attempt.backend.note_refused()
+            self._last_result = results.NotRun(detail)
+            self._start_attempt()
+            return
+        self._refuse(
+            head.status,
+            reason,
+            detail,
+            headers.parse_delay_s(head.header(headers.RETRY_AFTER)),
+        )
+
     def _retry_after_backoff(self, server):
         """Retry a server after a backoff, when it may accept the request.
 
@@ -263,8 +452,12 @@
         self._gateway.route_stats(self).note(
             len(result.body), elapsed, attempt.backend.last_queue_length
         )
+        self._finish_answer(result)
+
+    def _finish_answer(self, result):
+        """Return the complete response of a server."""
         self._end()
-        self._gateway.finished(self, status, 'answered', '')
+        self._gateway.finished(self, result.head.status, 'answered', '')
         if result.is_streamed:
             self._slot.end_stream()
         else:
@@ -281,6 +474,10 @@
             self._refuse(
                 503, results.Reason.POISON, 'Equal requests crashed servers.'
             )
+        elif self._gateway.relays.is_needed and self._relay(now):
+            return
+        elif self._gateway.relays.is_needed and self._relays:
+            self._give_up(self._last_result)
         elif self.is_keyed:
             self._send_to_owner(now)
         else:
@@ -304,6 +501,8 @@
             )
             return
         if stats.is_paused(now):
+            if self._relay_around(server.incarnation, now):
+                return
             self._wait_for_owner(
                 results.Reason.OWNER_UNREACHABLE,
                 f'{server.server_id} cannot be reached.',
@@ -361,6 +560,8 @@
                     admission.retry_after_pause_s(paused_for_s),
                 )
                 return
+            if self._relay_around(self.service, now):
+                return
             if self._last_result is not None:
                 self._give_up(self._last_result)
                 return
@@ -419,7 +620,7 @@
             self.request_id,
             self._head.method,
             self,
-            self._format_request(server, now),
+            self._format_request(now, server.server_id),
             self.key,
             self._used_connections,
         )
@@ -437,7 +638,8 @@
         if server.incarnation not in self._tried:
             self._tried.append(server.incarnation)
 
-    def _format_request(self, server, now):
+    def _format_request(self, now, server_id=None, origin=None):
+        """Return the bytes of the request to a server or another host."""
         connection_options = {
             name.strip().lower()
             for name in self._head.header('connection').split(',')
@@ -447,13 +649,18 @@
             for name, value in self._head.headers
             if name not in http_message.HOP_BY_HOP_HEADERS
             and name not in connection_options
+            and name not in relay_headers.OWN_NAMES
             and name != 'content-length'
         ]
         lines = headers.forwarded_headers(
             kept,
             max(0.001, self._left_s(now) - RESPONSE_MARGIN_S),
-            server.server_id,
+            server_id,
         )
+        if origin is not None:
+            lines.append(
+                (relay_headers.RELAY, relay_headers.format_origin(origin))
+            )
         if self.body or self._head.method not in ('GET', 'HEAD', 'DELETE'):
             lines.append(('Content-Length', str(len(self.body))))
         head = http_message.format_request(
@@ -502,7 +709,9 @@
         # The route limits the number of servers that the request is sent to.
         # An unreachable server has not received it. A keyed request may be
         # sent to one server repeatedly; its attempts are limited below.
-        reached = len(self._tried) - self._connect_failures
+        reached = (
+            self._earlier_attempts + len(self._tried) - self._connect_failures
+        )
         if not self.is_keyed and reached >= self.route.max_attempts:
             return False
         if self._attempts - self._connect_failures > self.route.max_attempts:
--- a/packages/radishferryd/src/radishferryd/router/results.py
+++ b/packages/radishferryd/src/radishferryd/router/results.py
@@ -68,6 +68,7 @@
     NO_OWNER = 'no-owner'
     OWNER_UNREACHABLE = 'owner-unreachable'
     NO_SERVER = 'no-server'
+    RELAY_LIMIT = 'relay-limit'
     SERVER_PAUSED = 'server-paused'
     RATE_LIMITED = 'rate-limited'
     OVERLOADED = 'overloaded'
@@ -77,6 +78,16 @@
     BAD_ANSWER = 'bad-answer'
     TIMEOUT = 'timeout'
     STOPPING = 'stopping'
+    #: A reason that another host gave and this version does not know.
+    OTHER = 'other'
+
+    @classmethod
+    def of(cls, name):
+        """Return the reason with a name, :attr:`OTHER` if it is unknown."""
+        try:
+            return cls(name)
+        except ValueError:
+            return cls.OTHER
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/radishferryd/src/radishferryd/router/settings.py
+++ b/packages/radishferryd/src/radishferryd/router/settings.py
@@ -20,6 +20,7 @@
     listen_callers: tuple[str, int]
     listen_ready: tuple[str, int]
     listen_links: tuple[str, int]
+    listen_relays: tuple[str, int]
     listen_metrics: tuple[str, int]
     platform_address: tuple[str, int]
     retry_ratio: float
@@ -94,6 +95,13 @@
         setting_readers.read_address,
         'Listens for other hosts.',
     ),
+    _option(
+        'listen',
+        'relays',
+        'ip:port',
+        setting_readers.read_address,
+        'Takes requests that other hosts relay while they reach no server.',
+    ),
     _option(
         'listen',
         'metrics',
--- a/packages/radishferryd/src/radishferryd/router/slots.py
+++ b/packages/radishferryd/src/radishferryd/router/slots.py
@@ -6,6 +6,7 @@
 
 from radishferryd import http_message
 from radishferryd.platform import headers
+from radishferryd.router import relay_headers
 
 #: Bytes of a response that are buffered while earlier responses of the
 #: connection are pending; above it reading from the server is paused.
@@ -15,22 +16,31 @@
 
 #: Response headers that are not passed on, since they concern the connection
 #: or only the hosts.
-_STRIPPED_HEADERS = http_message.HOP_BY_HOP_HEADERS | {
-    'content-length',
-    headers.LOAD,
-    headers.LEAVING,
-    headers.LIMIT,
-    headers.SERVER_ID,
-    headers.NOT_RUN,
-    headers.HANDOVER,
-}
+_STRIPPED_HEADERS = (
+    http_message.HOP_BY_HOP_HEADERS
+    | relay_headers.OWN_NAMES
+    | {
+        'content-length',
+        headers.LOAD,
+        headers.LEAVING,
+        headers.LIMIT,
+        headers.SERVER_ID,
+        headers.NOT_RUN,
+        headers.HANDOVER,
+    }
+)
 
 
 class Slot:
     """Hold one request of a connection and its response until its turn."""
 
-    def __init__(self, connection, head):
+    def __init__(self, connection, head, names_refusals=False):
+        """Create a slot without a response.
+
+        :param names_refusals: Whether a header names the reason of a refusal.
+        """
         self.head = head
+        self._names_refusals = names_refusals
         self.request = None
         self.arrived_at = connection.now()
         self.body = []
@@ -109,6 +119,8 @@
             lines.append(('Retry-After', f'{refusal.retry_after_s:.3f}'))
         if self.request_id:
             lines.append((headers.REQUEST_ID, self.request_id))
+        if self._names_refusals:
+            lines.append((relay_headers.REASON, refusal.reason.value))
         if not self.is_received:
             # To reuse the connection, the rest of the body would have to be
             # read first.
--- a/packages/radishferryd/src/radishferryd/router/spoke.py
+++ b/packages/radishferryd/src/radishferryd/router/spoke.py
@@ -4,6 +4,7 @@
 
 import logging
 
+from radishferry import field_checks
 from radishferry.direct import key_map
 from radishferry.direct import long_holds
 from radishferry.direct import pacing
@@ -41,10 +42,12 @@
 
         :param reader: A
             :class:`~radishferryd.router.store_reader.StoreReader`.
-        :param host: Pair of name and data centre of this host.
+        :param host: Name and data centre of this host, and its address for
+            relayed requests as ``ip:port``.
         :param owner: Offers ``granter_lost()``, ``set_host_count(count)``,
-            ``adopt_crash_counts(counts)``, ``take_load()`` and
-            ``repeat_announcements()``.
+            ``adopt_crash_counts(counts)``, ``take_load()``,
+            ``repeat_announcements()``, ``reaches_servers()`` and
+            ``set_relay_hosts(hosts)``.
         """
         self._poller = poller
         self._scheduler = scheduler
@@ -150,6 +153,7 @@
                     )
                     for notice in load.notices
                 ],
+                self._owner.reaches_servers(),
             ),
         )
 
@@ -290,6 +294,15 @@
             tuple(_segments(message)),
         )
 
+    def _on_relay_hosts(self, message):
+        self._owner.set_relay_hosts(
+            [
+                (host.host, host.data_centre, (host.ip, host.port))
+                for host in message.hosts
+                if not field_checks.check_address(f'{host.ip}:{host.port}')
+            ]
+        )
+
     def _on_poison_push(self, message):
         self._owner.adopt_crash_counts(message.crashes)
 
