Release leadership at a granting host that reaches no server

A granting host that has been isolated for 0.3 s releases leadership, if a linked host reports that it reaches servers and the store answers. It does so like a host that stops, so the row tells the next host that all holds are usual, and no key has two owners. A host that reaches no server waits 1 s longer before it acquires free leadership.

--- a/features/steps/direct_term_steps.py
+++ b/features/steps/direct_term_steps.py
@@ -15,7 +15,7 @@
 from radishferryd.router import term as term_module
 
 
-def _elector(time, store, host, name, link_mbps):
+def make_elector(time, store, host, name, link_mbps):
     return term_module.LeaderElector(
         store, time, host, name, '127.0.0.1:1', 1, link_mbps
     )
@@ -39,7 +39,7 @@
         key_rows.encode(row),
     )
     context.host = store_fixtures.Host()
-    context.elector = _elector(
+    context.elector = make_elector(
         context.time, context.store, context.host, 'a', 0
     )
 
@@ -69,13 +69,16 @@
     context.bandwidths = [10.0] * slow + [200.0] * fast
 
 
-def _run(bandwidths, seed, *, polls_repeatedly):
+def _run(bandwidths, seed, *, polls_repeatedly, reaching=None):
     random.seed(seed)
     time = load_fixtures.Scheduler()
     store = store_fixtures.Store(time)
-    hosts = [store_fixtures.Host() for _ in bandwidths]
+    hosts = [
+        store_fixtures.Host(reaches_servers=reaches)
+        for reaches in reaching or [True] * len(bandwidths)
+    ]
     electors = [
-        _elector(time, store, host, f'h{number}', mbps)
+        make_elector(time, store, host, f'h{number}', mbps)
         for number, (host, mbps) in enumerate(
             zip(hosts, bandwidths, strict=True)
         )
@@ -100,7 +103,7 @@
     context.time = load_fixtures.Scheduler()
     context.host = store_fixtures.Host()
     context.store = store_fixtures.Store(context.time, delay_s)
-    context.elector = _elector(
+    context.elector = make_elector(
         context.time,
         context.store,
         context.host,
@@ -128,7 +131,12 @@
 @behave.when('they look for the granting host')
 def all_poll(context):
     context.runs = [
-        _run(context.bandwidths, seed, polls_repeatedly=False)
+        _run(
+            context.bandwidths,
+            seed,
+            polls_repeatedly=False,
+            reaching=getattr(context, 'reaching', None),
+        )
         for seed in range(context.times)
     ]
 
--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -19,6 +19,7 @@
 from radishferryd.router import callers
 from radishferryd.router import crashes as crashes_module
 from radishferryd.router import gateway as gateway_module
+from radishferryd.router import hand_over
 from radishferryd.router import hub as hub_module
 from radishferryd.router import knowledge as knowledge_module
 from radishferryd.router import links
@@ -139,6 +140,13 @@
             ),
             self,
         )
+        self._isolation_hand_over = hand_over.HandOver(
+            self._gateway.links,
+            self._relay_directory,
+            self._term,
+            self._ownership,
+            self.term_lost,
+        )
         self._shutdown = shutdown_module.Shutdown(
             self._scheduler,
             self._gateway,
@@ -307,6 +315,7 @@
 
     def _on_tick(self):
         self._spoke.tick()
+        self._isolation_hand_over.check()
         self._report_load()
         self._ticks += 1
         if not self._ticks % SWEEP_TICKS:
--- a/packages/radishferryd/src/radishferryd/router/term.py
+++ b/packages/radishferryd/src/radishferryd/router/term.py
@@ -27,6 +27,10 @@
 #: leadership: the maximum delay of the other hosts and their call to the
 #: store.
 SLOW_LINK_WAIT_S = 0.4
+#: Additional delay in seconds before a host that reaches no server tries to
+#: acquire leadership: another host should be the granting host. It still
+#: tries, since the servers of all hosts may have failed.
+ISOLATED_WAIT_S = 1.0
 #: Seconds between reads of the row while there is no link to the granting
 #: host.
 POLL_INTERVAL_S = 1.0
@@ -58,7 +62,8 @@
 
         :param owner: Offers ``term_taken()``, ``term_lost()``,
             ``granter_found(term)``, ``needs_granter()``,
-            ``owners_read(rows)`` and ``note_store_answer(answer)``.
+            ``owners_read(rows)``, ``note_store_answer(answer)`` and
+            ``reaches_servers()``.
         :param name: Name of this host.
         :param address: Address of this host for links, as ``ip:port``.
         :param incarnation: Distinguishes restarts of this host.
@@ -81,6 +86,7 @@
         self._holds = False
         self._is_call_in_flight = False
         self._is_stopping = False
+        self._is_resigning = False
         self._poll_timer = None
         self._renewed_at = 0.0
         self._observed_term = None
@@ -174,6 +180,17 @@
             usual.
         """
         self._is_stopping = True
+        self._release(has_usual_holds)
+
+    def resign(self, has_usual_holds):
+        """Release leadership, and look for the host that acquires it.
+
+        :param bool has_usual_holds: See :meth:`release`.
+        """
+        self._is_resigning = True
+        self._release(has_usual_holds)
+
+    def _release(self, has_usual_holds):
         self._has_usual_holds = has_usual_holds
         if not self.holds:
             return
@@ -217,12 +234,15 @@
             or self._is_of_earlier_process(term)
         ):
             delay_s = self._slow_link_wait_s + random.uniform(0, MAX_JITTER_S)
+            if not self._owner.reaches_servers():
+                delay_s += ISOLATED_WAIT_S
             observed_version = self._version
             self._scheduler.call_later(
                 delay_s, lambda: self._acquire(observed_version)
             )
             return
-        self._owner.granter_found(term)
+        if not self._is_own(term):
+            self._owner.granter_found(term)
         remaining_s = term.until_store_s - store_clock_s + END_MARGIN_S
         self._schedule_poll(min(POLL_INTERVAL_S, remaining_s))
 
@@ -287,11 +307,12 @@
 
     def _handle_answer(self, term, sent_at, answer, done):
         self._is_call_in_flight = False
+        is_resigning, self._is_resigning = self._is_resigning, False
         usable = self._owner.note_store_answer(answer)
         now = self._scheduler.now()
         if isinstance(answer, store_module.Written):
             self._clock.note(answer.store_clock_s, sent_at, now)
-            self._handle_success(term, answer.version, sent_at)
+            self._handle_success(term, answer.version, sent_at, is_resigning)
         elif isinstance(answer, store_module.Conflict):
             self._clock.note(answer.store_clock_s, sent_at, now)
             self._handle_conflict(answer, sent_at)
@@ -347,11 +368,12 @@
             self._owner.granter_found(term)
             self._schedule_poll(POLL_INTERVAL_S)
 
-    def _handle_success(self, term, version, sent_at):
+    def _handle_success(self, term, version, sent_at, is_resigning=False):
         self._version = version
         if not term.host:
+            self._schedule_poll(0.0)
             return
-        if self._is_stopping:
+        if self._is_stopping or is_resigning:
             # A renewal was in flight when leadership was released.
             self._write('', 0.0, ())
             return
