Count no crashes of servers when a host loses its own links

A host whose connections are reset and refused by all servers took each server for crashed: every request in flight counted as one that crashes servers, and after three losses of the links equal requests are refused everywhere.

A crash is now counted 0.6 s after the refused connection, and not at all if the host was isolated since: it notices that from failures at other servers. The scenario 'Lost links do not count as crashes of servers' fails without the check; its counterpart shows that crashes count while other servers answer.

--- a/features/direct_relays.feature
+++ b/features/direct_relays.feature
@@ -131,3 +131,20 @@
     Given host 1 has been isolated for 12 seconds
     When lookups and payments come to host 1 for 2 seconds
     Then the retry budgets of all hosts count each of them once
+
+  # Guards against requests that are refused as crashing servers because their
+  # host lost its links while they were at servers.
+  Scenario: Lost links do not count as crashes of servers
+    When lookups and payments have come to host 1 for 2 seconds
+    And servers take 1 second for a request
+    And the same lookup comes to host 1 during 3 losses of its links
+    Then no request counts as crashing servers
+
+  # Guards against requests that crash servers and are not recognised.
+  Scenario: Crashes of servers are counted while others answer
+    When lookups and payments have come to host 1 for 2 seconds
+    And servers take 1 second for a request
+    And lookups and payments come to host 1 for 1 seconds
+    And server 0 dies
+    And lookups and payments come to host 1 for 2 seconds
+    Then requests at server 0 count as crashing it
--- a/features/steps/direct_relays_steps.py
+++ b/features/steps/direct_relays_steps.py
@@ -438,3 +438,27 @@
         for times in host.gateway.budget._requests.values():
             counted += sum(1 for at in times if at >= context.last[0].sent_at)
     assert counted == len(context.last), (counted, len(context.last))
+
+
+@behave.when('the same lookup comes to host 1 during 3 losses of its links')
+def repeated_losses(context):
+    for _ in range(3):
+        for number in range(8):
+            key = number * 8192
+            _send(context, 1, '/k/x', (f'X-Shard-Key: {key}',))
+        context.scheduler.advance(0.5)
+        cut_links(context, 1, 'reset')
+        send_requests(context, 1, 2)
+        assert context.hosts[0].gateway.links.is_isolated
+        cut_links(context, 1, 'return')
+        context.scheduler.advance(2.0)
+
+
+@behave.then('no request counts as crashing servers')
+def no_crashes(context):
+    assert not context.hosts[0].crashes.counts, context.hosts[0].crashes.counts
+
+
+@behave.then('requests at server 0 count as crashing it')
+def crashes_counted(context):
+    assert context.hosts[0].crashes.counts
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -18,6 +18,9 @@
 
 LOG = logging.getLogger(__name__)
 
+#: Seconds after a refused connection until a crash of the server is counted:
+#: within them a host that lost its own links notices that.
+CRASH_CHECK_DELAY_S = 0.6
 #: Seconds after which callers may retry at a host without configuration.
 STARTING_RETRY_S = 0.5
 
@@ -325,7 +328,7 @@
         """Record an attempt that a server has not run."""
         now = self.now()
         if result.is_server_dead:
-            self._crashes.note_server_dead(attempt.server.incarnation, now)
+            self._schedule_crash_check(attempt.server.incarnation, now)
         segment = None
         if request.key is not None:
             segment, _ = self.owner(request.service, request.key)
@@ -341,6 +344,20 @@
             },
         )
 
+    def _schedule_crash_check(self, incarnation, refused_at):
+        """Count a crash later, unless the links of this host are the cause.
+
+        A host whose connections are reset and refused by all servers counts
+        as isolated only some failures later.
+        """
+
+        def check():
+            if self.links.was_isolated_since(refused_at):
+                return
+            self._crashes.note_server_dead(incarnation, refused_at)
+
+        self.scheduler.call_later(CRASH_CHECK_DELAY_S, check)
+
     # Announcements of servers, see backends.Listener.
 
     def on_server_leaving(self, server):
--- a/packages/radishferryd/src/radishferryd/router/link_monitor.py
+++ b/packages/radishferryd/src/radishferryd/router/link_monitor.py
@@ -56,6 +56,13 @@
             return 0.0
         return self._scheduler.now() - self._reachability.isolated_at
 
+    def was_isolated_since(self, since) -> bool:
+        """Return whether this host was isolated at or after a time.
+
+        :param since: In seconds.
+        """
+        return self.is_isolated or self.restored_at >= since
+
     @property
     def restored_at(self) -> float:
         """Return when the last isolation ended, in seconds."""
