Forget failures of servers when a host's links return

A host backed off from each server that it had tried during a cut, and refused requests for their keys for up to 1.6 s after the links were back.

The end of an isolation now ends the backoffs and clears the failure shares that were its effect; pauses that servers have asked for go on. The new scenario fails without the change.

--- a/features/direct_relays.feature
+++ b/features/direct_relays.feature
@@ -38,6 +38,16 @@
     Then each request of the last 2 seconds is answered by a server
     And host 1 relayed none of them
 
+  # Guards against backoffs from single servers that outlast the return of the
+  # links that were their cause.
+  Scenario: A host does not back off from servers after its links return
+    Given host 1 has been isolated for 0 seconds
+    When the links of host 1 return
+    And a server accepts a connection of host 1
+    And lookups and payments come to host 1 for 1 seconds
+    Then each request of the last 1 seconds is answered by a server
+    And host 1 relayed none of them
+
   # Guards against requests that pass from host to host.
   Scenario: A request is not relayed twice
     Given host 1 has been isolated for 3 seconds
--- a/features/steps/direct_relays_steps.py
+++ b/features/steps/direct_relays_steps.py
@@ -462,3 +462,8 @@
 @behave.then('requests at server 0 count as crashing it')
 def crashes_counted(context):
     assert context.hosts[0].crashes.counts
+
+
+@behave.when('a server accepts a connection of host 1')
+def accepts_connection(context):
+    context.hosts[0].gateway.links.note_connected()
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -73,6 +73,7 @@
         self.backends = backends_module.Backends(
             poller, scheduler, settings.host_name, self, self.links
         )
+        self.links.on_restored.append(self.backends.forget_failures)
         self.relays = relays_module.Relays(
             poller,
             scheduler,
