Check odd values of other writers where they are decoded

An entry with port 70000 among those of the servers reset connections of callers (OverflowError from the connect), and one with 2**31 slots kept the granting host from sending the list on, since a message cannot carry it. An id with a line break would have become a header. Names in addresses were looked up, which blocks the loop.

The class: a field was checked for its type at most, and failed later, where other entries or requests shared the code. Each field of an entry is now checked once, in one function, against what messages, headers and sockets carry; the same function checks servers that the granting host sends. Fields of the configuration, of the rows of owners and of leadership, and of headers of servers get bounds too. An address that cannot be connected fails like a refused connection, in the next turn of the loop, and names are not looked up. An odd entry is logged once, in a line of bounded length.

--- a/packages/radishferry/src/radishferry/direct/key_rows.py
+++ b/packages/radishferry/src/radishferry/direct/key_rows.py
@@ -8,10 +8,13 @@
 
 import orjson
 
+from radishferry import field_checks
 from radishferry.direct import key_map
 
 #: Longest value of a row in bytes; the store accepts up to 64 KiB.
 MAX_ROW_BYTES = 65536
+#: Highest start time and fencing token that messages between hosts carry.
+MAX_NUMBER = 2**63 - 1
 
 
 class RowError(Exception):
@@ -78,16 +81,17 @@
     """
     try:
         document = orjson.loads(value)
-        incarnations = [
-            (str(name), int(born)) for name, born in document['lives']
-        ]
-        return KeyRow(
+        incarnations = {
+            index: (str(name), _integer(born, 0, MAX_NUMBER))
+            for index, (name, born) in enumerate(document['lives'])
+        }
+        row = KeyRow(
             tuple(
                 key_map.Segment(
-                    int(start),
-                    int(end),
+                    _integer(start, 0, key_map.KEY_COUNT - 1),
+                    _integer(end, start, key_map.KEY_COUNT - 1),
                     incarnations[owner],
-                    int(fence) or version,
+                    _integer(fence, 0, MAX_NUMBER) or version,
                     tuple(incarnations[index] for index in previous),
                 )
                 for start, end, owner, fence, previous, *_ in document[
@@ -101,5 +105,25 @@
                 for _, _, _, _, _, *ends in document['segments']
             ),
         )
-    except (KeyError, TypeError, ValueError, IndexError) as exc:
-        raise RowError(f'not a key map: {exc!r}') from exc
+        _check_order(row.segments)
+        return row
+    except (
+        AttributeError,
+        KeyError,
+        OverflowError,
+        TypeError,
+        ValueError,
+    ) as exc:
+        raise RowError(f'not a key map: {exc!r:.200}') from exc
+
+
+def _check_order(segments):
+    for before, after in itertools.pairwise(segments):
+        if after.start <= before.end:
+            raise ValueError(f'{after.start} follows {before.end}')
+
+
+def _integer(value, low, high):
+    if not field_checks.is_integer(value) or not low <= value <= high:
+        raise ValueError(f'not an integer from {low} to {high}: {value!r:.40}')
+    return value
--- a/packages/radishferry/src/radishferry/direct/leadership.py
+++ b/packages/radishferry/src/radishferry/direct/leadership.py
@@ -12,6 +12,8 @@
 
 import orjson
 
+from radishferry import field_checks
+
 #: Duration of a term in seconds. Short, since no host can move keys until the
 #: term of a host that the store rejects has ended; long enough to renew at a
 #: slow store, which answers within 0.3 s.
@@ -60,15 +62,17 @@
     """Return the term in a row, None if it cannot be decoded."""
     try:
         fields = orjson.loads(value)
+        if field_checks.check_address(fields['address']):
+            return None
         return Term(
             str(fields['host']),
-            str(fields['address']),
+            fields['address'],
             int(fields['incarnation']),
             float(fields['until_store_s']),
             int(fields['nonce']),
             fields.get('has_usual_holds') is True,
         )
-    except (AttributeError, KeyError, TypeError, ValueError):
+    except (AttributeError, KeyError, OverflowError, TypeError, ValueError):
         return None
 
 
--- a/packages/radishferry/src/radishferry/direct/registry.py
+++ b/packages/radishferry/src/radishferry/direct/registry.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import dataclasses
+import re
+
+from radishferry import field_checks
 
 #: Seconds after an outage of the platform's store during which servers that
 #: are missing from its list are kept. Servers write entries that expired in
@@ -13,6 +16,21 @@
 MAX_ANNOUNCED_LEAVING = 1024
 
 
+#: Highest number of slots that is accepted. Servers have a few; one with a
+#: much higher number would seem to have room for all requests.
+MAX_SLOTS = 10000
+#: Longest warm-up that is accepted, in seconds.
+MAX_WARMUP_S = 86400.0
+#: Latest start that is accepted, in Unix milliseconds: the highest number that
+#: messages between hosts carry.
+MAX_BORN_MS = 2**63 - 1
+#: Longest names of services and data centres, in characters.
+MAX_NAME_CHARACTERS = 200
+
+# IDs are sent in headers, where other characters would end the header.
+_ID = re.compile(r'[\x21-\x7e]{1,200}')
+
+
 @dataclasses.dataclass(frozen=True)
 class Server:
     """Describe one incarnation of a server.
@@ -39,6 +57,51 @@
         return self.server_id, self.born_ms
 
 
+def find_problem(server: Server) -> str | None:
+    """Return why the fields of a server cannot be used, None if they can.
+
+    What is accepted fits into messages between hosts, headers and socket
+    addresses.
+    """
+    if not (
+        isinstance(server.server_id, str) and _ID.fullmatch(server.server_id)
+    ):
+        return 'expected an id of 1 to 200 printable ASCII characters'
+    for name, value in (
+        ('service', server.service),
+        ('data centre', server.data_centre),
+    ):
+        if not isinstance(value, str) or len(value) > MAX_NAME_CHARACTERS:
+            return (
+                f'expected a {name} of at most {MAX_NAME_CHARACTERS} '
+                f'characters'
+            )
+    if not (
+        isinstance(server.address, tuple)
+        and len(server.address) == 2
+        and isinstance(server.address[0], str)
+    ):
+        return 'expected an address'
+    problem = field_checks.check_address('{}:{}'.format(*server.address))
+    if problem:
+        return problem
+    if not _is_integer(server.slots, 1, MAX_SLOTS):
+        return f'expected 1 to {MAX_SLOTS} slots, found {server.slots!r:.40}'
+    if not _is_integer(server.born_ms, 0, MAX_BORN_MS):
+        return f'expected a start in ms, found {server.born_ms!r:.40}'
+    is_number = field_checks.is_number(server.warmup_s)
+    if not is_number or not 0 <= server.warmup_s <= MAX_WARMUP_S:
+        return (
+            f'expected a warm-up of 0 to {MAX_WARMUP_S:.0f} s, '
+            f'found {server.warmup_s!r:.40}'
+        )
+    return None
+
+
+def _is_integer(value, low, high):
+    return field_checks.is_integer(value) and low <= value <= high
+
+
 @dataclasses.dataclass(frozen=True)
 class Change:
     """Describe how the known servers differ from those known before."""
--- a/packages/radishferryd/src/radishferryd/net.py
+++ b/packages/radishferryd/src/radishferryd/net.py
@@ -110,6 +110,13 @@
         else:
             self._handler.connected(self)
 
+    def fail_soon(self, error):
+        """Close a connection that cannot be opened, from the event loop.
+
+        :param OSError error: Passed to the handler.
+        """
+        self._poller.call_before_wait(lambda: self._close(error))
+
     def write(self, data: bytes):
         """Queue bytes, which are sent before the poller waits again.
 
@@ -371,8 +378,17 @@
             socket.TCP_USER_TIMEOUT,
             int(unacked_limit_s * 1000),
         )
-    error = sock.connect_ex(address)
     connection = Connection(poller, sock, handler)
+    try:
+        error = _connect(sock, address)
+    except (OSError, OverflowError, TypeError, ValueError) as exc:
+        LOG.warning('net: Cannot connect to %.80r: %s.', address, exc)
+        connection.fail_soon(
+            exc
+            if isinstance(exc, OSError)
+            else OSError(errno.EINVAL, f'not a usable address: {exc}')
+        )
+        return connection
     # Any error other than "in progress" is reported again by SO_ERROR or the
     # first write, so the handler is always called from the event loop.
     connection.start(connecting=True)
@@ -381,6 +397,21 @@
     return connection
 
 
+def _connect(sock, address):
+    """Begin to connect and return the error number.
+
+    :raises ValueError: The IP is not numeric. Looking up a name would block
+        the loop.
+    :raises OverflowError: The port is out of range.
+    """
+    ip, port = address
+    try:
+        socket.inet_pton(socket.AF_INET, ip)
+    except OSError as exc:
+        raise ValueError(f'{ip!r:.80} is not a numeric IPv4 address') from exc
+    return sock.connect_ex((ip, port))
+
+
 def _set_options(sock):
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/packages/radishferryd/src/radishferryd/platform/documents.py
+++ b/packages/radishferryd/src/radishferryd/platform/documents.py
@@ -6,6 +6,7 @@
 
 import orjson
 
+from radishferry import field_checks
 from radishferry.direct import configuration
 from radishferry.direct import registry
 
@@ -18,6 +19,21 @@
 #: Table in which servers register themselves; read-only for this system.
 SERVER_TABLE = 'servers'
 
+#: Maximum number of malformed entries that are logged, one line each.
+MAX_REPORTED_ENTRIES = 256
+#: Seconds by which a warm-up may lie in the past and still counts as ended.
+MAX_LATE_WARMUP_S = 60.0
+#: Highest version, priority and number of attempts or connections that a
+#: configuration may contain. Larger ones do not fit into messages or sockets.
+MAX_VERSION = 2**63 - 1
+MAX_COUNT = 1000000
+#: Longest time in seconds that a configuration may contain.
+MAX_TIME_S = 86400.0
+#: Highest weight of a part of a route.
+MAX_WEIGHT = 1e9
+#: Highest limit in bytes that a configuration may contain.
+MAX_BYTES = 2**40
+
 _IS_LEAVING_BY_STATE = {'ready': False, 'draining': True}
 
 
@@ -33,7 +49,7 @@
     try:
         document = orjson.loads(value)
         return configuration.Configuration(
-            version=int(document['version'], 16),
+            version=_integer(int(document['version'], 16), 0, MAX_VERSION),
             routes=tuple(
                 _decode_route(name, fields)
                 for name, fields in document['routes'].items()
@@ -44,8 +60,38 @@
             },
             limits=_decode_limits(document.get('limits') or {}),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
-        raise DocumentError(f'configuration: {exc!r}') from exc
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+    ) as exc:
+        raise DocumentError(f'configuration: {exc!r:.200}') from exc
+
+
+def _text(value):
+    if not isinstance(value, str):
+        raise ValueError(f'expected a string, found {value!r:.40}')
+    return value
+
+
+def _number(value, low, high):
+    number = float(value)
+    if not low <= number <= high:
+        raise ValueError(
+            f'expected a number from {low:g} to {high:g}, found {value!r:.40}'
+        )
+    return number
+
+
+def _integer(value, low, high):
+    number = int(value)
+    if not low <= number <= high:
+        raise ValueError(
+            f'expected an integer from {low} to {high}, found {value!r:.40}'
+        )
+    return number
 
 
 def _decode_route(name, fields):
@@ -53,50 +99,64 @@
     # A route names either one service or a list of weighted services.
     parts = (
         tuple(
-            configuration.Part(part['service'], float(part['weight']))
+            configuration.Part(
+                _text(part['service']), _number(part['weight'], 0, MAX_WEIGHT)
+            )
             for part in split
         )
         if split
-        else (configuration.Part(fields['service'], 1.0),)
+        else (configuration.Part(_text(fields['service']), 1.0),)
     )
-    timeout_s = float(fields.get('timeout_s') or 60.0)
+    timeout_s = _number(fields.get('timeout_s') or 60.0, 0, MAX_TIME_S)
     return configuration.Route(
         name=name,
         virtual_host=fields['host'].lower(),
-        prefix=fields['prefix'],
+        prefix=_text(fields['prefix']),
         kind=configuration.Kind(fields['kind']),
         parts=parts,
         timeout_s=timeout_s,
-        target_latency_s=float(fields.get('target_latency_s') or timeout_s),
-        max_attempts=int(fields.get('max_attempts') or 1),
-        priority=int(fields.get('priority') or 0),
+        target_latency_s=_number(
+            fields.get('target_latency_s') or timeout_s, 0, MAX_TIME_S
+        ),
+        max_attempts=_integer(fields.get('max_attempts') or 1, 1, MAX_COUNT),
+        priority=_integer(fields.get('priority') or 0, 0, MAX_COUNT),
     )
 
 
 def _decode_service(name, fields):
     return configuration.Service(
         name=name,
-        health_path=fields.get('health_path') or '/health',
-        max_connections=int(fields.get('max_connections') or 64),
+        health_path=_text(fields.get('health_path') or '/health'),
+        max_connections=_integer(
+            fields.get('max_connections') or 64, 1, MAX_COUNT
+        ),
         is_keyed=bool(fields.get('sharded')),
-        warm_s=float(fields.get('warm_s') or 0.0),
+        warm_s=_number(fields.get('warm_s') or 0.0, 0, MAX_TIME_S),
     )
 
 
 def _decode_limits(fields):
     default = configuration.Limits()
     return configuration.Limits(
-        max_header_bytes=int(
-            fields.get('max_header_bytes') or default.max_header_bytes
+        max_header_bytes=_integer(
+            fields.get('max_header_bytes') or default.max_header_bytes,
+            1,
+            MAX_BYTES,
         ),
-        max_body_bytes=int(
-            fields.get('max_body_bytes') or default.max_body_bytes
+        max_body_bytes=_integer(
+            fields.get('max_body_bytes') or default.max_body_bytes,
+            1,
+            MAX_BYTES,
         ),
-        header_timeout_s=float(
-            fields.get('header_timeout_s') or default.header_timeout_s
+        header_timeout_s=_number(
+            fields.get('header_timeout_s') or default.header_timeout_s,
+            0,
+            MAX_TIME_S,
         ),
-        idle_timeout_s=float(
-            fields.get('idle_timeout_s') or default.idle_timeout_s
+        idle_timeout_s=_number(
+            fields.get('idle_timeout_s') or default.idle_timeout_s,
+            0,
+            MAX_TIME_S,
         ),
     )
 
@@ -122,46 +182,52 @@
     def _decode_row(self, row, services):
         try:
             return _decode_server(row.key, orjson.loads(row.value), services)
-        except (KeyError, TypeError, ValueError, AttributeError) as exc:
-            if row.key not in self._reported_keys:
-                self._reported_keys.add(row.key)
-                LOG.warning(
-                    'platform: Skipped the malformed entry of server %s: %r.',
-                    row.key,
-                    exc,
-                )
+        except (
+            KeyError,
+            TypeError,
+            ValueError,
+            AttributeError,
+            OverflowError,
+        ) as exc:
+            self._report(row.key, exc)
             return None
 
+    def _report(self, key, exc):
+        if (
+            key in self._reported_keys
+            or len(self._reported_keys) >= MAX_REPORTED_ENTRIES
+        ):
+            return
+        self._reported_keys.add(key)
+        LOG.warning(
+            'platform: Skipped the malformed entry of server %.80s: %.200s.',
+            key,
+            repr(exc),
+        )
+
 
 def _decode_server(server_id, entry, services):
     ip, _, port = entry['address'].rpartition(':')
-    slots = entry['slots']
-    born = entry.get('born', 0)
-    warmup = entry.get('warmup_left_s', 0)
+    if not (port.isascii() and port.isdigit() and len(port) <= 5):
+        raise ValueError(f'expected IP:PORT, found {entry["address"]!r:.80}')
     service = entry['service']
-    if not isinstance(slots, int) or isinstance(slots, bool) or slots < 1:
-        raise ValueError(
-            f'expected slots to be an integer of at least 1, found {slots!r}'
-        )
-    if not isinstance(born, int) or isinstance(born, bool):
-        raise ValueError(f'expected born to be an integer, found {born!r}')
-    if not isinstance(service, str) or not isinstance(entry['zone'], str):
-        raise ValueError('service and zone must be strings')
-    if services is not None and service not in services:
-        raise ValueError(f'unknown service {service!r}')
-    if not isinstance(warmup, (int, float)):
-        raise ValueError(
-            f'expected warmup_left_s to be a number, found {warmup!r}'
-        )
-    if not ip or ip.count('.') != 3:
-        raise ValueError('address is not IP:PORT')
-    return registry.Server(
+    warmup_s = entry.get('warmup_left_s', 0)
+    if field_checks.is_number(warmup_s) and -MAX_LATE_WARMUP_S <= warmup_s < 0:
+        # The server wrote the entry just after its warm-up had ended.
+        warmup_s = 0
+    server = registry.Server(
         server_id=server_id,
-        born_ms=born,
+        born_ms=entry.get('born', 0),
         service=service,
         address=(ip, int(port)),
         data_centre=entry['zone'],
-        slots=slots,
+        slots=entry['slots'],
         is_leaving=_IS_LEAVING_BY_STATE[entry['state']],
-        warmup_s=float(warmup),
+        warmup_s=warmup_s,
     )
+    problem = registry.find_problem(server)
+    if problem is None and services is not None and service not in services:
+        problem = f'unknown service {service!r}'
+    if problem is not None:
+        raise ValueError(problem)
+    return server
--- a/packages/radishferryd/src/radishferryd/platform/headers.py
+++ b/packages/radishferryd/src/radishferryd/platform/headers.py
@@ -55,6 +55,10 @@
 )
 
 
+#: Digits of the highest load that a server may report.
+MAX_LOAD_DIGITS = 6
+
+
 @dataclasses.dataclass(frozen=True)
 class Load:
     """Represent the load that a server reports."""
@@ -66,11 +70,16 @@
 
 def parse_load(text) -> Load | None:
     """Return the load in a header, None when it is missing or malformed."""
-    try:
-        running, waiting, slots = (int(part) for part in text.split(','))
-    except ValueError:
+    parts = text.split(',')
+    if len(parts) != 3 or not all(map(_is_count, parts)):
         return None
-    return Load(running, waiting, slots)
+    return Load(*map(int, parts))
+
+
+def _is_count(text):
+    """Return whether a text is a number that a server may report."""
+    text = text.strip()
+    return text.isascii() and text.isdigit() and len(text) <= MAX_LOAD_DIGITS
 
 
 def parse_remaining_s(text) -> float | None:
@@ -133,7 +142,10 @@
     # memory in each process.
     from email import utils
 
-    return utils.parsedate_to_datetime(text).timestamp()
+    try:
+        return utils.parsedate_to_datetime(text).timestamp()
+    except (TypeError, OverflowError, OSError) as exc:
+        raise ValueError(f'not a date: {text[:40]!r}') from exc
 
 
 def is_not_run(head) -> bool:
--- a/packages/radishferryd/src/radishferryd/platform/store.py
+++ b/packages/radishferryd/src/radishferryd/platform/store.py
@@ -28,6 +28,11 @@
 FEED_MARGIN_S = 0.5
 #: Maximum number of rows that the store returns for one call.
 PAGE_ROWS = 500
+#: Maximum number of rows without valid base64 that are logged only once. Rows
+#: are read again about every second.
+MAX_REPORTED_ROWS = 256
+
+_reported_rows = set()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -294,6 +299,11 @@
     try:
         return base64.b64decode(row.get('value') or '', validate=True)
     except (binascii.Error, TypeError, ValueError):
+        row_id = row['table'], row['key']
+        if row_id in _reported_rows:
+            return b''
+        if len(_reported_rows) < MAX_REPORTED_ROWS:
+            _reported_rows.add(row_id)
         LOG.warning(
             'platform: Row %s of table %s does not hold valid base64.',
             row['key'],
--- a/packages/radishferryd/src/radishferryd/router/connections.py
+++ b/packages/radishferryd/src/radishferryd/router/connections.py
@@ -448,7 +448,8 @@
 def _idle_limit(head):
     for field in head.header('keep-alive').split(','):
         name, _, value = field.strip().partition('=')
-        if name == 'timeout' and value.isdigit():
+        is_number = value.isascii() and value.isdigit() and len(value) <= 9
+        if name == 'timeout' and is_number:
             # Subtract a second, so that the server does not close first.
             return min(idle_limit.MAX_IDLE_S, int(value) - 1.0)
     return idle_limit.MAX_IDLE_S
--- a/packages/radishferryd/src/radishferryd/router/spoke.py
+++ b/packages/radishferryd/src/radishferryd/router/spoke.py
@@ -284,10 +284,28 @@
         servers = dict(self._pushed_servers) if has_base else {}
         for server_id in message.gone:
             servers.pop(server_id, None)
-        servers.update((e.server_id, _server(e)) for e in message.changed)
+        servers.update(
+            (entry.server_id, server)
+            for entry in message.changed
+            if (server := self._usable_server(entry)) is not None
+        )
         self._pushed_servers = servers
         self._routing_state.apply_pushed(servers, read_at)
 
+    def _usable_server(self, entry):
+        """Return the server of an entry, None if it cannot be used."""
+        server = _server(entry)
+        problem = registry_module.find_problem(server)
+        if problem is None:
+            return server
+        # One line a push at most; a granting host of this version sends none.
+        LOG.warning(
+            'spoke: Skipped server %.80r of the granting host: %s.',
+            entry.server_id,
+            problem,
+        )
+        return None
+
     def _on_key_map_push(self, message):
         self._routing_state.apply_segments(
             message.service_name,
