--- a/features/direct_relays.feature
+++ b/features/direct_relays.feature
@@ -57,6 +57,14 @@
     Then its caller is refused within 0.1 seconds and may retry
     And at most 2 requests were relayed to other hosts for it
 
+  # Guards against requests that wait for connections that cannot be opened.
+  Scenario: A request is refused at once when no other host can be reached
+    Given host 1 has been isolated for 3 seconds
+    And host 2 has stopped
+    And host 3 has stopped
+    When a lookup comes to host 1
+    Then its caller is refused within 0.1 seconds and may retry
+
   # Guards against a server that works on after its caller has left.
   Scenario: A caller that leaves cancels its relayed lookup at the server
     Given host 1 has been isolated for 3 seconds
--- a/features/direct_unreachable.feature
+++ b/features/direct_unreachable.feature
@@ -35,3 +35,9 @@
     Given a granting host whose leases at servers "a b c" have expired
     And only server "a" has answered orders
     Then it plans to move all ranges to server "a"
+
+  # Guards against load that stays at one server after a cut.
+  Scenario: Keys of one server are spread over all servers within seconds
+    Given 18 servers of which one owns 346 of 352 ranges under equal load
+    When the granting host rebalances every 0.4 seconds for 4 seconds
+    Then no server has more than 1.3 times the mean load
--- a/features/steps/direct_relays_steps.py
+++ b/features/steps/direct_relays_steps.py
@@ -467,3 +467,12 @@
 @behave.when('a server accepts a connection of host 1')
 def accepts_connection(context):
     context.hosts[0].gateway.links.note_connected()
+
+
+@behave.given('host {number:d} has stopped')
+def host_stopped(context, number):
+    host = context.hosts[number - 1]
+    del context.network.listeners[host.relays]
+    for socket in list(context.network.sockets):
+        if socket.address == host.relays:
+            socket.fail(ConnectionResetError(104, 'reset'))
--- a/features/steps/direct_unreachable_steps.py
+++ b/features/steps/direct_unreachable_steps.py
@@ -10,6 +10,8 @@
 
 from radishferry.direct import configuration
 from radishferry.direct import granting
+from radishferry.direct import key_rates
+from radishferry.direct import placement
 from radishferry.direct import registry
 from radishferryd.router import knowledge
 from radishferryd.router import link_monitor
@@ -208,3 +210,53 @@
 @behave.then('it plans to move all ranges to server "{name}"')
 def moves_to(context, name):
     assert {owner[0] for _, _, owner in _plan(context)} == {name}
+
+
+@behave.given(
+    '{count:d} servers of which one owns {most:d} of {total:d} ranges under '
+    'equal load'
+)
+def uneven_owners(context, count, most, total):
+    context.owners = [(f's{n}', 1) for n in range(count)]
+    bounds = [65536 * n // total for n in range(total + 1)]
+    layout = [
+        (
+            bounds[n],
+            bounds[n + 1] - 1,
+            context.owners[0] if n < most else context.owners[n % count],
+        )
+        for n in range(total)
+    ]
+    context.granter = _granter(layout, -10.0)
+    context.loads = key_rates.LoadMap(dict.fromkeys(range(0, 65536, 64), 1.0))
+
+
+@behave.when(
+    'the granting host rebalances every {interval_s:g} seconds for '
+    '{seconds:g} seconds'
+)
+def rebalances(context, interval_s, seconds):
+    # All servers together can run half more than the load.
+    rate = 1.5 * context.loads.load(0, 65535) / len(context.owners)
+    capacities = [placement.Capacity(owner, rate) for owner in context.owners]
+    for step in range(round(seconds / interval_s)):
+        now = step * interval_s
+        plan = placement.rebalance(
+            context.granter.ranges,
+            capacities,
+            context.loads,
+            lambda *_: True,
+            now,
+        )
+        context.granter.commit(plan.layout, 8 + step, now)
+        for managed in context.granter.ranges:
+            managed.held_until = {managed.owner: now + 4.0}
+
+
+@behave.then('no server has more than {ratio:g} times the mean load')
+def is_spread(context, ratio):
+    found = dict.fromkeys(context.owners, 0.0)
+    for managed in context.granter.ranges:
+        found[managed.owner] += context.loads.load(managed.start, managed.end)
+    mean = sum(found.values()) / len(found)
+    assert max(found.values()) <= ratio * mean, (max(found.values()), mean)
--- a/features/steps/hub_fixtures.py
+++ b/features/steps/hub_fixtures.py
@@ -28,3 +28,6 @@
         self.on_segments = []
         self.on_long_holds_wanted = []
         self.consent = long_holds.Consent()
+
+    def note_load(self, keys, speeds):
+        """Ignore the load."""
--- a/packages/radishferryd/src/radishferryd/router/relay_directory.py
+++ b/packages/radishferryd/src/radishferryd/router/relay_directory.py
@@ -64,6 +64,7 @@
         """
         if host is not None:
             self._hosts_by_link[link] = host
+            self.schedule_push()
 
     def note_report(self, link, reaches_servers):
         """Record what the load report of a host says.
--- a/packages/radishferryd/src/radishferryd/router/relay_gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/relay_gateway.py
@@ -14,6 +14,10 @@
 MAX_OPEN_REQUESTS = 256
 #: Bytes that the headers of a relaying host add to the head of a request.
 EXTRA_HEADER_BYTES = 1024
+#: Shortest idle timeout of a connection of another host, in seconds. That host
+#: reuses it for up to :data:`radishferry.direct.idle_limit.MAX_IDLE_S`, and a
+#: payment must not be sent on a connection that is just being closed.
+MIN_IDLE_TIMEOUT_S = 15.0
 
 
 class RelayGateway:
@@ -37,11 +41,12 @@
 
     @property
     def limits(self):
-        """Return the limits for callers, with room for further headers."""
+        """Return the limits for callers, adapted to connections of hosts."""
         limits = self._gateway.limits
         return dataclasses.replace(
             limits,
             max_header_bytes=limits.max_header_bytes + EXTRA_HEADER_BYTES,
+            idle_timeout_s=max(limits.idle_timeout_s, MIN_IDLE_TIMEOUT_S),
         )
 
     @property
--- a/packages/radishferryd/src/radishferryd/router/relays.py
+++ b/packages/radishferryd/src/radishferryd/router/relays.py
@@ -106,7 +106,8 @@
             extra={
                 'near': sum(
                     host.data_centre == self._data_centre for host in found
-                )
+                ),
+                'routine': True,
             },
         )
 
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -476,8 +476,15 @@
             )
         elif self._gateway.relays.is_needed and self._relay(now):
             return
-        elif self._gateway.relays.is_needed and self._relays:
-            self._give_up(self._last_result)
+        elif (
+            self._gateway.relays.is_needed and self._gateway.relays.host_count
+        ):
+            self._refuse(
+                503,
+                results.Reason.NO_SERVER,
+                'No server and no further host can be reached.',
+                admission.retry_after_s(0.5),
+            )
         elif self.is_keyed:
             self._send_to_owner(now)
         else:
