Interpret responses to relayed requests in one place

The result of a relayed request is now told apart in relays.interpret: the response of a server, a refusal of the other host with its reason, or a failure. A relayed request that was lost and may have run counts as an attempt, so that a route's limit of servers holds also when the next host sends it again; the new scenario fails without that.

--- a/features/direct_relays.feature
+++ b/features/direct_relays.feature
@@ -109,6 +109,19 @@
     Then its caller is told that it may have run
     And each request has run at most once
 
+  # Guards against more servers for a request than its route allows, when the
+  # host that it was relayed to is lost.
+  Scenario: A lost relayed download counts as an attempt
+    Given host 1 has been isolated for 3 seconds
+    And servers take 1 second for a request
+    And routes allow 1 attempt
+    When a download comes to host 1
+    And 0.5 seconds pass at all hosts
+    And the connections between the hosts are reset
+    And 2 seconds pass at all hosts
+    Then its caller is told that it may have run
+    And servers have got the download once
+
   # Guards against servers that died being tried through other hosts again and
   # again, and against hosts that relay because of them.
   Scenario: Requests for the keys of a server that died are refused at once
--- a/features/steps/direct_relays_steps.py
+++ b/features/steps/direct_relays_steps.py
@@ -24,7 +24,7 @@
 _INTERVAL_S = 0.05
 
 
-def _route(name, prefix, kind, service):
+def _route(name, prefix, kind, service, max_attempts):
     return configuration.Route(
         name,
         'example',
@@ -33,12 +33,12 @@
         (configuration.Part(service, 1.0),),
         timeout_s=4.0,
         target_latency_s=1.0,
-        max_attempts=3,
+        max_attempts=max_attempts,
         priority=0,
     )
 
 
-def _configuration(version):
+def _configuration(version, max_attempts=3):
     services = (
         configuration.Service(_KEYED, '/health', 100, True, 1.0),
         configuration.Service(_PLAIN, '/health', 100, False, 1.0),
@@ -46,8 +46,27 @@
     return configuration.Configuration(
         version,
         (
-            _route('lookup', '/k/', configuration.Kind.SAFE, _KEYED),
-            _route('payment', '/p/', configuration.Kind.UNSAFE, _PLAIN),
+            _route(
+                'lookup',
+                '/k/',
+                configuration.Kind.SAFE,
+                _KEYED,
+                max_attempts,
+            ),
+            _route(
+                'guide',
+                '/g/',
+                configuration.Kind.DOWNLOAD,
+                _PLAIN,
+                max_attempts,
+            ),
+            _route(
+                'payment',
+                '/p/',
+                configuration.Kind.UNSAFE,
+                _PLAIN,
+                max_attempts,
+            ),
         ),
         {service.name: service for service in services},
         configuration.Limits(),
@@ -112,8 +131,8 @@
             relayed, True
         )
 
-    def apply_configuration(self, version):
-        found = _configuration(version)
+    def apply_configuration(self, version, max_attempts=3):
+        found = _configuration(version, max_attempts)
         self.state.configuration = found
         self.state.routes = knowledge.configuration_module.RouteTable(found)
         self.state._choices = {
@@ -476,3 +495,19 @@
     for socket in list(context.network.sockets):
         if socket.address == host.relays:
             socket.fail(ConnectionResetError(104, 'reset'))
+
+
+@behave.given('routes allow {count:d} attempt')
+def allowed_attempts(context, count):
+    for host in context.hosts:
+        host.apply_configuration(4, count)
+
+
+@behave.when('a download comes to host 1')
+def one_download(context):
+    _start_one(context, lambda: _send(context, 1, '/g/x'))
+
+
+@behave.then('servers have got the download once')
+def got_once(context):
+    _run(context)
--- a/packages/radishferryd/src/radishferryd/router/relays.py
+++ b/packages/radishferryd/src/radishferryd/router/relays.py
@@ -6,7 +6,9 @@
 import random
 
 from radishferry.direct import registry
+from radishferryd.platform import headers
 from radishferryd.router import backends
+from radishferryd.router import relay_headers
 from radishferryd.router import results
 
 LOG = logging.getLogger(__name__)
@@ -155,3 +157,32 @@
         if backend.server.data_centre != self._data_centre:
             cost += REMOTE_COST
         return cost
+
+
+def interpret(result):
+    """Return what the response of another host means for a request.
+
+    :param result: Result of the attempt, see
+        :class:`radishferryd.router.connections.Sink`.
+    :returns: :class:`~radishferryd.router.results.Answered` if it is the
+        response of a server,
+        :class:`~radishferryd.router.results.HostRefused` if it is a refusal of
+        the host, or the unchanged failure.
+    """
+    if not isinstance(result, results.Answered):
+        return result
+    head = result.head
+    reason = head.header(relay_headers.REASON)
+    if reason:
+        return results.HostRefused(
+            head.status,
+            results.Reason.of(reason),
+            f'another host refused it: {head.status} {reason[:40]}',
+            headers.parse_delay_s(head.header(headers.RETRY_AFTER)),
+            head.status in headers.NOT_RUN_STATUSES,
+        )
+    if headers.implies_not_run(head):
+        # Neither the other host nor a proof of the server vouches for what
+        # this status promises.
+        return results.Unknown(f'another host answered {head.status}')
+    return result
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -40,26 +40,6 @@
 RETRY_BACKOFF_S = 0.06
 
 
-#: Refusals after which a relayed request is sent to another host: the first
-#: one is no better off, or has no capacity for it.
-_REFUSED_BY_HOST = frozenset(
-    (
-        results.Reason.NO_SERVER,
-        results.Reason.NO_CONFIGURATION,
-        results.Reason.RELAY_LIMIT,
-        results.Reason.STOPPING,
-    )
-)
-#: Refusals that show that another host does not reach a server either.
-_UNREACHABLE = frozenset(
-    (
-        results.Reason.NO_SERVER,
-        results.Reason.OWNER_UNREACHABLE,
-        results.Reason.NOT_RUN,
-    )
-)
-
-
 class Request:
     """Track one request of a caller from its arrival to its response."""
 
@@ -102,6 +82,8 @@
         #: Names of the hosts that the request was relayed to.
         self._relays = []
         self._relay_target = None
+        #: How often a relayed request was lost that may have run.
+        self._lost_relays = 0
         self._selection = {}
         self._may_have_run = False
         self._is_waiting = False
@@ -337,78 +319,50 @@
 
     def _handle_relay_result(self, attempt, result):
         """Handle the response or the failure of a host it was relayed to."""
+        result = relays.interpret(result)
         if isinstance(result, results.Answered):
-            self._handle_relay_answer(attempt, result)
+            # The time includes that of the other host's queue, so only the
+            # size is a sample.
+            self._gateway.route_stats(self).note(len(result.body), 0.0, 1)
+            self._finish_answer(result)
+            return
+        LOG.info(
+            'request: Another host returned no answer of a server.',
+            extra={
+                'request_id': self.request_id,
+                'host': attempt.server.server_id,
+                'detail': result.detail,
+                'may_have_run': not result.is_not_run,
+            },
+        )
+        if isinstance(result, results.HostRefused):
+            self._handle_relay_refusal(attempt, result)
             return
         self._last_result = result
         if isinstance(result, results.Unknown):
             self._may_have_run = True
-            LOG.info(
-                'request: A relayed request failed; a server may have run it.',
-                extra=self._relay_fields(attempt, result.detail),
-            )
+            self._lost_relays += 1
             if result.has_response_started:
                 self._abort_response(result.detail)
                 return
             if not self._may_retry(result):
                 self._give_up(result)
                 return
-        else:
-            LOG.info(
-                'request: A host did not take a relayed request.',
-                extra=self._relay_fields(attempt, result.detail),
-            )
         self._start_attempt()
 
-    def _relay_fields(self, attempt, detail):
-        return {
-            'request_id': self.request_id,
-            'host': attempt.server.server_id,
-            'detail': detail,
-        }
-
-    def _handle_relay_answer(self, attempt, result):
-        head = result.head
-        reason = head.header(relay_headers.REASON)
-        if reason:
-            self._handle_relay_refusal(attempt, result, reason)
-        elif headers.implies_not_run(head):
-            # Neither the other host nor a proof of the server vouches for
-            # what this status promises.
-            self._may_have_run = True
-            self._give_up(
-                results.Unknown(f'another host answered {head.status}')
-            )
-        else:
-            # The time includes that of the other host's queue, so only the
-            # size is a sample.
-            self._gateway.route_stats(self).note(len(result.body), 0.0, 1)
-            self._finish_answer(result)
-
-    def _handle_relay_refusal(self, attempt, result, reason_name):
+    def _handle_relay_refusal(self, attempt, result):
         """Try another host, or pass on the refusal of the other host."""
-        head = result.head
-        reason = results.Reason.of(reason_name)
-        detail = f'{attempt.server.server_id} refused it: {reason_name}.'
-        is_not_run = head.status in headers.NOT_RUN_STATUSES
-        LOG.info(
-            'request: Another host refused a relayed request.',
-            extra=self._relay_fields(attempt, f'{head.status} {reason_name}'),
-        )
-        if not is_not_run:
+        if not result.is_not_run:
             self._may_have_run = True
-        elif self._relay_target is not None and reason in _UNREACHABLE:
+        elif self._relay_target is not None and result.is_unreachable:
             self._gateway.relays.note_refuted(self._relay_target)
-        elif reason in _REFUSED_BY_HOST:
+        elif result.is_host_unable:
             attempt.backend.note_refused()
-            self._last_result = results.NotRun(detail)
+            self._last_result = results.NotRun(result.detail)
             self._start_attempt()
             return
         self._refuse(
-            head.status,
-            reason,
-            detail,
-            headers.parse_delay_s(head.header(headers.RETRY_AFTER)),
+            result.status, result.reason, result.detail, result.retry_after_s
         )
 
     def _retry_after_backoff(self, server):
@@ -717,11 +671,15 @@
         # An unreachable server has not received it. A keyed request may be
         # sent to one server repeatedly; its attempts are limited below.
         reached = (
-            self._earlier_attempts + len(self._tried) - self._connect_failures
+            self._earlier_attempts
+            + len(self._tried)
+            + self._lost_relays
+            - self._connect_failures
         )
         if not self.is_keyed and reached >= self.route.max_attempts:
             return False
-        if self._attempts - self._connect_failures > self.route.max_attempts:
+        attempts = self._attempts + self._lost_relays - self._connect_failures
+        if attempts > self.route.max_attempts:
             return False
         if isinstance(result, results.NotRun) and result.is_unreachable:
             return self._connect_failures <= MAX_CONNECT_FAILURES
--- a/packages/radishferryd/src/radishferryd/router/results.py
+++ b/packages/radishferryd/src/radishferryd/router/results.py
@@ -36,6 +36,11 @@
     is_unreachable: bool = False
     is_server_dead: bool = False
 
+    @property
+    def is_not_run(self) -> bool:
+        """Return whether the request has certainly not run."""
+        return True
+
 
 @dataclasses.dataclass(frozen=True)
 class Unknown:
@@ -53,6 +58,11 @@
     has_response_started: bool = False
     is_unacknowledged: bool = False
 
+    @property
+    def is_not_run(self) -> bool:
+        """Return whether the request has certainly not run."""
+        return False
+
 
 class Reason(enum.Enum):
     """Name why the host refused a request."""
@@ -105,3 +115,43 @@
     reason: Reason
     detail: str
     retry_after_s: float | None = None
+
+
+#: Reasons for which another host may still take a relayed request: the first
+#: one is no better off, or has no capacity for it.
+_UNABLE = frozenset(
+    (
+        Reason.NO_SERVER,
+        Reason.NO_CONFIGURATION,
+        Reason.RELAY_LIMIT,
+        Reason.STOPPING,
+    )
+)
+#: Reasons that show that another host does not reach a server either.
+_UNREACHABLE = frozenset(
+    (Reason.NO_SERVER, Reason.OWNER_UNREACHABLE, Reason.NOT_RUN)
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class HostRefused:
+    """Report that another host has refused a relayed request.
+
+    :ivar is_not_run: Whether the request has certainly not run.
+    """
+
+    status: int
+    reason: Reason
+    detail: str
+    retry_after_s: float | None
+    is_not_run: bool
+
+    @property
+    def is_host_unable(self) -> bool:
+        """Return whether a further host may be able to serve the request."""
+        return self.reason in _UNABLE
+
+    @property
+    def is_unreachable(self) -> bool:
+        """Return whether the other host did not reach a server."""
+        return self.reason in _UNREACHABLE
