Ask no host for help whose new connections fail too

A refusal because a server cannot be reached leads to a second host before the server counts as dead. The new scenario fails without the change.

--- a/features/direct_relays.feature
+++ b/features/direct_relays.feature
@@ -28,6 +28,19 @@
     Then each request of the last 5 seconds is answered by a server
     And each request has run at most once
 
+  # Guards against hosts that ask only each other when all hosts of a data
+  # centre cannot open connections: one that has not noticed its own loss says
+  # that it does not reach a server.
+  Scenario: Callers are served through the host whose connections work
+    When lookups and payments have come to hosts 1 and 2 for 2 seconds
+    And the links of host 1 refuse
+    And the links of host 2 refuse
+    And servers take 0.25 seconds for a request
+    And lookups and payments come to hosts 1 and 2 for 3 seconds
+    And lookups and payments come to hosts 1 and 2 for 5 seconds
+    Then each request of the last 5 seconds is answered by a server
+    And each request has run at most once
+
   # Guards against a host that goes on relaying, or backs off from servers,
   # after its links have returned.
   Scenario: A host sends to the servers itself soon after its links return
--- a/features/steps/direct_hand_over_steps.py
+++ b/features/steps/direct_hand_over_steps.py
@@ -42,7 +42,7 @@
         context.time, context.store, store_fixtures.Host(), 'b', 1000.0
     )
     context.others.append(other)
-    context.links = types.SimpleNamespace(isolated_s=0.0)
+    context.links = types.SimpleNamespace(lost_s=0.0)
     context.silent_s = None
     context.hand_over = hand_over.HandOver(
         context.links,
@@ -66,7 +66,7 @@
 
 @behave.when('the granting host has reached no server for {seconds:g} seconds')
 def isolated(context, seconds):
-    context.links.isolated_s = seconds
+    context.links.lost_s = seconds
     context.hand_over.check()
 
 
--- a/features/steps/direct_relays_steps.py
+++ b/features/steps/direct_relays_steps.py
@@ -218,14 +218,28 @@
 )
 @behave.when('lookups and payments come to host {number:d} for {s:g} seconds')
 def send_requests(context, number, s):
-    host = context.hosts[number - 1]
-    context.relayed_before = host.relayed
+    context.relayed_before = context.hosts[number - 1].relayed
+    _send_to_hosts(context, (number,), s)
+    context.scheduler.advance(0.5)
+
+
+@behave.when(
+    'lookups and payments have come to hosts 1 and 2 for {s:g} seconds'
+)
+@behave.when('lookups and payments come to hosts 1 and 2 for {s:g} seconds')
+def send_to_two_hosts(context, s):
+    _send_to_hosts(context, (1, 2), s)
+
+
+def _send_to_hosts(context, numbers, seconds):
     context.last = []
-    for _ in range(round(s / _INTERVAL_S)):
-        context.last.append(_send_lookup(context, number))
-        context.last.append(_send(context, number, '/p/x', body=b'amount=5'))
+    for _ in range(round(seconds / _INTERVAL_S)):
+        for number in numbers:
+            context.last.append(_send_lookup(context, number))
+            context.last.append(
+                _send(context, number, '/p/x', body=b'amount=5')
+            )
         context.scheduler.advance(_INTERVAL_S)
-    context.scheduler.advance(0.5)
 
 
 @behave.when('the links of host {number:d} {mode}')
--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -266,8 +266,9 @@
 
     def reaches_servers(self) -> bool:
         """Return whether this host reaches servers, and does not stop."""
-        return not (
-            self._gateway.links.is_isolated or self._shutdown.has_begun
+        return (
+            self._gateway.links.reaches_servers
+            and not self._shutdown.has_begun
         )
 
     def set_relay_hosts(self, hosts):
@@ -362,6 +363,7 @@
             'is_granter': self._ownership.is_active,
             'is_linked': self._spoke.is_linked,
             'is_isolated': self._gateway.links.is_isolated,
+            'fails_to_connect': self._gateway.links.fails_to_connect,
             'is_stopping': self._shutdown.has_begun,
             'hosts': self._gateway.host_count,
             'relay_hosts': self._gateway.relays.host_count,
@@ -419,6 +421,7 @@
         )
         metrics.is_granter.set(int(self._ownership.is_active))
         metrics.is_isolated.set(int(self._gateway.links.is_isolated))
+        metrics.fails_to_connect.set(int(self._gateway.links.fails_to_connect))
         metrics.failed_servers.set(self._gateway.links.failed_servers)
         metrics.open_requests.set(self._gateway.open_requests)
         if self._log_stream is not None:
--- a/packages/radishferryd/src/radishferryd/router/hand_over.py
+++ b/packages/radishferryd/src/radishferryd/router/hand_over.py
@@ -8,16 +8,16 @@
 
 LOG = logging.getLogger(__name__)
 
-#: Seconds for which a granting host that reaches no server waits before it
-#: releases leadership, so that a short disturbance causes no change.
-ISOLATED_S = 0.3
+#: Seconds for which a granting host without links to the servers waits before
+#: it releases leadership, so that a short disturbance causes no change.
+LOST_S = 0.3
 
 
 class HandOver:
     """Decide when a granting host leaves leadership to another host.
 
-    Leases expire if nobody renews them, and a host that reaches no server
-    cannot renew any, while it can renew its leadership at the store.
+    Leases expire if nobody renews them, and a host without links to the
+    servers cannot renew any, while it can renew its leadership at the store.
     """
 
     def __init__(self, links, relay_directory, term, ownership, on_resigned):
@@ -42,19 +42,19 @@
 
     def check(self):
         """Release leadership if another host is to hold it."""
-        isolated_s = self._links.isolated_s
+        lost_s = self._links.lost_s
         if (
             not self._ownership.is_active
-            or isolated_s < ISOLATED_S
+            or lost_s < LOST_S
             or not self._relay_directory.has_reaching_host
             # No host could take over while the store does not answer.
             or self._term.silent_s > ownership_module.ASK_CONSENT_S
         ):
             return
         LOG.warning(
-            'app: Another host is to grant keys, since this one reaches no '
-            'server.',
-            extra={'isolated_s': round(isolated_s, 3)},
+            'app: Another host is to grant keys, since this one has lost its '
+            'links to the servers.',
+            extra={'lost_s': round(lost_s, 3)},
         )
         self._term.resign(self._ownership.has_usual_holds)
         self._on_resigned()
--- a/packages/radishferryd/src/radishferryd/router/metrics.py
+++ b/packages/radishferryd/src/radishferryd/router/metrics.py
@@ -93,6 +93,12 @@
         'gauge',
         'Whether this host reaches no server at all.',
     ),
+    _METRIC(
+        'fails_to_connect',
+        'radishferry_fails_to_connect',
+        'gauge',
+        'Whether new connections fail at several servers and at none succeed.',
+    ),
     _METRIC(
         'failed_servers',
         'radishferry_failed_servers',
--- a/packages/radishferryd/src/radishferryd/router/ownership.py
+++ b/packages/radishferryd/src/radishferryd/router/ownership.py
@@ -447,7 +447,7 @@
 
     def _plan(self, service, now):
         """Return a new layout, or None to keep the current one."""
-        if self._links.is_isolated:
+        if not self._links.reaches_servers:
             # Failed orders say nothing about the servers now.
             return None
         granter = service.granter
--- a/packages/radishferryd/src/radishferryd/router/relay_gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/relay_gateway.py
@@ -85,11 +85,11 @@
 
     def _refusal(self, origin):
         gateway = self._gateway
-        if gateway.links.is_isolated:
+        if not gateway.links.reaches_servers:
             return results.Refusal(
                 503,
-                results.Reason.NO_SERVER,
-                'This host reaches no server either.',
+                results.Reason.LINKS_LOST,
+                'This host has lost its links to the servers too.',
                 admission.retry_after_s(0.5),
             )
         if gateway.open_relayed_requests >= MAX_OPEN_REQUESTS:
--- a/packages/radishferryd/src/radishferryd/router/relays.py
+++ b/packages/radishferryd/src/radishferryd/router/relays.py
@@ -19,8 +19,8 @@
 #: Requests in progress by which a host of the same data centre may exceed one
 #: of another data centre, since bytes between data centres are costly.
 REMOTE_COST = 16
-#: Seconds for which a server is not tried through other hosts after one of
-#: them could not reach it either.
+#: Seconds for which a server is not tried through other hosts after those that
+#: were asked could not reach it either.
 REFUTED_S = 1.5
 #: Nominal number of requests that another host handles at a time.
 HOST_SLOTS = 64
@@ -124,7 +124,7 @@
         return self._refuted_until.get(target, 0.0) < self._scheduler.now()
 
     def note_refuted(self, target):
-        """Record that another host does not reach a target either."""
+        """Record that no other host that was asked reaches a target."""
         now = self._scheduler.now()
         self._refuted_until = {
             known: until
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -354,13 +354,17 @@
         """Try another host, or pass on the refusal of the other host."""
         if not result.is_not_run:
             self._may_have_run = True
-        elif self._relay_target is not None and result.is_unreachable:
-            self._gateway.relays.note_refuted(self._relay_target)
-        elif result.is_host_unable:
-            attempt.backend.note_refused()
-            self._last_result = results.NotRun(result.detail)
-            self._start_attempt()
-            return
+        elif result.is_host_unable or result.is_unreachable:
+            if result.is_host_unable:
+                attempt.backend.note_refused()
+            if self._relay(self._gateway.now(), self._relay_target):
+                return
+            if self._relay_target is not None:
+                self._gateway.relays.note_refuted(self._relay_target)
+            elif not self._gateway.relays.is_needed:
+                self._last_result = results.NotRun(result.detail)
+                self._start_attempt()
+                return
         self._refuse(
             result.status, result.reason, result.detail, result.retry_after_s
         )
@@ -701,9 +705,13 @@
         else:
             detail = result.detail if result else 'no time is left'
             paused_for_s = self._paused_for_s()
+            reason = results.Reason.NOT_RUN
+            if self.is_relayed and result and result.is_unreachable:
+                # The relaying host may try another host.
+                reason = results.Reason.OWNER_UNREACHABLE
             self._refuse(
                 503,
-                results.Reason.NOT_RUN,
+                reason,
                 detail,
                 admission.retry_after_pause_s(paused_for_s)
                 if paused_for_s
--- a/packages/radishferryd/src/radishferryd/router/results.py
+++ b/packages/radishferryd/src/radishferryd/router/results.py
@@ -78,6 +78,7 @@
     NO_OWNER = 'no-owner'
     OWNER_UNREACHABLE = 'owner-unreachable'
     NO_SERVER = 'no-server'
+    LINKS_LOST = 'links-lost'
     RELAY_LIMIT = 'relay-limit'
     SERVER_PAUSED = 'server-paused'
     RATE_LIMITED = 'rate-limited'
@@ -121,16 +122,15 @@
 #: one is no better off, or has no capacity for it.
 _UNABLE = frozenset(
     (
-        Reason.NO_SERVER,
+        Reason.LINKS_LOST,
         Reason.NO_CONFIGURATION,
         Reason.RELAY_LIMIT,
         Reason.STOPPING,
     )
 )
-#: Reasons that show that another host does not reach a server either.
-_UNREACHABLE = frozenset(
-    (Reason.NO_SERVER, Reason.OWNER_UNREACHABLE, Reason.NOT_RUN)
-)
+#: Reasons that show that another host does not reach a server either. It may
+#: have lost its links too without knowing it yet.
+_UNREACHABLE = frozenset((Reason.NO_SERVER, Reason.OWNER_UNREACHABLE))
 
 
 @dataclasses.dataclass(frozen=True)
