--- a/features/direct_connections.feature
+++ b/features/direct_connections.feature
@@ -160,3 +160,12 @@
       | a refusal of "r1"              |
       | a part of a refusal of "r1"    |
       | bytes that are no response     |
+
+  # Guards against a server that seems slow because a response to it, or from
+  # it, was held up while the links of this host were lost.
+  Scenario: A response that was held up is no sample of the server's speed
+    Given a connection to a server
+    When a request is answered after the links of the host were lost meanwhile
+    Then its time does not count as the speed of the server
+    When a request is answered after the links have returned
+    Then its time counts as the speed of the server
--- a/features/steps/direct_connections_steps.py
+++ b/features/steps/direct_connections_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import itertools
 
 import behave
@@ -12,6 +13,7 @@
 from radishferry.direct import registry
 from radishferryd.router import backends
 from radishferryd.router import connections
+from radishferryd.router import link_monitor
 from radishferryd.router import results
 
 _SERVER = registry.Server('a', 1, 'stock', ('127.0.0.1', 1), 'x', 4, False)
@@ -310,3 +312,43 @@
 def gets_stream(context, size):
     assert context.sink.result.is_streamed
     assert context.sink.streamed == size
+
+
+def _send_with_links(context, request_id, loses_links):
+    scheduler = context.scheduler
+    links = link_monitor.LinkMonitor(None, scheduler, registry.Registry())
+    context.backend._links = links
+    sink = _send(context, request_id)
+    scheduler.advance(1.0)
+    if loses_links:
+        for name in 'xyz':
+            server = dataclasses.replace(_SERVER, server_id=name)
+            links.note_unacknowledged(server)
+        assert links.is_isolated
+        links.note_connected()
+    context.sockets[0].deliver(_success(request_id))
+    assert sink.result is not None
+
+
+@behave.when(
+    'a request is answered after the links of the host were lost meanwhile'
+)
+def held_up(context):
+    _send_with_links(context, 'r1', loses_links=True)
+
+
+@behave.when('a request is answered after the links have returned')
+def not_held_up(context):
+    _send_with_links(context, 'r2', loses_links=False)
+
+
+@behave.then('its time does not count as the speed of the server')
+def no_sample(context):
+    assert context.backend.stats.samples == 0
+    assert context.backend.service_time_count == 0
+
+
+@behave.then('its time counts as the speed of the server')
+def one_sample(context):
+    assert context.backend.stats.samples == 1
+    assert context.backend.service_time_count == 1
