Resign leadership only when it is held

A second resignation in a row set a flag that made the host release leadership as soon as it had acquired it the next time: a renewal in flight at a resignation is followed by a release. Found by reading. The new scenario fails without the change.

--- a/features/direct_hand_over.feature
+++ b/features/direct_hand_over.feature
@@ -46,6 +46,14 @@
     When it resigns and 2 seconds pass
     Then it has leadership again
 
+  # Guards against a host that gives leadership away as soon as it acquires it.
+  Scenario: A host that resigns without leadership acquires it later
+    Given a granting host and no other host
+    When it resigns and 0.1 seconds pass
+    And it resigns and 2 seconds pass
+    Then it has leadership again
+    And it has released leadership once
+
   # Guards against leadership that is lost when it is released during a renewal.
   Scenario: A host that resigns during a renewal releases leadership
     Given a granting host and no other host
--- a/features/steps/direct_hand_over_steps.py
+++ b/features/steps/direct_hand_over_steps.py
@@ -14,9 +14,19 @@
 from radishferryd.router import store_reader
 
 
+class _Store(store_fixtures.Store):
+    """Count how often leadership was released."""
+
+    releases = 0
+
+    def put(self, table, key, value):
+        super().put(table, key, value)
+        self.releases += not leadership.decode(value).host
+
+
 def _prepare(context):
     context.time = load_fixtures.Scheduler()
-    context.store = store_fixtures.Store(context.time)
+    context.store = _Store(context.time)
     context.host = store_fixtures.Host()
     context.elector = direct_term_steps.make_elector(
         context.time, context.store, context.host, 'a', 1000.0
@@ -38,8 +48,13 @@
 @behave.given('a granting host and another host that {state}')
 def granting_host(context, state):
     _prepare(context)
+    host = store_fixtures.Host()
     other = direct_term_steps.make_elector(
-        context.time, context.store, store_fixtures.Host(), 'b', 1000.0
+        context.time, context.store, host, 'b', 1000.0
+    )
+    # A host that has resigned closes the links of hosts that still find it.
+    host.granter_found = lambda term: context.time.call_later(
+        0.005, other.poll_soon
     )
     context.others.append(other)
     context.links = types.SimpleNamespace(lost_s=0.0)
@@ -67,6 +82,7 @@
 @behave.when('the granting host has reached no server for {seconds:g} seconds')
 def isolated(context, seconds):
     context.links.lost_s = seconds
+    context.host.loses_links()
     context.hand_over.check()
 
 
@@ -116,6 +132,11 @@
     assert context.host.is_granter
 
 
+@behave.then('it has released leadership once')
+def released_once(context):
+    assert context.store.releases == 1, context.store.releases
+
+
 @behave.when('it resigns while a renewal is in progress')
 def resigns_during_renewal(context):
     context.time.advance(leadership.RENEW_S)
--- a/features/steps/store_fixtures.py
+++ b/features/steps/store_fixtures.py
@@ -103,6 +103,10 @@
         self.is_granter = False
         self.losses += 1
 
+    def loses_links(self):
+        """Let the host reach no server."""
+        self._reaches_servers = False
+
     def reaches_servers(self):
         return self._reaches_servers
 
--- a/packages/radishferryd/src/radishferryd/router/term.py
+++ b/packages/radishferryd/src/radishferryd/router/term.py
@@ -187,7 +187,7 @@
 
         :param bool has_usual_holds: See :meth:`release`.
         """
-        self._is_resigning = True
+        self._is_resigning = self.holds
         self._release(has_usual_holds)
 
     def _release(self, has_usual_holds):
