Reword reachability and relays in the usual terms

Names, comments and the help of one gauge say what is counted: servers that could not be reached since one answered or accepted a connection. No behaviour changes; the name of the gauge stays.

--- a/packages/radishferry/src/radishferry/direct/reachability.py
+++ b/packages/radishferry/src/radishferry/direct/reachability.py
@@ -9,12 +9,13 @@
 
 import math
 
-#: Different servers that must fail, without a sign of life of any server in
-#: between, before the links of this host count as the cause. Fewer servers
-#: may have crashed at the same time.
+#: Different servers that must fail, while no server answers or accepts a
+#: connection in between, before the links of this host count as the cause.
+#: Fewer servers may have crashed at the same time.
 MIN_FAILED_SERVERS = 3
-#: Seconds without a sign of life of any server that are needed besides. When
-#: some servers crash, the others go on answering about every 0.1 s.
+#: Seconds for which no server may have answered or accepted a connection, in
+#: addition. When some servers crash, the others go on answering about every
+#: 0.1 s.
 MIN_SILENCE_S = 0.3
 #: Seconds after which a failure is no evidence any more.
 EVIDENCE_S = 5.0
@@ -30,7 +31,7 @@
     def __init__(self):
         self._failed_at = {}
         self._connect_failed_at = {}
-        self._heard_at = -math.inf
+        self._reached_at = -math.inf
         self._is_isolated = False
         self._isolated_at = -math.inf
         self._restored_at = -math.inf
@@ -52,12 +53,12 @@
 
     @property
     def failed_servers(self) -> int:
-        """Return how many servers failed since one gave a sign of life."""
+        """Return how many servers failed since one was last reached."""
         return len(self._failed_at)
 
     def silence_s(self, now) -> float:
-        """Return the seconds since the last sign of life of any server."""
-        return now - self._heard_at
+        """Return the seconds since any server was last reached."""
+        return now - self._reached_at
 
     def fails_to_connect(self, now) -> bool:
         """Return whether new connections fail at several servers.
@@ -78,18 +79,18 @@
         :returns: Whether this host was isolated until now.
         """
         self._connect_failed_at.clear()
-        return self._note_sign_of_life(now)
+        return self._note_reached(now)
 
     def note_answered(self, sent_at, now) -> bool:
         """Record that a server answered.
 
         :param sent_at: When the request was sent, in seconds. The answer to a
-            request from before an isolation may have been held up on its way.
+            request from before an isolation may have been delayed by the loss.
         :returns: Whether this host was isolated until now.
         """
         if self._is_isolated and sent_at < self._isolated_at:
             return False
-        return self._note_sign_of_life(now)
+        return self._note_reached(now)
 
     def note_connect_failed(self, incarnation, known_servers, now) -> bool:
         """Record that a connection to a server could not be opened.
@@ -123,8 +124,8 @@
         self._isolated_at = now
         return True
 
-    def _note_sign_of_life(self, now):
-        self._heard_at = now
+    def _note_reached(self, now):
+        self._reached_at = now
         self._failed_at.clear()
         if not self._is_isolated:
             return False
--- a/packages/radishferryd/src/radishferryd/router/backends.py
+++ b/packages/radishferryd/src/radishferryd/router/backends.py
@@ -129,7 +129,7 @@
         if isinstance(result, results.Answered):
             elapsed = now - attempt.sent_at
             waiting = self.last_queue_length
-            if self._was_held_up(attempt):
+            if self._was_delayed_by_loss(attempt):
                 # Its time says nothing about the speed of the server.
                 waiting = max(1, waiting)
             self.stats.note_answer(elapsed, waiting, now)
@@ -150,7 +150,7 @@
             if result.is_unacknowledged and self._links is not None:
                 self._links.note_unacknowledged(self.server)
 
-    def _was_held_up(self, attempt):
+    def _was_delayed_by_loss(self, attempt):
         """Return whether this host was isolated after it sent an attempt."""
         links = self._links
         return links is not None and attempt.sent_at < links.restored_at
--- a/packages/radishferryd/src/radishferryd/router/link_monitor.py
+++ b/packages/radishferryd/src/radishferryd/router/link_monitor.py
@@ -23,9 +23,8 @@
 class LinkMonitor:
     """Detect the loss and the return of this host's links to the servers.
 
-    The links are lost if no server gives a sign of life (the host is
-    isolated), or if new connections fail at all servers while open ones
-    work.
+    The links are lost if no server can be reached (the host is isolated), or
+    if new connections fail at all servers while open ones work.
     """
 
     def __init__(self, poller, scheduler, registry):
@@ -66,7 +65,7 @@
 
     @property
     def failed_servers(self) -> int:
-        """Return how many servers failed since one gave a sign of life."""
+        """Return how many servers failed since one was last reached."""
         return self._reachability.failed_servers
 
     @property
--- a/packages/radishferryd/src/radishferryd/router/metrics.py
+++ b/packages/radishferryd/src/radishferryd/router/metrics.py
@@ -103,8 +103,7 @@
         'failed_servers',
         'radishferry_failed_servers',
         'gauge',
-        'Servers that could not be reached since one last gave a sign of '
-        'life.',
+        'Servers that could not be reached since one was last reached.',
     ),
     _METRIC(
         'open_requests',
--- a/packages/radishferryd/src/radishferryd/router/relays.py
+++ b/packages/radishferryd/src/radishferryd/router/relays.py
@@ -21,7 +21,7 @@
 REMOTE_COST = 16
 #: Seconds for which a server is not tried through other hosts after those that
 #: were asked could not reach it either.
-REFUTED_S = 1.5
+UNREACHABLE_ELSEWHERE_S = 1.5
 #: Nominal number of requests that another host handles at a time.
 HOST_SLOTS = 64
 
@@ -42,7 +42,7 @@
         """Ignore the load of the server that answered."""
 
     def note_refused(self):
-        """Back off from a host that is no better off than this one."""
+        """Back off from a host that cannot serve relayed requests now."""
         self.stats.note_connection_failure(self._scheduler.now())
 
     def ended(self, attempt, result):
@@ -73,7 +73,7 @@
         self._backends = backends.Backends(
             poller, scheduler, host_name, backend_class=RelayBackend
         )
-        self._refuted_until = {}
+        self._unreachable_until = {}
 
     @property
     def is_needed(self) -> bool:
@@ -113,7 +113,7 @@
             },
         )
 
-    def may_help(self, target) -> bool:
+    def may_be_reached_elsewhere(self, target) -> bool:
         """Return whether another host may reach what this host does not.
 
         :param target: Incarnation of a server, or name of a service of which
@@ -121,17 +121,17 @@
         """
         if not self._links.fails_to_connect:
             return False
-        return self._refuted_until.get(target, 0.0) < self._scheduler.now()
+        return self._unreachable_until.get(target, 0.0) < self._scheduler.now()
 
-    def note_refuted(self, target):
+    def note_unreachable_elsewhere(self, target):
         """Record that no other host that was asked reaches a target."""
         now = self._scheduler.now()
-        self._refuted_until = {
+        self._unreachable_until = {
             known: until
-            for known, until in self._refuted_until.items()
+            for known, until in self._unreachable_until.items()
             if until > now
         }
-        self._refuted_until[target] = now + REFUTED_S
+        self._unreachable_until[target] = now + UNREACHABLE_ELSEWHERE_S
 
     def choose(self, skip):
         """Return the backend of the host with the fewest requests.
@@ -182,7 +182,7 @@
             head.status in headers.NOT_RUN_STATUSES,
         )
     if headers.implies_not_run(head):
-        # Neither the other host nor a proof of the server vouches for what
-        # this status promises.
+        # Without a reason of the other host, nothing proves that the request
+        # has not run, as this status promises.
         return results.Unknown(f'another host answered {head.status}')
     return result
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -264,9 +264,8 @@
     def _relay(self, now, target=None):
         """Send the request to a host that may reach the servers.
 
-        :param target: What this host does not reach, see
-            :meth:`radishferryd.router.relays.Relays.may_help`; None if it
-            reaches no server.
+        :param target: Incarnation of the server, or name of the service, that
+            this host does not reach; None if it reaches no server.
         :returns: Whether it has been sent.
         """
         gateway = self._gateway
@@ -304,9 +303,9 @@
 
     def _relay_around(self, target, now):
         """Relay the request if only this host may fail to reach a target."""
-        return self._gateway.relays.may_help(target) and self._relay(
-            now, target
-        )
+        return self._gateway.relays.may_be_reached_elsewhere(
+            target
+        ) and self._relay(now, target)
 
     def _relay_after(self, attempt, result):
         """Relay the request after its last attempt to connect failed."""
@@ -360,7 +359,9 @@
             if self._relay(self._gateway.now(), self._relay_target):
                 return
             if self._relay_target is not None:
-                self._gateway.relays.note_refuted(self._relay_target)
+                self._gateway.relays.note_unreachable_elsewhere(
+                    self._relay_target
+                )
             elif not self._gateway.relays.is_needed:
                 self._last_result = results.NotRun(result.detail)
                 self._start_attempt()
--- a/packages/radishferryd/src/radishferryd/router/results.py
+++ b/packages/radishferryd/src/radishferryd/router/results.py
@@ -118,8 +118,8 @@
     retry_after_s: float | None = None
 
 
-#: Reasons for which another host may still take a relayed request: the first
-#: one is no better off, or has no capacity for it.
+#: Reasons for which a further host may still take a relayed request: the host
+#: that gave them has lost its links too, or has no capacity for it.
 _UNABLE = frozenset(
     (
         Reason.LINKS_LOST,
