--- a/features/steps/direct_reachability_steps.py
+++ b/features/steps/direct_reachability_steps.py
@@ -17,6 +17,13 @@
         yield opened
 
 
+@behave.fixture
+def accepting_network(context):
+    """Let servers accept all connections."""
+    with socket_fixtures.accept_connections():
+        yield
+
+
 def _server(name):
     return registry.Server(name, 1, 's', ('127.0.0.1', 1), 'x', 4, False)
 
@@ -77,16 +84,7 @@
 
 @behave.when('servers accept connections again')
 def servers_accept(context):
-    def connect(poller, address, handler, unacked_limit_s=None):
-        socket = socket_fixtures.Socket(handler)
-        handler.connected(socket)
-        return socket
-
-    patch = socket_fixtures.mock.patch.object(
-        link_monitor.net, 'connect', connect
-    )
-    patch.start()
-    context.add_cleanup(patch.stop)
+    behave.use_fixture(accepting_network, context)
 
 
 @behave.then('the host counts as isolated')
--- a/features/steps/direct_unreachable_steps.py
+++ b/features/steps/direct_unreachable_steps.py
@@ -29,6 +29,13 @@
         yield opened
 
 
+@behave.fixture
+def accepting_network(context):
+    """Let servers accept all connections."""
+    with socket_fixtures.accept_connections():
+        yield
+
+
 def _server(name):
     return registry.Server(name, 1, 's', ('127.0.0.1', 1), 'x', 4, False)
 
@@ -93,16 +100,7 @@
 
 @behave.when('server "{name}" accepts connections again')
 def accepts_again(context, name):
-    def connect(poller, address, handler, unacked_limit_s=None):
-        socket = socket_fixtures.Socket(handler)
-        handler.connected(socket)
-        return socket
-
-    patch = socket_fixtures.mock.patch.object(
-        link_monitor.net, 'connect', connect
-    )
-    patch.start()
-    context.add_cleanup(patch.stop)
+    behave.use_fixture(accepting_network, context)
 
 
 @behave.when('a server accepts a connection of the granting host')
--- a/features/steps/socket_fixtures.py
+++ b/features/steps/socket_fixtures.py
@@ -63,3 +63,16 @@
 
     with mock.patch.object(net, 'connect', connect):
         yield opened
+
+
+@contextlib.contextmanager
+def accept_connections():
+    """Let each connection that is opened be accepted at once."""
+
+    def connect(poller, address, handler, unacked_limit_s=None):
+        socket = Socket(handler)
+        handler.connected(socket)
+        return socket
+
+    with mock.patch.object(net, 'connect', connect):
+        yield
