--- a/packages/radishferry/src/radishferry/direct/reachability.py
+++ b/packages/radishferry/src/radishferry/direct/reachability.py
@@ -14,8 +14,7 @@
 #: Fewer servers may have crashed at the same time.
 MIN_FAILED_SERVERS = 3
 #: Seconds for which no server may have answered or accepted a connection, in
-#: addition. When some servers crash, the others go on answering about every
-#: 0.1 s.
+#: addition. When some servers crash, the others go on answering.
 MIN_SILENCE_S = 0.3
 #: Seconds after which a failure is no evidence any more.
 EVIDENCE_S = 5.0
--- a/packages/radishferryd/src/radishferryd/router/relay_gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/relay_gateway.py
@@ -9,8 +9,7 @@
 from radishferryd.router import results
 
 #: Relayed requests in progress above which further ones are refused, so that
-#: the callers of this host are still served: with 40 % of all hosts left, a
-#: host has about 30 on the users' deployments.
+#: the callers of this host are still served.
 MAX_OPEN_REQUESTS = 256
 #: Bytes that the headers of a relaying host add to the head of a request.
 EXTRA_HEADER_BYTES = 1024
