Require an answer of its address as proof that a server has ended

An entry of another writer named the address of a live server, and the keys of that server were granted to others while it held them.

Cause: Registry.has_ended took any later entry at an address for the end of the server before, and kept that after the entry was gone. The granting host dropped what the server held at each read of the list. An entry with the id of a server at another address, and an answer 421 that names the expected server, counted as proof as well.

Change: an entry with another id proves nothing. A later incarnation counts if it has the same id and address; it takes over what the former one held. Otherwise an answer 421 to an order that names another server proves the end.

--- a/features/steps/direct_announcements_steps.py
+++ b/features/steps/direct_announcements_steps.py
@@ -280,8 +280,10 @@
     segment = types.SimpleNamespace(start=0, end=1, fence=1)
     for context.status in (200, 409):
         results = []
-        orders.grant(context.client, segment, 4.0, '', 1.0, results.append)
-        orders.release(context.client, segment, 1.0, results.append)
+        orders.grant(
+            context.client, 'a', segment, 4.0, '', 1.0, results.append
+        )
+        orders.release(context.client, 'a', segment, 1.0, results.append)
         assert all(result.is_leaving for result in results), results
 
 
--- a/packages/radishferry/src/radishferry/direct/registry.py
+++ b/packages/radishferry/src/radishferry/direct/registry.py
@@ -125,7 +125,6 @@
     def __init__(self):
         self._servers = {}
         self._by_service = {}
-        self._newest_by_address = {}
         # Incarnations that have announced that they leave. A dict, since it
         # keeps the order of insertion.
         self._announced_leaving = {}
@@ -160,18 +159,18 @@
     def has_ended(self, incarnation: tuple[str, int], address) -> bool:
         """Return whether an incarnation of a server is known to have ended.
 
-        The proof is a later incarnation with the same id, or a later server
-        at the same address. A missing entry or a refused connection proves
-        nothing.
+        The proof is a later incarnation with the same id and address. An
+        entry with another id proves nothing, whatever address it names, since
+        other writers may leave entries: the server that listens at an address
+        tells by its answers who it is. A missing entry or a refused
+        connection proves nothing either.
 
         :param address: Last known address of the server, None if unknown.
         """
-        server_id, born_ms = incarnation
-        current = self._servers.get(server_id)
-        if current is not None and current.born_ms > born_ms > 0:
-            return True
-        newest = self._newest_by_address.get(address)
-        return newest is not None and newest[1] > born_ms > 0
+        server_id, _ = incarnation
+        return self.successor(incarnation) is not None and (
+            address is None or self._servers[server_id].address == address
+        )
 
     def successor(
         self, incarnation: tuple[str, int]
@@ -179,7 +178,7 @@
         """Return the later incarnation with the same id, None without one."""
         server_id, born_ms = incarnation
         current = self._servers.get(server_id)
-        if current is None or current.born_ms <= born_ms:
+        if current is None or not current.born_ms > born_ms > 0:
             return None
         return current.incarnation
 
@@ -278,7 +277,4 @@
         by_service = {}
         for server in servers:
             by_service.setdefault(server.service, []).append(server)
-            newest = self._newest_by_address.get(server.address, ('', -1))
-            if server.born_ms > newest[1]:
-                self._newest_by_address[server.address] = server.incarnation
         self._by_service = {k: tuple(v) for k, v in by_service.items()}
--- a/packages/radishferryd/src/radishferryd/platform/orders.py
+++ b/packages/radishferryd/src/radishferryd/platform/orders.py
@@ -15,7 +15,7 @@
     DONE = 'done'
     #: The server has seen a higher fencing token for some of the keys.
     STALE = 'stale'
-    #: Another server uses the address; nothing was executed.
+    #: A server with another id uses the address; nothing was executed.
     ANOTHER_SERVER = 'another-server'
     #: Nothing reached the server.
     NOT_SENT = 'not-sent'
@@ -44,10 +44,11 @@
     return ((headers.EXPECTED_SERVER, server_id),)
 
 
-def grant(client, segment, hold_s, handover, timeout_s, done):
+def grant(client, server_id, segment, hold_s, handover, timeout_s, done):
     """Grant a range of keys, or renew its grant.
 
     :param client: A :class:`radishferryd.http_client.JsonClient`.
+    :param server_id: The server that the client's headers expect.
     :param segment: A :class:`radishferry.direct.key_map.Segment`.
     :param hold_s: Seconds for which the grant is valid from its arrival.
     :param handover: Handover token of the previous owner, empty if none.
@@ -67,13 +68,14 @@
         '/api/grant',
         body,
         timeout_s,
-        lambda response: done(_decode_result(response)),
+        lambda response: done(_decode_result(response, server_id)),
     )
 
 
-def release(client, segment, timeout_s, done):
+def release(client, server_id, segment, timeout_s, done):
     """Release a range of keys; completes when its requests have ended.
 
+    :param server_id: The server that the client's headers expect.
     :param segment: The range with the fencing token of its next owner, which
         makes the server reject older grants from then on.
     :param done: Called with :class:`OrderResult`.
@@ -88,11 +90,11 @@
         '/api/release',
         body,
         timeout_s,
-        lambda response: done(_decode_result(response)),
+        lambda response: done(_decode_result(response, server_id)),
     )
 
 
-def _decode_result(response):
+def _decode_result(response, server_id):
     if isinstance(response, http_client.JsonFailure):
         status = (
             OrderStatus.UNKNOWN if response.was_sent else OrderStatus.NOT_SENT
@@ -109,7 +111,7 @@
         return OrderResult(OrderStatus.STALE, is_leaving=is_leaving)
     if response.status == headers.MISDIRECTED:
         responding_id = response.header(headers.SERVER_ID)
-        if responding_id:
+        if responding_id and responding_id != server_id:
             return OrderResult(
                 OrderStatus.ANOTHER_SERVER, detail=responding_id
             )
--- a/packages/radishferryd/src/radishferryd/router/orders.py
+++ b/packages/radishferryd/src/radishferryd/router/orders.py
@@ -246,6 +246,7 @@
         if is_grant:
             wire.grant(
                 self._client,
+                self._server.server_id,
                 order.segment,
                 order.hold_s,
                 order.handover,
@@ -253,7 +254,13 @@
                 done,
             )
         else:
-            wire.release(self._client, order.segment, RELEASE_TIMEOUT_S, done)
+            wire.release(
+                self._client,
+                self._server.server_id,
+                order.segment,
+                RELEASE_TIMEOUT_S,
+                done,
+            )
 
     def _handle_result(self, order, granter, sent_at, result):
         now = self._sender._scheduler.now()
@@ -298,12 +305,16 @@
                 )
             return
         if status is wire.OrderStatus.ANOTHER_SERVER:
+            was_holder = granter.note_ended(self._server.incarnation)
             LOG.warning(
                 'orders: Another server answers at the address of %s.',
                 self._server.server_id,
-                extra={'answering': result.detail},
+                extra={
+                    'answering': result.detail,
+                    'born_ms': self._server.born_ms,
+                    'frees_keys': was_holder,
+                },
             )
-            granter.note_ended(self._server.incarnation)
         if status is not wire.OrderStatus.STALE:
             self.failures += 1
             if self.failures == UNREACHABLE_FAILURES:
