Accept only entries of servers that have all fields

Cause: the decoder checked the fields that the router uses and ignored the others, so that an entry which no server had written named a server.

Change: version and seq have to be there and of their type, and warmup_left_s has no default any more.

Tests: 11 new examples of direct_odd_entries.feature failed before. The entry that its scenarios take for a complete one lacked version and got it; no other expectation changed.

--- a/features/direct_odd_entries.feature
+++ b/features/direct_odd_entries.feature
@@ -46,6 +46,34 @@
       | service       | null                            |
       | zone          | 7                               |
       | zone          | null                            |
+      | version       | 1                               |
+      | version       | null                            |
+      | version       | ["v1"]                          |
+      | seq           | "1"                             |
+      | seq           | null                            |
+      | seq           | 1.5                             |
+      | seq           | true                            |
+      | seq           | -1                              |
+
+  # Guards against requests and keys for an entry of another writer that lacks
+  # what each server writes.
+  Scenario Outline: An entry without <field> names no server
+    Given the entries of servers "a" and "b"
+    And an entry without <field>
+    When the list is read
+    Then it names servers "a" and "b"
+    And one log line names the odd entry
+
+    Examples:
+      | field         |
+      | service       |
+      | address       |
+      | zone          |
+      | version       |
+      | slots         |
+      | state         |
+      | warmup_left_s |
+      | seq           |
 
   # Guards against the same for whole entries that cannot be decoded.
   Scenario Outline: An entry that is <what> names no server
--- a/features/steps/direct_odd_entries_steps.py
+++ b/features/steps/direct_odd_entries_steps.py
@@ -29,6 +29,7 @@
     'service': 'stock',
     'address': '10.0.0.1:80',
     'zone': 'x',
+    'version': 'v1',
     'slots': 4,
     'state': 'ready',
     'born': 5,
@@ -74,6 +75,14 @@
     _add(context, _raw({**fields, field: value}))
 
 
+@behave.given('an entry without {field}')
+def missing_field(context, field):
+    _add(
+        context,
+        orjson.dumps({k: v for k, v in _ENTRY.items() if k != field}),
+    )
+
+
 @behave.given('an entry that is {what}')
 def odd_entry(context, what):
     _add(
--- a/packages/radishferryd/src/radishferryd/platform/documents.py
+++ b/packages/radishferryd/src/radishferryd/platform/documents.py
@@ -23,6 +23,8 @@
 MAX_REPORTED_ENTRIES = 256
 #: Seconds by which a warm-up may lie in the past and still counts as ended.
 MAX_LATE_WARMUP_S = 60.0
+#: Longest version of a server's software, in characters.
+MAX_SOFTWARE_VERSION_CHARACTERS = 200
 #: Highest version, priority and number of attempts or connections that a
 #: configuration may contain. Larger ones do not fit into messages or sockets.
 MAX_VERSION = 2**63 - 1
@@ -211,7 +213,8 @@
     if not (port.isascii() and port.isdigit() and len(port) <= 5):
         raise ValueError(f'expected IP:PORT, found {entry["address"]!r:.80}')
     service = entry['service']
-    warmup_s = entry.get('warmup_left_s', 0)
+    _check_unused_fields(entry)
+    warmup_s = entry['warmup_left_s']
     if field_checks.is_number(warmup_s) and -MAX_LATE_WARMUP_S <= warmup_s < 0:
         # The server wrote the entry just after its warm-up had ended.
         warmup_s = 0
@@ -231,3 +234,19 @@
     if problem is not None:
         raise ValueError(problem)
     return server
+
+
+def _check_unused_fields(entry):
+    """Check the fields of an entry that are not part of the server.
+
+    An entry that lacks them or has them of another type was not written by
+    a server, whatever address it names.
+
+    :raises KeyError: A field is missing.
+    :raises ValueError: A field is of another type.
+    """
+    if len(_text(entry['version'])) > MAX_SOFTWARE_VERSION_CHARACTERS:
+        raise ValueError('expected a shorter version')
+    # The number of the entry, counted from the server's start.
+    if not field_checks.is_integer(entry['seq']) or entry['seq'] < 0:
+        raise ValueError(f'expected a counter, found {entry["seq"]!r:.40}')
