Try a server when a connection with a request in flight is lost

Cause: a crash counted only if a later request of the same host was refused a connection by the same server within 1.5 s. After a failed attempt a server costs more than the others, so later requests go elsewhere. Crashes after the caller had left were not looked at at all, and requests to a keyed service that differ only in their key counted as identical.

Change: the host that loses the connection opens another one after 10 ms; a refusal is a crash. Since other requests are in flight at a crash as well, only crashes one after another count, and an answer of a server to an identical request clears it at all hosts. Load reports carry crashes with their ages, and completed suspects, in new optional fields; the field that the version before reads is still filled, and that version ignores a count of 0. The state dump shows fingerprints in hexadecimal, as the log does.

--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -87,9 +87,8 @@
     def wait_for_owner(self, request):
         """Ignore requests that wait."""
 
-    stop_waiting = note_key = attempt_refused = attempt_lost = finished = (
-        lambda *_: None
-    )
+    stop_waiting = note_key = finished = lambda *_: None
+    attempt_refused = attempt_lost = attempt_ended = lambda *_: None
 
 
 class _Slot:
--- a/features/steps/direct_requests_steps.py
+++ b/features/steps/direct_requests_steps.py
@@ -114,7 +114,7 @@
     def attempt_refused(self, request, attempt, result):
         """Ignore what is only logged."""
 
-    attempt_lost = attempt_refused
+    attempt_lost = attempt_ended = attempt_refused
 
     def finished(self, request, status, outcome, detail):
         """Ignore what is only logged."""
--- a/features/steps/memory_network.py
+++ b/features/steps/memory_network.py
@@ -168,6 +168,9 @@
         self.scheduler = scheduler
         self.work_s = work_s
         self.body = b'done'
+        #: Called with the head of a request that begins to run; returns
+        #: whether the server goes on.
+        self.on_run = lambda head: True
         self.run = []
         self.cancelled = []
 
@@ -211,6 +214,8 @@
 
     def on_end(self):
         self._server.run.append((self._head, self._body))
+        if not self._server.on_run(self._head):
+            return
         self._timer = self._server.scheduler.call_later(
             self._server.work_s, self._respond
         )
--- a/packages/radishferryd/idl/router.thrift
+++ b/packages/radishferryd/idl/router.thrift
@@ -110,15 +110,30 @@
   7: optional double limit_per_s
 }
 
+/* Loss of a connection to a server that has crashed. */
+struct Crash {
+  /* Fingerprint of the request that was in flight on it. */
+  1: i64 fingerprint
+  /* Seconds since the request was sent, and since the connection was lost. */
+  2: double sent_ago_s
+  3: double lost_ago_s
+}
+
 struct LoadReport {
   /* Key of each request since the last report, by service. */
   1: map<string, list<i32>> keys
   2: list<ServerSpeed> speeds
-  /* Fingerprints of requests in flight when servers crashed. */
+  /* Fingerprints of requests in flight when servers crashed, as in crashes,
+   * for a granting host of an older version.
+   */
   3: list<i64> suspects
   4: list<ServerNotice> notices
   /* Whether the sender reaches servers and does not stop. */
   5: bool reaches_servers
+  /* Missing if the sender is of an older version. */
+  6: optional list<Crash> crashes
+  /* Fingerprints of suspect requests that a server has completed. */
+  7: optional list<i64> completed
 }
 
 /* Host that reaches servers and takes requests that other hosts relay. */
@@ -136,7 +151,9 @@
   1: list<RelayHost> hosts
 }
 
-/* Fingerprints of requests that crashed servers, with crash counts. */
+/* Fingerprints of requests that crashed servers, with crash counts. The count
+ * is 0 if such a request has been completed since; older versions ignore that.
+ */
 struct PoisonPush {
   1: map<i64, i32> crashes
 }
--- a/packages/radishferryd/src/radishferryd/gen/router/ttypes.py
+++ b/packages/radishferryd/src/radishferryd/gen/router/ttypes.py
@@ -1026,6 +1026,85 @@
         return not (self == other)
 
 
+class Crash(object):
+    """
+    Attributes:
+     - fingerprint
+     - sent_ago_s
+     - lost_ago_s
+
+    """
+
+
+    def __init__(self, fingerprint=None, sent_ago_s=None, lost_ago_s=None,):
+        self.fingerprint = fingerprint
+        self.sent_ago_s = sent_ago_s
+        self.lost_ago_s = lost_ago_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.fingerprint = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.sent_ago_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.lost_ago_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Crash')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.I64, 1)
+            oprot.writeI64(self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.sent_ago_s is not None:
+            oprot.writeFieldBegin('sent_ago_s', TType.DOUBLE, 2)
+            oprot.writeDouble(self.sent_ago_s)
+            oprot.writeFieldEnd()
+        if self.lost_ago_s is not None:
+            oprot.writeFieldBegin('lost_ago_s', TType.DOUBLE, 3)
+            oprot.writeDouble(self.lost_ago_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadReport(object):
     """
     Attributes:
@@ -1034,16 +1113,20 @@
      - suspects
      - notices
      - reaches_servers
+     - crashes
+     - completed
 
     """
 
 
-    def __init__(self, keys=None, speeds=None, suspects=None, notices=None, reaches_servers=None,):
+    def __init__(self, keys=None, speeds=None, suspects=None, notices=None, reaches_servers=None, crashes=None, completed=None,):
         self.keys = keys
         self.speeds = speeds
         self.suspects = suspects
         self.notices = notices
         self.reaches_servers = reaches_servers
+        self.crashes = crashes
+        self.completed = completed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1107,6 +1190,27 @@
                     self.reaches_servers = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype90, _size87) = iprot.readListBegin()
+                    for _i91 in range(_size87):
+                        _elem92 = Crash()
+                        _elem92.read(iprot)
+                        self.crashes.append(_elem92)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.completed = []
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = iprot.readI64()
+                        self.completed.append(_elem98)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1120,39 +1224,53 @@
         if self.keys is not None:
             oprot.writeFieldBegin('keys', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.LIST, len(self.keys))
-            for kiter87, viter88 in self.keys.items():
-                oprot.writeString(kiter87.encode('utf-8') if sys.version_info[0] == 2 else kiter87)
-                oprot.writeListBegin(TType.I32, len(viter88))
-                for iter89 in viter88:
-                    oprot.writeI32(iter89)
+            for kiter99, viter100 in self.keys.items():
+                oprot.writeString(kiter99.encode('utf-8') if sys.version_info[0] == 2 else kiter99)
+                oprot.writeListBegin(TType.I32, len(viter100))
+                for iter101 in viter100:
+                    oprot.writeI32(iter101)
                 oprot.writeListEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.speeds is not None:
             oprot.writeFieldBegin('speeds', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.speeds))
-            for iter90 in self.speeds:
-                iter90.write(oprot)
+            for iter102 in self.speeds:
+                iter102.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 3)
             oprot.writeListBegin(TType.I64, len(self.suspects))
-            for iter91 in self.suspects:
-                oprot.writeI64(iter91)
+            for iter103 in self.suspects:
+                oprot.writeI64(iter103)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.notices is not None:
             oprot.writeFieldBegin('notices', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.notices))
-            for iter92 in self.notices:
-                iter92.write(oprot)
+            for iter104 in self.notices:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reaches_servers is not None:
             oprot.writeFieldBegin('reaches_servers', TType.BOOL, 5)
             oprot.writeBool(self.reaches_servers)
             oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter105 in self.crashes:
+                iter105.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.completed is not None:
+            oprot.writeFieldBegin('completed', TType.LIST, 7)
+            oprot.writeListBegin(TType.I64, len(self.completed))
+            for iter106 in self.completed:
+                oprot.writeI64(iter106)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1284,11 +1402,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.hosts = []
-                    (_etype96, _size93) = iprot.readListBegin()
-                    for _i97 in range(_size93):
-                        _elem98 = RelayHost()
-                        _elem98.read(iprot)
-                        self.hosts.append(_elem98)
+                    (_etype110, _size107) = iprot.readListBegin()
+                    for _i111 in range(_size107):
+                        _elem112 = RelayHost()
+                        _elem112.read(iprot)
+                        self.hosts.append(_elem112)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1305,8 +1423,8 @@
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.hosts))
-            for iter99 in self.hosts:
-                iter99.write(oprot)
+            for iter113 in self.hosts:
+                iter113.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1350,11 +1468,11 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.crashes = {}
-                    (_ktype101, _vtype102, _size100) = iprot.readMapBegin()
-                    for _i104 in range(_size100):
-                        _key105 = iprot.readI64()
-                        _val106 = iprot.readI32()
-                        self.crashes[_key105] = _val106
+                    (_ktype115, _vtype116, _size114) = iprot.readMapBegin()
+                    for _i118 in range(_size114):
+                        _key119 = iprot.readI64()
+                        _val120 = iprot.readI32()
+                        self.crashes[_key119] = _val120
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1371,9 +1489,9 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.MAP, 1)
             oprot.writeMapBegin(TType.I64, TType.I32, len(self.crashes))
-            for kiter107, viter108 in self.crashes.items():
-                oprot.writeI64(kiter107)
-                oprot.writeI32(viter108)
+            for kiter121, viter122 in self.crashes.items():
+                oprot.writeI64(kiter121)
+                oprot.writeI32(viter122)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1699,6 +1817,13 @@
     (6, TType.BOOL, 'has_named_limit', None, None, ),  # 6
     (7, TType.DOUBLE, 'limit_per_s', None, None, ),  # 7
 )
+all_structs.append(Crash)
+Crash.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'fingerprint', None, None, ),  # 1
+    (2, TType.DOUBLE, 'sent_ago_s', None, None, ),  # 2
+    (3, TType.DOUBLE, 'lost_ago_s', None, None, ),  # 3
+)
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
     None,  # 0
@@ -1707,6 +1832,8 @@
     (3, TType.LIST, 'suspects', (TType.I64, None, False), None, ),  # 3
     (4, TType.LIST, 'notices', (TType.STRUCT, [ServerNotice, None], False), None, ),  # 4
     (5, TType.BOOL, 'reaches_servers', None, None, ),  # 5
+    (6, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 6
+    (7, TType.LIST, 'completed', (TType.I64, None, False), None, ),  # 7
 )
 all_structs.append(RelayHost)
 RelayHost.thrift_spec = (
--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -404,7 +404,10 @@
                 ]
                 for service, found in routing_state.key_maps.items()
             },
-            'poison': dict(self._crashes.counts),
+            'poison': {
+                f'{fingerprint:x}': count
+                for fingerprint, count in self._crashes.counts.items()
+            },
         }
 
     def _fill_gauges(self):
@@ -423,6 +426,10 @@
         metrics.is_isolated.set(int(self._gateway.links.is_isolated))
         metrics.fails_to_connect.set(int(self._gateway.links.fails_to_connect))
         metrics.failed_servers.set(self._gateway.links.failed_servers)
+        metrics.server_crashes.set(self._gateway.crash_detector.crashes)
+        metrics.poison_requests.set(
+            self._crashes.count_poison(self._scheduler.now())
+        )
         metrics.open_requests.set(self._gateway.open_requests)
         if self._log_stream is not None:
             metrics.dropped_lines.set(self._log_stream.dropped)
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -10,7 +10,10 @@
 from radishferry.direct import admission
 from radishferry.direct import announcements
 from radishferry.direct import budget as budget_module
+from radishferryd.platform import headers
 from radishferryd.router import backends as backends_module
+from radishferryd.router import crash_detector
+from radishferryd.router import crashes as crashes_module
 from radishferryd.router import link_monitor
 from radishferryd.router import relays as relays_module
 from radishferryd.router import requests
@@ -18,9 +21,6 @@
 
 LOG = logging.getLogger(__name__)
 
-#: Seconds after a refused connection until a crash of the server is counted:
-#: within them a host that lost its own links notices that.
-CRASH_CHECK_DELAY_S = 0.6
 #: Seconds after which callers may retry at a host without configuration.
 STARTING_RETRY_S = 0.5
 
@@ -32,14 +32,15 @@
     :ivar keys: Keys of requests by service.
     :ivar speeds: Tuples of server id, total service time in seconds and
         number of responses, for responses of servers with an empty queue.
-    :ivar suspects: Fingerprints of requests in flight at server crashes.
+    :ivar crashes: What is new of requests in flight at crashes of servers,
+        :class:`~radishferryd.router.crashes.News`.
     :ivar notices: A :class:`~radishferry.direct.announcements.Notice` for
         each server that has announced something.
     """
 
     keys: dict
     speeds: list
-    suspects: list
+    crashes: crashes_module.News
     notices: list
 
 
@@ -87,6 +88,9 @@
         )
         self._routing_state = routing_state
         self._crashes = crashes
+        self.crash_detector = crash_detector.CrashDetector(
+            poller, scheduler, self.links, crashes
+        )
         self._metrics = metrics
         self._stats = {}
         self._keys = collections.defaultdict(list)
@@ -270,7 +274,7 @@
         return Observations(
             keys,
             speeds,
-            self._crashes.take_new(),
+            self._crashes.take_new(self.now()),
             self.announcements.take_new(self.now()),
         )
 
@@ -304,32 +308,44 @@
 
     def is_poison(self, request):
         """Return whether identical requests have crashed servers."""
-        if not self._crashes.counts:
+        if not self._crashes.has_suspects:
             return False
         return self._crashes.is_poison(request.fingerprint, self.now())
 
+    def attempt_ended(self, request, attempt, result):
+        """Record what the end of an attempt tells about crashes.
+
+        The caller of the request may have left before.
+        """
+        detector = self.crash_detector
+        if isinstance(result, results.Answered):
+            if detector.needs_completions and not headers.implies_not_run(
+                result.head
+            ):
+                detector.note_completed(request.fingerprint)
+        elif isinstance(result, results.NotRun):
+            if result.is_server_dead:
+                detector.note_refused(attempt.server)
+        elif result.is_connection_lost and not result.is_unacknowledged:
+            detector.note_connection_lost(
+                attempt.server, request.fingerprint, attempt.sent_at
+            )
+
     def attempt_lost(self, request, attempt, result):
-        """Record a failed attempt that a server may have run."""
-        now = self.now()
+        """Log a failed attempt that a server may have run."""
         LOG.info(
             'request: An attempt failed; the server may have run it.',
             extra={
                 'request_id': request.request_id,
                 'server': attempt.server.server_id,
-                'sent_ago_s': round(now - attempt.sent_at, 4),
+                'sent_ago_s': round(self.now() - attempt.sent_at, 4),
                 'detail': getattr(result, 'detail', 'server error'),
+                'fingerprint': f'{request.fingerprint:x}',
             },
         )
-        if getattr(result, 'is_connection_lost', False):
-            self._crashes.note_connection_lost(
-                attempt.server.incarnation, request.fingerprint, now
-            )
 
     def attempt_refused(self, request, attempt, result):
-        """Record an attempt that a server has not run."""
-        now = self.now()
-        if result.is_server_dead:
-            self._schedule_crash_check(attempt.server.incarnation, now)
+        """Log an attempt that a server has not run."""
         segment = None
         if request.key is not None:
             segment, _ = self.owner(request.service, request.key)
@@ -341,24 +357,10 @@
                 'detail': result.detail,
                 'key': request.key,
                 'fence': segment.fence if segment else None,
-                'registry_age_s': round(self.registry.age(now), 3),
+                'registry_age_s': round(self.registry.age(self.now()), 3),
             },
         )
 
-    def _schedule_crash_check(self, incarnation, refused_at):
-        """Count a crash later, unless the links of this host are the cause.
-
-        A host whose connections are reset and refused by all servers counts
-        as isolated only some failures later.
-        """
-
-        def check():
-            if self.links.was_isolated_since(refused_at):
-                return
-            self._crashes.note_server_dead(incarnation, refused_at)
-
-        self.scheduler.call_later(CRASH_CHECK_DELAY_S, check)
-
     # Announcements of servers, see backends.Listener.
 
     def on_server_leaving(self, server):
--- a/packages/radishferryd/src/radishferryd/router/hub.py
+++ b/packages/radishferryd/src/radishferryd/router/hub.py
@@ -8,6 +8,7 @@
 from radishferry.direct import announcements
 from radishferry.direct import pacing
 from radishferryd.gen.router import ttypes
+from radishferryd.router import crashes as crashes_module
 from radishferryd.router import knowledge as knowledge_module
 from radishferryd.router import links
 from radishferryd.router import relay_directory as relay_directory_module
@@ -172,13 +173,34 @@
                 message.keys,
                 [(s.server_id, s.total_s, s.answers) for s in message.speeds],
             )
-            if message.suspects:
-                self._crashes.merge(message.suspects, self._scheduler.now())
+            self._note_crashes(message)
             # A host of an older version sends no notices.
             self.note_notices(link.host, map(_notice, message.notices or ()))
         elif name == 'long_hold_consent':
             self._ownership.consent.note_agreed(link, message.term_version)
 
+    def _note_crashes(self, message):
+        """Apply what a host has observed of requests and crashes."""
+        now = self._scheduler.now()
+        found = message.crashes
+        if found is None:
+            # A host of an older version does not tell when they happened.
+            found = [ttypes.Crash(f, 0.0, 0.0) for f in message.suspects or ()]
+        if found:
+            self._crashes.merge(
+                [
+                    crashes_module.Crash(
+                        crash.fingerprint,
+                        now - crash.sent_ago_s,
+                        now - crash.lost_ago_s,
+                    )
+                    for crash in found
+                ],
+                now,
+            )
+        if message.completed:
+            self._crashes.forget(message.completed)
+
     def note_notices(self, host, notices):
         """Apply the announcements that servers made to a host."""
         for notice in notices:
@@ -244,8 +266,11 @@
         for service in self._ownership.services:
             segments = self._ownership.segments(service)
             yield 'key_map_push', _key_map_push(service, segments)
-        if self._crashes.counts:
-            yield 'poison_push', ttypes.PoisonPush(self._crashes.counts)
+        if self._crashes.shared_counts:
+            yield (
+                'poison_push',
+                ttypes.PoisonPush(self._crashes.shared_counts),
+            )
 
     def _all_servers(self):
         servers = list(self._routing_state.registry.all())
--- a/packages/radishferryd/src/radishferryd/router/link_monitor.py
+++ b/packages/radishferryd/src/radishferryd/router/link_monitor.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import enum
+import errno
 import logging
 
 from radishferry.direct import reachability
@@ -20,6 +22,15 @@
 CONFIRM_S = 0.6
 
 
+class ProbeResult(enum.Enum):
+    """Classify an attempt to connect to a server."""
+
+    REACHED = 'reached'
+    #: Nothing listens at the address.
+    REFUSED = 'refused'
+    SILENT = 'silent'
+
+
 class LinkMonitor:
     """Detect the loss and the return of this host's links to the servers.
 
@@ -180,11 +191,11 @@
                 self._poller,
                 self._scheduler,
                 server,
-                lambda is_reached: self._on_probed(server, is_reached),
+                lambda result: self._on_probed(server, result),
             )
 
-    def _on_probed(self, server, is_reached):
-        if is_reached:
+    def _on_probed(self, server, result):
+        if result is ProbeResult.REACHED:
             self.note_connected()
         elif not self.reaches_servers:
             # Keeps the evidence recent while requests are relayed.
@@ -198,7 +209,7 @@
         self._done = done
 
     def connected(self, connection):
-        self._report(True)
+        self._report(ProbeResult.REACHED)
         connection.close()
 
     def received(self, data):
@@ -211,18 +222,19 @@
         """See :meth:`pause_producing`."""
 
     def closed(self, error):
-        self._report(False)
+        is_refused = getattr(error, 'errno', None) == errno.ECONNREFUSED
+        self._report(ProbeResult.REFUSED if is_refused else ProbeResult.SILENT)
 
-    def _report(self, is_reached):
+    def _report(self, result):
         done, self._done = self._done, None
         if done is not None:
-            done(is_reached)
+            done(result)
 
 
 def probe(poller, scheduler, server, done):
     """Try to open a connection to a server, without a request.
 
-    :param done: Called once with whether the server accepted it.
+    :param done: Called once with the :class:`ProbeResult`.
     """
     handler = _Probe(done)
     connection = net.connect(poller, server.address, handler)
--- a/packages/radishferryd/src/radishferryd/router/metrics.py
+++ b/packages/radishferryd/src/radishferryd/router/metrics.py
@@ -105,6 +105,19 @@
         'gauge',
         'Servers that could not be reached since one was last reached.',
     ),
+    _METRIC(
+        'server_crashes',
+        'radishferry_server_crashes_total',
+        'gauge',
+        'Crashes of servers at which requests of this host were in flight.',
+    ),
+    _METRIC(
+        'poison_requests',
+        'radishferry_poison_requests',
+        'gauge',
+        'Fingerprints of requests that are refused, since they were in '
+        'flight at several crashes of servers.',
+    ),
     _METRIC(
         'open_requests',
         'radishferry_open_requests',
--- a/packages/radishferryd/src/radishferryd/router/orders.py
+++ b/packages/radishferryd/src/radishferryd/router/orders.py
@@ -162,7 +162,8 @@
             self._on_probed,
         )
 
-    def _on_probed(self, is_reached):
+    def _on_probed(self, result):
+        is_reached = result is link_monitor.ProbeResult.REACHED
         if is_reached and self.is_unreachable:
             # The next failed order makes it unreachable again.
             self.failures = UNREACHABLE_FAILURES - 1
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -2,17 +2,17 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import random
 
-import xxhash
-
 from radishferry.direct import admission
 from radishferry.direct import key_map
 from radishferry.direct import selection
 from radishferryd import http_message
 from radishferryd.platform import headers
 from radishferryd.router import connections
+from radishferryd.router import crashes
 from radishferryd.router import relay_headers
 from radishferryd.router import relays
 from radishferryd.router import results
@@ -124,15 +124,11 @@
             **self._selection,
         }
 
-    @property
+    @functools.cached_property
     def fingerprint(self):
         """Return a hash that is the same for identical requests."""
-        head = self._head
-        parts = (head.method, head.header('host'), head.target)
-        digest = xxhash.xxh64(' '.join(parts).encode())
-        digest.update(self.body)
-        # Drop one bit, since messages between hosts carry signed integers.
-        return digest.intdigest() >> 1
+        key = self.key if self.is_keyed else None
+        return crashes.fingerprint(self._head, key, self.body)
 
     def start(self):
         """Send the request to a server, or refuse it."""
@@ -225,6 +221,8 @@
 
     def on_result(self, attempt, result):
         """See :class:`radishferryd.router.connections.Sink`."""
+        if not attempt.backend.is_relay:
+            self._gateway.attempt_ended(self, attempt, result)
         if self._is_done:
             return
         self._attempt = None
@@ -431,7 +429,9 @@
             return
         if self._gateway.is_poison(self):
             self._refuse(
-                503, results.Reason.POISON, 'Equal requests crashed servers.'
+                503,
+                results.Reason.POISON,
+                f'Equal requests ({self.fingerprint:x}) crashed servers.',
             )
         elif self._gateway.relays.is_needed and self._relay(now):
             return
--- a/packages/radishferryd/src/radishferryd/router/spoke.py
+++ b/packages/radishferryd/src/radishferryd/router/spoke.py
@@ -136,12 +136,13 @@
             return
         self._reported_at = now
         load = self._owner.take_load()
+        crashes = load.crashes.crashes
         self._link.send(
             'load_report',
             ttypes.LoadReport(
                 load.keys,
                 [ttypes.ServerSpeed(*speed) for speed in load.speeds],
-                load.suspects,
+                [crash.fingerprint for crash in crashes],
                 [
                     ttypes.ServerNotice(
                         *notice.incarnation,
@@ -154,6 +155,15 @@
                     for notice in load.notices
                 ],
                 self._owner.reaches_servers(),
+                [
+                    ttypes.Crash(
+                        crash.fingerprint,
+                        now - crash.sent_at,
+                        now - crash.lost_at,
+                    )
+                    for crash in crashes
+                ],
+                load.crashes.completed,
             ),
         )
 
