Limit the size of answers to orders

What callers saw: nothing yet; other operators report a host that ran out of memory, and lost the requests of its callers, because a faulty server sent bytes without end.

Cause: answers to orders were read by the client that also reads the store and accepts 16 MiB, on three connections to each server. Endless heads were noticed only after a whole read, whose headers take many times its size as objects.

Change: 64 KiB for answers to orders, 1 MiB for those about leases in the coordinator mode; a head fails at the header that exceeds its limit.

--- a/features/direct_hostile.feature
+++ b/features/direct_hostile.feature
@@ -20,3 +20,23 @@
     And the server could send at most 8 MB each time
     And the memory of host 1 has grown by less than 30 MB
     And lookups at host 1 are answered as before
+
+  # Guards against the same in the answers to orders: a granting host kept up
+  # to 16 MB of each, from three connections to each faulty server.
+  Scenario Outline: Endless answers to orders take little memory
+    Given two direct hosts before a store, 2 keyed and 2 plain servers
+    And 4 keyed servers that answer orders with <bytes> without end
+    When the other keyed servers leave
+    And 4 seconds pass
+    Then each of the 4 servers has got an order
+    And each of them could send at most 8 MB in an answer
+    And the memory of both hosts has never grown by more than 20 MB
+
+    Examples:
+      | bytes              |
+      | a head             |
+      | interim responses  |
+      | trailers           |
+      | a chunk extension  |
+      | an unsigned body   |
+      | chunks             |
--- a/features/steps/direct_hostile_steps.py
+++ b/features/steps/direct_hostile_steps.py
@@ -37,6 +37,7 @@
             '',
             f'{other}{_SIGNED}Content-Length: 0\r\n\r\n',
         ),
+        'chunks': (own + _CHUNKED, 'ffff\r\n' + 'x' * 65535 + '\r\n'),
     }
 
 
@@ -71,10 +72,11 @@
         with sock:
             head = sock.recv(65536)
             found = re.search(rb'(?i)x-request-id: (\S+)', head)
-            if found is None:
+            if found is None and b' /api/' not in head:
                 return
-            start, part = _patterns(found[1].decode())[self.pattern]
-            data = (part * (_WRITE_BYTES // len(part))).encode()
+            request_id = found[1].decode() if found else ''
+            start, part = _patterns(request_id)[self.pattern]
+            data = (part * max(1, _WRITE_BYTES // len(part))).encode()
             sent = len(start)
             try:
                 sock.sendall(start.encode())
@@ -93,11 +95,11 @@
     server.close()
 
 
-def _memory_mb(context):
-    """Return the resident memory of host 1 in MB."""
-    pid = context.processes.pid('host1')
+def _memory_mb(context, name='host1', field='VmRSS'):
+    """Return the resident memory of a host in MB."""
+    pid = context.processes.pid(name)
     status = pathlib.Path(f'/proc/{pid}/status').read_text()
-    return int(re.search(r'VmRSS:\s+(\d+) kB', status)[1]) / 1024
+    return int(re.search(rf'{field}:\s+(\d+) kB', status)[1]) / 1024
 
 
 @behave.given('a plain server that sends endless data')
@@ -168,3 +170,57 @@
 def lookups_answered(context):
     for key in direct_host_fixtures.KEYS:
         assert direct_host_fixtures.is_served(context, 1, key)
+
+
+@behave.given(
+    '{count:d} keyed servers that answer orders with {pattern} without end'
+)
+def endless_orders(context, count, pattern):
+    context.endless_servers = [
+        behave.use_fixture(endless_server, context) for _ in range(count)
+    ]
+    for server in context.endless_servers:
+        server.pattern = pattern
+    context.peak_mb = {
+        name: _memory_mb(context, name, 'VmHWM')
+        for name in direct_host_fixtures.NAMES
+    }
+    for server in context.endless_servers:
+        direct_host_fixtures.control_platform(
+            context, 'register', port=server.port, service='keyed'
+        )
+
+
+@behave.when('the other keyed servers leave')
+def keyed_leave(context):
+    for number in (0, 1):
+        direct_host_fixtures.control_platform(
+            context,
+            'server',
+            server_id=f'i-keyed-{number}',
+            state='draining',
+        )
+
+
+@behave.then('each of the {count:d} servers has got an order')
+def got_orders(context, count):
+    sent = [server.sent for server in context.endless_servers]
+    assert len(sent) == count and all(sent), sent
+
+
+@behave.then('each of them could send at most {size:d} MB in an answer')
+def sent_little_each(context, size):
+    # The buffers of both sockets hold what the host has not read.
+    sent = [max(server.sent) for server in context.endless_servers]
+    assert max(sent) < size * 1e6, sent
+
+
+@behave.then(
+    'the memory of both hosts has never grown by more than {size:d} MB'
+)
+def peaks_are_bounded(context, size):
+    grown = {
+        name: _memory_mb(context, name, 'VmHWM') - before
+        for name, before in context.peak_mb.items()
+    }
+    assert max(grown.values()) < size, grown
--- a/packages/radishferry-testing/src/radishferry_testing/users/platform/__main__.py
+++ b/packages/radishferry-testing/src/radishferry_testing/users/platform/__main__.py
@@ -115,10 +115,10 @@
         if not server.is_registered:
             self.store.delete('servers', server_id)
 
-    def _test_register(self, port):
+    def _test_register(self, port, service='plain'):
         """Register a server that the test itself runs."""
         server = server_module.Server(
-            len(self.servers), 'plain', port, 'a', self._record_event, 0.0
+            len(self.servers), service, port, 'a', self._record_event, 0.0
         )
         self.servers.append(server)
 
--- a/packages/radishferryd/src/radishferryd/http_client.py
+++ b/packages/radishferryd/src/radishferryd/http_client.py
@@ -12,7 +12,7 @@
 from radishferryd import http_message
 from radishferryd import net
 
-#: Largest response accepted by :class:`JsonClient`, in bytes.
+#: Largest response accepted by :class:`JsonClient` by default, in bytes.
 MAX_JSON_BYTES = 16 * 1024 * 1024
 
 
@@ -270,8 +270,11 @@
 
 
 class _JsonExchange:
-    def __init__(self, client, connection, done, deadline_s, silence_s):
+    def __init__(
+        self, client, connection, done, deadline_s, silence_s, max_bytes
+    ):
         self._client = client
+        self._max_bytes = max_bytes
         self._connection = connection
         self._done = done
         self._head = None
@@ -291,7 +294,8 @@
     def on_body(self, data):
         self._received_at = self._client.scheduler.now()
         self._size += len(data)
-        if self._size > MAX_JSON_BYTES:
+        if self._size > self._max_bytes:
+            self._parts = []
             self._connection.abort()
             self._finish(JsonFailure('response too large', True))
             return
@@ -356,6 +360,7 @@
         headers=(),
         limit=8,
         on_lost=None,
+        max_bytes=MAX_JSON_BYTES,
     ):
         """Create the client; connections open on the first call.
 
@@ -363,9 +368,12 @@
         :param headers: Pairs of name and value sent with each request.
         :param int limit: Maximum number of open connections.
         :param on_lost: Called without arguments when a connection ends.
+        :param int max_bytes: Largest body of a response; a call that gets a
+            larger one fails, and its connection is reset.
         """
         self.scheduler = scheduler
         self._address = address
+        self._max_bytes = max_bytes
         self._headers = tuple(headers)
         self._pool = ConnectionPool(poller, address, limit, on_lost)
 
@@ -391,7 +399,9 @@
         ]
         if data:
             headers.append(('Content-Type', 'application/json'))
-        exchange = _JsonExchange(self, connection, done, deadline_s, silence_s)
+        exchange = _JsonExchange(
+            self, connection, done, deadline_s, silence_s, self._max_bytes
+        )
         connection.request(method, target, headers, exchange, data)
 
     def close(self):
--- a/packages/radishferryd/src/radishferryd/http_message.py
+++ b/packages/radishferryd/src/radishferryd/http_message.py
@@ -94,6 +94,7 @@
         self._headers = []
         self._target = b''
         self._reason = b''
+        self._head_bytes = 0
         #: Bytes since the last head, body part or end of a message.
         self._overhead_bytes = 0
         self._is_in_head = True
@@ -137,21 +138,25 @@
         self._headers = []
         self._target = b''
         self._reason = b''
+        self._head_bytes = 0
         self._is_in_head = True
         self._is_in_message = True
 
     def on_url(self, url):
         """Collect the request target."""
         self._target += url
+        self._count_head_bytes(len(url))
 
     def on_status(self, reason):
         """Collect the reason phrase."""
         self._reason += reason
+        self._count_head_bytes(len(reason))
 
     def on_header(self, name, value):
         """Collect a header; trailers are dropped."""
         if not self._is_in_head:
             return
+        self._count_head_bytes(len(name) + len(value) + 4)
         self._headers.append(
             (
                 name.decode('latin-1').lower(),
@@ -159,15 +164,18 @@
             )
         )
 
-    def on_headers_complete(self):
-        """Check the size of the head and pass it to the handler."""
-        size = (
-            len(self._target)
-            + len(self._reason)
-            + sum(len(n) + len(v) + 4 for n, v in self._headers)
-        )
-        if size > self._max_head_bytes:
+    def _count_head_bytes(self, size):
+        """Fail as soon as a head exceeds its limit.
+
+        The headers of one received packet can be several thousand, which
+        take many times its size in memory.
+        """
+        self._head_bytes += size
+        if self._head_bytes > self._max_head_bytes:
             raise HeadTooLargeError()
+
+    def on_headers_complete(self):
+        """Pass the head to the handler."""
         self._is_in_head = False
         parser = self._parser
         if self._is_request and parser.should_upgrade():
--- a/packages/radishferryd/src/radishferryd/ownership.py
+++ b/packages/radishferryd/src/radishferryd/ownership.py
@@ -28,6 +28,9 @@
 #: Maximum number of connections to a server for lease requests.  The
 #: connection of a request that timed out may still be closing.
 LEASE_CONNECTIONS = 4
+#: Largest answer of a server about its lease, in bytes: some tens of bytes for
+#: each range. A faulty server may send endless data.
+MAX_LEASE_BYTES = 1048576
 #: Seconds between ticks of the event loop above which a pause of the process
 #: is logged.  Servers then refuse the terms that the host lost meanwhile.
 PAUSE_THRESHOLD_S = 0.25
@@ -319,6 +322,7 @@
             app.scheduler,
             server.socket_address,
             limit=LEASE_CONNECTIONS,
+            max_bytes=MAX_LEASE_BYTES,
         )
         owned = CoordinatedServer(
             service, server, coordinator, dispatcher, client
--- a/packages/radishferryd/src/radishferryd/router/orders.py
+++ b/packages/radishferryd/src/radishferryd/router/orders.py
@@ -24,6 +24,9 @@
 PROBE_INTERVAL_S = 1.0
 #: Maximum orders in flight to one server, each on its own connection.
 MAX_PARALLEL = 3
+#: Largest body of an answer to an order, in bytes. Headers carry all that it
+#: tells; a faulty server may send endless data, on each of its connections.
+MAX_ANSWER_BYTES = 65536
 #: A server whose connection broke gets no grant until a list of servers that
 #: was read at least this many seconds later shows that the same process still
 #: runs. A restarted server registers within about a second of its start.
@@ -123,6 +126,7 @@
             limit=MAX_PARALLEL,
             headers=wire.expected_server_headers(server.server_id),
             on_lost=self._on_lost,
+            max_bytes=MAX_ANSWER_BYTES,
         )
 
     def add(self, order, granter):
