Refuse a request that finds no descriptor for its connection

Cause: net.connect raised the error of socket.socket through the parser to the connection of the caller whose request needed a connection to a server.

Change: a connection without a descriptor fails from the loop like any other. Its request is refused with 503 at once, tries no other server, and counts against none.

Tests: the two new scenarios in direct_connections.feature and direct_requests.feature failed before.

--- a/features/direct_connections.feature
+++ b/features/direct_connections.feature
@@ -169,3 +169,10 @@
     Then its time does not count as the speed of the server
     When a request is answered after the links have returned
     Then its time counts as the speed of the server
+
+  # Guards against an error that reaches the connection of the caller and ends
+  # all requests on it, and against blaming the server for it.
+  Scenario: A connection that finds no descriptor is no failure of the server
+    When a request is sent while the host has no descriptor left
+    Then the request has not run, since the host is exhausted
+    And the server has no failures
--- a/features/direct_requests.feature
+++ b/features/direct_requests.feature
@@ -140,3 +140,10 @@
     When no other server is left
     And server "a" responds with status 503 without proof
     Then the request is refused with status 502
+
+  # Guards against a host without free descriptors that resets the connections
+  # of its callers, tries one server after the other, or counts it against them.
+  Scenario: A request that finds no descriptor is refused at once
+    When no descriptor is left for a connection to server "a"
+    Then the request is refused with status 503
+    And the request has been sent to "a"
--- a/features/steps/direct_connections_steps.py
+++ b/features/steps/direct_connections_steps.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import dataclasses
+import errno
 import itertools
+import socket as socket_module
+from unittest import mock
 
 import behave
 import load_fixtures
@@ -11,11 +14,14 @@
 
 from radishferry.direct import idle_limit
 from radishferry.direct import registry
+from radishferryd import net
 from radishferryd.router import backends
 from radishferryd.router import connections
 from radishferryd.router import link_monitor
 from radishferryd.router import results
 
+#: Before a test replaces it.
+_CONNECT = net.connect
 _SERVER = registry.Server('a', 1, 'stock', ('127.0.0.1', 1), 'x', 4, False)
 
 
@@ -352,3 +358,53 @@
 def one_sample(context):
     assert context.backend.stats.samples == 1
     assert context.backend.service_time_count == 1
+
+
+class _Poller:
+    """Collect the calls before the next turn of the loop."""
+
+    def __init__(self):
+        self.calls = []
+
+    def remove(self, fd):
+        """Ignore the socket, which was never polled."""
+
+    def call_before_wait(self, callback):
+        self.calls.append(callback)
+
+
+@behave.when('a request is sent while the host has no descriptor left')
+def send_exhausted(context):
+    poller, sink = _Poller(), _Sink()
+    context.scheduler = load_fixtures.Scheduler()
+    context.backend = backends.Backend(
+        poller, context.scheduler, _SERVER, 4, idle_limit.IdleLimit()
+    )
+    attempt = connections.Attempt(
+        context.backend, 'r1', 'GET', sink, b'GET / HTTP/1.1\r\n\r\n'
+    )
+    error = OSError(errno.EMFILE, 'Too many open files')
+    with (
+        mock.patch.object(net, 'connect', _CONNECT),
+        mock.patch.object(socket_module, 'socket', side_effect=error),
+    ):
+        assert context.backend.send(attempt, True)
+    assert sink.result is None
+    for callback in poller.calls:
+        callback()
+    context.sink = sink
+
+
+@behave.then('the request has not run, since the host is exhausted')
+def host_exhausted(context):
+    result = context.sink.result
+    assert isinstance(result, results.NotRun), result
+    assert result.is_host_exhausted and not result.is_unreachable
+
+
+@behave.then('the server has no failures')
+def no_failures(context):
+    now = context.scheduler.now()
+    stats = context.backend.stats
+    assert not stats.failure_share(now) and not stats.is_paused(now)
+    assert not stats.in_flight and not context.backend.open_connections
--- a/features/steps/direct_requests_steps.py
+++ b/features/steps/direct_requests_steps.py
@@ -230,6 +230,13 @@
     _request(context).start()
 
 
+@behave.when('no descriptor is left for a connection to server "a"')
+def no_descriptor(context):
+    context.gateway.sent[-1].finish(
+        results.NotRun('no descriptor', is_host_exhausted=True)
+    )
+
+
 @behave.when('server "a" rejects the request')
 def rejects(context):
     context.gateway.sent[-1].finish(results.NotRun('the server answered 503'))
--- a/packages/radishferryd/src/radishferryd/net.py
+++ b/packages/radishferryd/src/radishferryd/net.py
@@ -359,6 +359,24 @@
             Connection(self._poller, sock, self._handler_factory()).start()
 
 
+class _NoSocket:
+    """Stand for a socket that the system could not provide."""
+
+    def fileno(self):
+        return -1
+
+    def getpeername(self):
+        raise OSError(errno.EBADF, 'no socket')
+
+    def close(self):
+        """Do nothing."""
+
+
+def is_out_of_descriptors(error) -> bool:
+    """Return whether a connection failed for want of a descriptor."""
+    return getattr(error, 'errno', None) in (errno.EMFILE, errno.ENFILE)
+
+
 def connect(poller, address, handler, unacked_limit_s=None) -> Connection:
     """Open a connection without waiting for it.
 
@@ -370,7 +388,15 @@
         limit.
     :returns: The connection; bytes written before it is open are queued.
     """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as exc:
+        # Raised here, it would end the connection of the caller whose request
+        # opens this one, and all requests on that connection.
+        LOG.warning('net: Cannot open a socket: %s.', exc)
+        connection = Connection(poller, _NoSocket(), handler)
+        connection.fail_soon(exc)
+        return connection
     _set_options(sock)
     if unacked_limit_s is not None:
         sock.setsockopt(
--- a/packages/radishferryd/src/radishferryd/router/backends.py
+++ b/packages/radishferryd/src/radishferryd/router/backends.py
@@ -143,7 +143,7 @@
                 self.stats.note_connection_failure(now)
                 if self._links is not None:
                     self._links.note_connect_failed(self.server)
-            elif not result.is_misdirected:
+            elif not (result.is_misdirected or result.is_host_exhausted):
                 self.stats.note_failure(now)
         elif result is not None:
             self.stats.note_failure(now)
--- a/packages/radishferryd/src/radishferryd/router/connections.py
+++ b/packages/radishferryd/src/radishferryd/router/connections.py
@@ -254,6 +254,13 @@
                         is_unacknowledged=_errno(error) == errno.ETIMEDOUT,
                     )
                 )
+            elif net.is_out_of_descriptors(error):
+                self._fail(
+                    results.NotRun(
+                        'the host has no descriptor left',
+                        is_host_exhausted=True,
+                    )
+                )
             else:
                 self._fail(
                     results.NotRun(
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -668,7 +668,7 @@
     def _may_retry(self, result):
         gateway = self._gateway
         now = gateway.now()
-        if isinstance(result, results.Unknown) and not self.is_idempotent:
+        if not result.allows_retry(self.is_idempotent):
             return False
         if self._left_s(now) < MIN_ATTEMPT_S:
             return False
--- a/packages/radishferryd/src/radishferryd/router/results.py
+++ b/packages/radishferryd/src/radishferryd/router/results.py
@@ -20,6 +20,10 @@
     body: bytes
     is_streamed: bool = False
 
+    def allows_retry(self, is_idempotent) -> bool:
+        """Return whether another attempt may follow this result."""
+        return True
+
 
 @dataclasses.dataclass(frozen=True)
 class NotRun:
@@ -29,12 +33,19 @@
         the server that the request names.
     :ivar is_unreachable: Whether no connection could be opened.
     :ivar is_server_dead: Whether nothing listens at the server's address.
+    :ivar is_host_exhausted: Whether this host had no descriptor for another
+        connection, which says nothing about the server.
     """
 
     detail: str
     is_misdirected: bool = False
     is_unreachable: bool = False
     is_server_dead: bool = False
+    is_host_exhausted: bool = False
+
+    def allows_retry(self, is_idempotent) -> bool:
+        """See :meth:`Answered.allows_retry`."""
+        return not self.is_host_exhausted
 
     @property
     def is_not_run(self) -> bool:
@@ -58,6 +69,10 @@
     has_response_started: bool = False
     is_unacknowledged: bool = False
 
+    def allows_retry(self, is_idempotent) -> bool:
+        """See :meth:`Answered.allows_retry`."""
+        return is_idempotent
+
     @property
     def is_not_run(self) -> bool:
         """Return whether the request has certainly not run."""
