Accept no connection while no descriptor is free

Cause: a listener that cannot accept stays readable, so that each wait for sockets returned at once and the host used its processor to fail.

Change: a listener that finds no descriptor is not polled until another socket has been closed.

"its handler is told of the error" failed once in about twenty runs: it looked before the loop had told the handler, which follows the reset that the test waits for. It now waits for it, and expects the same.

--- a/features/poller.feature
+++ b/features/poller.feature
@@ -59,3 +59,12 @@
     Given a loop with a callback echo server and a component echo server
     When a listener closes while a connection is in its backlog
     Then data sent on the connection is echoed
+
+  # Guards against a host that uses its processor to fail to accept while it
+  # has no descriptor left, so that the requests that it has taken are late.
+  Scenario: A listener without free descriptors waits for one
+    Given a loop with a callback echo server and a component echo server
+    When a listener finds no descriptor for a connection
+    Then it has tried to accept it 1 time after 0.3 seconds
+    When another connection is closed
+    Then data sent on the connection is echoed
--- a/features/steps/poller_steps.py
+++ b/features/steps/poller_steps.py
@@ -4,6 +4,7 @@
 
 import concurrent.futures
 import contextlib
+import errno
 import socket
 import struct
 import threading
@@ -265,6 +266,10 @@
 
 @behave.then('its handler is told of the error')
 def told_of_error(context):
+    # The loop tells the handler just after the peer can see the reset.
+    end = time.monotonic() + admin_fixtures.STEP_TIMEOUT_S
+    while not context.close_errors and time.monotonic() < end:
+        time.sleep(0.01)
     assert len(context.close_errors) == 1, context.close_errors
     assert isinstance(context.close_errors[0], KeyError)
 
@@ -318,3 +323,57 @@
 def is_echoed(context):
     context.sock.sendall(b'hello')
     assert context.sock.recv(10) == b'hello'
+
+
+class _ExhaustedSocket:
+    """Represent a listening socket of a process without free descriptors."""
+
+    def __init__(self, sock):
+        self.attempts = 0
+        self.is_exhausted = True
+        self._sock = sock
+
+    def __getattr__(self, name):
+        return getattr(self._sock, name)
+
+    def accept(self):
+        if not self.is_exhausted:
+            return self._sock.accept()
+        self.attempts += 1
+        raise OSError(errno.EMFILE, 'Too many open files')
+
+
+@behave.when('a listener finds no descriptor for a connection')
+def no_descriptor(context):
+    context.other = _connect(context.addresses[0])
+    context.other.sendall(b'a')
+    assert context.other.recv(1) == b'a'
+    done = threading.Event()
+
+    def listen():
+        context.listener = net.Listener(
+            context.poller, ('127.0.0.1', 0), _Echo
+        )
+        context.listener._sock = _ExhaustedSocket(context.listener._sock)
+        done.set()
+
+    context.caller.fire(admin_fixtures.call(listen))
+    assert done.wait(admin_fixtures.STEP_TIMEOUT_S)
+    context.add_cleanup(context.listener.close)
+    context.sock = _connect(context.listener.address)
+    context.add_cleanup(context.sock.close)
+
+
+@behave.then(
+    'it has tried to accept it {count:d} time after {seconds:g} seconds'
+)
+def attempts(context, count, seconds):
+    time.sleep(seconds)
+    found = context.listener._sock.attempts
+    assert found == count, found
+
+
+@behave.when('another connection is closed')
+def other_closed(context):
+    context.listener._sock.is_exhausted = False
+    context.other.close()
--- a/packages/radishferryd/src/radishferryd/net.py
+++ b/packages/radishferryd/src/radishferryd/net.py
@@ -354,10 +354,25 @@
                 return
             except OSError as exc:
                 LOG.warning('net: Cannot accept a connection: %s.', exc)
+                if is_out_of_descriptors(exc):
+                    self._pause()
                 return
             _set_options(sock)
             Connection(self._poller, sock, self._handler_factory()).start()
 
+    def _pause(self):
+        """Accept no connection until another one has been closed.
+
+        Until then each wait for sockets would return at once, and take the
+        processor from the connections that are open.
+        """
+        self._poller.modify(self._sock.fileno(), read=False, write=False)
+        self._poller.call_after_remove(self._resume)
+
+    def _resume(self):
+        if self._sock.fileno() >= 0:
+            self._poller.modify(self._sock.fileno(), read=True, write=False)
+
 
 class _NoSocket:
     """Stand for a socket that the system could not provide."""
--- a/packages/radishferryd/src/radishferryd/poller.py
+++ b/packages/radishferryd/src/radishferryd/poller.py
@@ -53,6 +53,7 @@
         self._epoll = select.epoll()
         self._callbacks = {}
         self._calls_before_wait = []
+        self._calls_after_remove = []
         # Keyed by socket object, as components pass it: a closed socket has no
         # file descriptor any more.
         self._components = {}
@@ -83,6 +84,14 @@
         """Call a function once before the next wait for sockets."""
         self._calls_before_wait.append(callback)
 
+    def call_after_remove(self, callback):
+        """Call a function once, when another socket is not polled any more.
+
+        Sockets are removed when they are closed, so that their descriptors
+        can be used again.
+        """
+        self._calls_after_remove.append(callback)
+
     def remove(self, fd):
         """Stop polling a socket.
 
@@ -91,6 +100,8 @@
         removed = self._callbacks.pop(fd, None)
         if removed is not None and not self._epoll.closed:
             self._epoll.unregister(fd)
+        self._calls_before_wait.extend(self._calls_after_remove)
+        self._calls_after_remove.clear()
 
     def addReader(self, source, fd):  # noqa: N802
         """Poll the socket of a component for input.
