Notice that a caller has left while reading from it is paused

Cause: with 16 requests in progress on a connection it is not read, and a close was noticed by reading only.

Change: the poller reports the end of the peer's direction of accepted connections (EPOLLRDHUP). While reading is paused, it ends the connection like the end that is read otherwise, and what has not been read is never begun.

--- a/features/direct_host.feature
+++ b/features/direct_host.feature
@@ -26,6 +26,21 @@
     When 6 lookups are sent to host 1 on one connection at once
     Then 6 answers come in the order of the requests
 
+  # Guards against a host that does not notice the close of a connection whose
+  # requests in progress keep it from reading: servers worked on for clients
+  # that had left, and began further requests of theirs.
+  Scenario Outline: A client with many requests that leaves is noticed
+    When 24 guides with 3 seconds of work are sent to host 1 on one connection at once
+    And the client <leaves> after 0.5 seconds
+    And 0.6 seconds pass
+    Then servers have broken off all of its guides that they had begun
+    And no further one has begun after 2 seconds
+
+    Examples:
+      | leaves |
+      | closes |
+      | resets |
+
   # Guards against a second run of a request that may run only once.
   Scenario: A payment whose server resets the connection is not sent again
     Given plain servers reset connections after they began to run a request
--- a/features/steps/direct_host_steps.py
+++ b/features/steps/direct_host_steps.py
@@ -9,6 +9,7 @@
 import random
 import signal
 import socket
+import struct
 import subprocess  # noqa: S404
 import sys
 import time
@@ -154,6 +155,60 @@
     _change(context, kind, number, says_leaving=True)
 
 
+@behave.when(
+    '{count:d} guides with {work:g} seconds of work are sent to host 1 on one '
+    'connection at once'
+)
+def pipeline_guides(context, count, work):
+    context.sent = [f'guide{number}' for number in range(count)]
+    port = context.processes.port('host1', 'callers')
+    context.caller = socket.create_connection(('127.0.0.1', port), 20)
+    context.add_cleanup(context.caller.close)
+    context.caller.sendall(
+        b''.join(
+            f'GET /g/{name} HTTP/1.1\r\nHost: example\r\n'
+            f'X-Request-Id: {name}\r\nX-Deadline-Ms: 6000\r\n'
+            f'X-Test-Work-S: {work}\r\n\r\n'.encode()
+            for name in context.sent
+        )
+    )
+
+
+@behave.when('the client {leaves} after {seconds:g} seconds')
+def client_leaves(context, leaves, seconds):
+    time.sleep(seconds)
+    if leaves == 'resets':
+        context.caller.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+    context.caller.close()
+
+
+def _guides(context, kind):
+    return {
+        detail['id']: detail
+        for found, _, detail, _ in direct_host_fixtures.control_platform(
+            context, 'events'
+        )
+        if found == kind and detail['id'] in context.sent
+    }
+
+
+@behave.then('servers have broken off all of its guides that they had begun')
+def broken_off(context):
+    context.begun = _guides(context, 'run')
+    ended = _guides(context, 'run-end')
+    assert context.begun
+    # Their work lasts longer than the scenario has until here.
+    assert set(context.begun) == set(ended), (len(context.begun), len(ended))
+
+
+@behave.then('no further one has begun after {seconds:g} seconds')
+def none_begun(context, seconds):
+    time.sleep(seconds)
+    assert set(_guides(context, 'run')) == set(context.begun)
+
+
 @behave.when('{seconds:g} seconds pass')
 def wait(context, seconds):
     time.sleep(seconds)
--- a/packages/radishferryd/src/radishferryd/net.py
+++ b/packages/radishferryd/src/radishferryd/net.py
@@ -104,7 +104,7 @@
         """
         self._is_connecting = connecting
         self._is_writing = connecting
-        self._poller.add(self._fd, self._on_ready)
+        self._poller.add(self._fd, self._on_ready, reports_end=not connecting)
         if connecting:
             self._poller.modify(self._fd, read=False, write=True)
         else:
@@ -225,6 +225,10 @@
             self._read()
         elif self._is_open and mask & (select.EPOLLHUP | select.EPOLLERR):
             self._read()
+        elif self._is_open and mask & select.EPOLLRDHUP:
+            # The peer has closed while reading was paused. What it had sent
+            # before is not read, so that nothing of it is begun any more.
+            self._close(None)
 
     def _finish_connect(self):
         error = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
--- a/packages/radishferryd/src/radishferryd/poller.py
+++ b/packages/radishferryd/src/radishferryd/poller.py
@@ -52,6 +52,8 @@
         super().__init__(channel=self.channel)
         self._epoll = select.epoll()
         self._callbacks = {}
+        # Sockets whose peers' ends are reported although they are not read.
+        self._watched = set()
         self._calls_before_wait = []
         self._calls_after_remove = []
         # Keyed by socket object, as components pass it: a closed socket has no
@@ -59,14 +61,20 @@
         self._components = {}
         self._epoll.register(self._ctrl_recv, select.EPOLLIN)
 
-    def add(self, fd, callback):
+    def add(self, fd, callback, *, reports_end=False):
         """Register a socket for reading.
 
         :param int fd: File descriptor.
         :param callback: Called with the epoll event mask of the socket.
+        :param bool reports_end: Whether to report ``EPOLLRDHUP`` as well, when
+            the peer has closed its direction.
         """
         self._callbacks[fd] = callback
-        self._epoll.register(fd, select.EPOLLIN)
+        mask = select.EPOLLIN
+        if reports_end:
+            self._watched.add(fd)
+            mask |= select.EPOLLRDHUP
+        self._epoll.register(fd, mask)
 
     def modify(self, fd, *, read, write):
         """Change the events for which a registered socket is polled.
@@ -78,6 +86,8 @@
         mask = (select.EPOLLIN if read else 0) | (
             select.EPOLLOUT if write else 0
         )
+        if fd in self._watched:
+            mask |= select.EPOLLRDHUP
         self._epoll.modify(fd, mask)
 
     def call_before_wait(self, callback):
@@ -98,6 +108,7 @@
         :param int fd: File descriptor.
         """
         removed = self._callbacks.pop(fd, None)
+        self._watched.discard(fd)
         if removed is not None and not self._epoll.closed:
             self._epoll.unregister(fd)
         self._calls_before_wait.extend(self._calls_after_remove)
