Match answers to orders by ids

A second, late copy of a server's answer was taken for the answer to a release.

Cause: answers to orders were matched by their place on the connection only.

Change: each order has an id; an answer with another one resets the connection and leaves the outcome unknown. Such resets withhold no grants, since the server has just answered. The stand-in server repeats ids, and replaces a renewed grant instead of keeping all renewals, which took a whole processor after a minute.

--- a/features/steps/direct_announcements_steps.py
+++ b/features/steps/direct_announcements_steps.py
@@ -265,7 +265,9 @@
 )
 def orders_announce_leaving(context):
     class Client:
-        def call(self, method, target, body, timeout_s, done):
+        def call(
+            self, method, target, body, timeout_s, done, needs_proof=False
+        ):
             done(
                 http_client.JsonResponse(
                     context.status, {}, 0.0, 0.0, ((headers.LEAVING, '1'),)
--- a/features/steps/direct_ended_servers_steps.py
+++ b/features/steps/direct_ended_servers_steps.py
@@ -27,7 +27,7 @@
     def __init__(self, context):
         self._calls = context.calls
 
-    def call(self, method, target, body, timeout_s, done):
+    def call(self, method, target, body, timeout_s, done, needs_proof=False):
         """Record an order."""
         self._calls.append((target, done))
 
--- a/features/steps/direct_granting_steps.py
+++ b/features/steps/direct_granting_steps.py
@@ -289,7 +289,7 @@
     def __init__(self):
         self.calls = []
 
-    def call(self, method, target, body, deadline_s, done):
+    def call(self, method, target, body, deadline_s, done, needs_proof=False):
         self.calls.append((target, body, done))
 
     def close(self):
--- a/packages/radishferry-testing/src/radishferry_testing/users/platform/server.py
+++ b/packages/radishferry-testing/src/radishferry_testing/users/platform/server.py
@@ -102,12 +102,12 @@
             headers=(
                 ('X-Not-Executed', '1'),
                 ('X-Instance-Id', self.server_id),
-                *_echoed_id(request),
                 *headers,
             ),
         )
 
     async def _respond(self, request, status, body=b'', headers=()):
+        headers = (*_echoed_id(request), *headers)
         if self.says_leaving:
             headers = (*headers, ('Server-Leaving', '1'))
         if self.limit_per_s is not None:
@@ -115,15 +115,16 @@
         await request.respond(status, body, headers)
 
     async def _grant(self, request):
-        """Add a grant in place of those of the same keys with a lower fence.
+        """Add a grant in place of those of the same keys up to its fence.
 
         Refuse with 409 if a grant with a higher fence overlaps.
         """
         order = json.loads(await request.body.read())
         # ``target`` is the last key of the range.
         keys = range(order['start_key'], order['target'] + 1)
+        renewed = [g for g in self._grants if g[:2] == (keys, order['fence'])]
         self._grants = [
-            g for g in self._grants if g[0] != keys or g[1] >= order['fence']
+            g for g in self._grants if g[0] != keys or g[1] > order['fence']
         ]
         if any(
             g[0].start <= keys[-1]
@@ -133,7 +134,9 @@
         ):
             await self._respond(request, 409)
             return
-        until = time.monotonic() + order['hold_s']
+        until = max(
+            time.monotonic() + order['hold_s'], *(g[2] for g in renewed), 0.0
+        )
         self._grants.append((keys, order['fence'], until))
         self._record_event('grant', self, order)
         await self._respond(request, 200)
@@ -196,7 +199,6 @@
             200,
             answer + body,
             (
-                ('X-Request-Id', request_id),
                 ('X-Response-Signature', f'{zlib.crc32(answer):x}'),
                 ('X-Server-Load', '1,0,6'),
             ),
--- a/packages/radishferryd/src/radishferryd/http_client.py
+++ b/packages/radishferryd/src/radishferryd/http_client.py
@@ -4,7 +4,9 @@
 
 import collections
 import dataclasses
+import itertools
 import math
+import os
 import typing
 
 import orjson
@@ -16,6 +18,11 @@
 MAX_JSON_BYTES = 16 * 1024 * 1024
 
 
+#: Ids of calls are this and a number; no other process uses the same.
+_ID_PREFIX = os.urandom(8).hex()
+_id_numbers = itertools.count(1)
+
+
 class ResponseHandler(typing.Protocol):
     """Receive the response to one request."""
 
@@ -55,6 +62,8 @@
         self._keep_alive = True
         self._is_request_sent = True
         self._is_writable = True
+        self._requests = 0
+        self._is_lost = True
         self._parser = http_message.MessageParser(self, is_request=False)
         self._connection = net.connect(poller, address, self)
 
@@ -68,6 +77,16 @@
         """Return whether the connection was established at some time."""
         return self._is_connected
 
+    @property
+    def is_reused(self) -> bool:
+        """Return whether the connection has carried an earlier request."""
+        return self._requests > 1
+
+    @property
+    def is_lost(self) -> bool:
+        """Return whether its end may be that of the server's process."""
+        return self._is_lost
+
     @property
     def is_writable(self) -> bool:
         """Return whether the write queue is below its limit."""
@@ -82,6 +101,7 @@
         :param bool last: Whether the body is complete.
         """
         self._exchange = exchange
+        self._requests += 1
         self._is_request_sent = last
         head = http_message.format_request(method, target, headers)
         self._connection.write(head + body)
@@ -104,6 +124,18 @@
         self._exchange = None
         self._connection.abort()
 
+    def discard(self):
+        """Close immediately, although the server's process lives."""
+        self._is_lost = False
+        self.abort()
+
+    def close_after_response(self):
+        """Reuse the connection for no further request.
+
+        It then ends although the server's process lives.
+        """
+        self._keep_alive = self._is_lost = False
+
     def close(self):
         """Close an idle connection."""
         self._connection.close()
@@ -117,7 +149,7 @@
         if self._exchange is None:
             # Bytes without a request: the connection is out of step and cannot
             # be reused.
-            self._connection.abort()
+            self.discard()
             return
         try:
             self._parser.feed(data)
@@ -195,7 +227,8 @@
         """Create an empty pool.
 
         :param int limit: Maximum number of open connections.
-        :param on_lost: Called without arguments when a connection ends.
+        :param on_lost: Called without arguments when a connection ends, unless
+            this host rejected what came on it.
         """
         self._poller = poller
         self._address = address
@@ -209,12 +242,20 @@
         """Return the number of open connections."""
         return self._open_count
 
-    def acquire(self) -> ClientConnection | None:
-        """Return an idle or new connection, None when the limit is reached."""
+    def acquire(self, *, is_new=False) -> ClientConnection | None:
+        """Return a connection, None when the limit is reached.
+
+        :param bool is_new: Whether to open one in place of an idle one.
+        """
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_open:
+            if not is_new and connection.is_open:
                 return connection
+            if is_new and self._open_count >= self._limit:
+                connection.discard()
+            elif is_new:
+                self._idle.append(connection)
+                break
         if self._open_count >= self._limit:
             return None
         self._open_count += 1
@@ -229,7 +270,7 @@
 
     def _closed(self, connection):
         self._open_count -= 1
-        if self._on_lost is not None:
+        if self._on_lost is not None and connection.is_lost:
             self._on_lost()
         if connection in self._idle:
             self._idle.remove(connection)
@@ -271,9 +312,19 @@
 
 class _JsonExchange:
     def __init__(
-        self, client, connection, done, deadline_s, silence_s, max_bytes
+        self,
+        client,
+        connection,
+        done,
+        deadline_s,
+        silence_s,
+        max_bytes,
+        call_id='',
+        needs_proof=False,
     ):
         self._client = client
+        self._call_id = call_id
+        self._needs_proof = needs_proof
         self._max_bytes = max_bytes
         self._connection = connection
         self._done = done
@@ -289,8 +340,31 @@
 
     def on_head(self, head):
         self._received_at = self._client.scheduler.now()
+        if self._call_id and not self._is_own(head):
+            self._connection.discard()
+            self._finish(
+                JsonFailure('an answer to another call, or to none', True)
+            )
+            return
         self._head = head
 
+    def _is_own(self, head):
+        """Return whether a response may be that to this call.
+
+        A late second copy of the response to an earlier call on the connection
+        may come first. One that names no call can be told from it on a new
+        connection only.
+        """
+        echoed = head.header(self._client.id_header)
+        if echoed:
+            self._client.repeats_ids = True
+            return echoed == self._call_id
+        if self._needs_proof:
+            self._connection.close_after_response()
+        return not self._connection.is_reused or not (
+            self._needs_proof or self._client.repeats_ids
+        )
+
     def on_body(self, data):
         self._received_at = self._client.scheduler.now()
         self._size += len(data)
@@ -361,6 +435,7 @@
         limit=8,
         on_lost=None,
         max_bytes=MAX_JSON_BYTES,
+        id_header='',
     ):
         """Create the client; connections open on the first call.
 
@@ -370,14 +445,29 @@
         :param on_lost: Called without arguments when a connection ends.
         :param int max_bytes: Largest body of a response; a call that gets a
             larger one fails, and its connection is reset.
+        :param id_header: Name of the header that gives each call an id, which
+            its response may repeat; empty for none.
         """
         self.scheduler = scheduler
         self._address = address
         self._max_bytes = max_bytes
         self._headers = tuple(headers)
+        #: See the parameter.
+        self.id_header = id_header
+        #: Whether a response has repeated the id of its call.
+        self.repeats_ids = False
         self._pool = ConnectionPool(poller, address, limit, on_lost)
 
-    def call(self, method, target, body, deadline_s, done, silence_s=math.inf):
+    def call(
+        self,
+        method,
+        target,
+        body,
+        deadline_s,
+        done,
+        silence_s=math.inf,
+        needs_proof=False,
+    ):
         """Send a request.
 
         :param body: Value to encode as JSON; None for no body.
@@ -386,9 +476,14 @@
             call fails earlier.
         :param done: Called once with :class:`JsonResponse` or
             :class:`JsonFailure`.
+        :param bool needs_proof: Whether no response to another call may count
+            as the response. If the server repeats no ids, the call gets a
+            connection of its own.
         """
         data = b'' if body is None else orjson.dumps(body)
-        connection = self._pool.acquire()
+        connection = self._pool.acquire(
+            is_new=needs_proof and not self.repeats_ids
+        )
         if connection is None:
             done(JsonFailure('too many calls in progress', False))
             return
@@ -399,8 +494,19 @@
         ]
         if data:
             headers.append(('Content-Type', 'application/json'))
+        call_id = ''
+        if self.id_header:
+            call_id = f'{_ID_PREFIX}-{next(_id_numbers)}'
+            headers.append((self.id_header, call_id))
         exchange = _JsonExchange(
-            self, connection, done, deadline_s, silence_s, self._max_bytes
+            self,
+            connection,
+            done,
+            deadline_s,
+            silence_s,
+            self._max_bytes,
+            call_id,
+            needs_proof,
         )
         connection.request(method, target, headers, exchange, data)
 
--- a/packages/radishferryd/src/radishferryd/platform/orders.py
+++ b/packages/radishferryd/src/radishferryd/platform/orders.py
@@ -9,6 +9,11 @@
 from radishferryd.platform import headers
 
 
+#: Header that gives each order an id, which servers may repeat in their
+#: answers.
+ORDER_ID = headers.REQUEST_ID
+
+
 class OrderStatus(enum.Enum):
     """Classify the response of a server to an order."""
 
@@ -91,6 +96,8 @@
         body,
         timeout_s,
         lambda response: done(_decode_result(response, server_id)),
+        # The keys are granted to another server then.
+        needs_proof=True,
     )
 
 
--- a/packages/radishferryd/src/radishferryd/router/orders.py
+++ b/packages/radishferryd/src/radishferryd/router/orders.py
@@ -127,6 +127,7 @@
             headers=wire.expected_server_headers(server.server_id),
             on_lost=self._on_lost,
             max_bytes=MAX_ANSWER_BYTES,
+            id_header=wire.ORDER_ID,
         )
 
     def add(self, order, granter):
