Return to no older configuration after relaying

Cause: a host that relays does not learn that the other one has a newer configuration, and uses its own again when its links return.

Change: responses to relayed requests name the version in force. A host that learns of a newer one relays until it has it, names the newest version that it knows, so that no other outdated host takes the request, and takes none itself. Hosts of the version before ignore the header.

Tests: the first new scenario of direct_relays.feature failed before: host 1 relayed 2 of 80 requests. The others use what the version before lacks.

--- a/features/direct_relays.feature
+++ b/features/direct_relays.feature
@@ -170,6 +170,53 @@
     When a lookup comes to host 1
     Then its caller is refused within 0.1 seconds and may retry
 
+  # Guards against a host that handles requests by a newer configuration while
+  # it relays them, and by its older one when its links have returned.
+  Scenario: A host does not return to its older configuration after relaying
+    Given host 1 has been isolated for 3 seconds
+    And the other hosts have a newer configuration than host 1
+    When lookups and payments come to host 1 for 1 seconds
+    Then each request of the last 1 seconds is answered by a server
+    When the links of host 1 return
+    And lookups and payments come to host 1 for 2 seconds
+    Then each request of the last 2 seconds is answered by a server
+    And host 1 relayed all of them
+    When host 1 gets the newer configuration
+    And lookups and payments come to host 1 for 2 seconds
+    Then each request of the last 2 seconds is answered by a server
+    And host 1 relayed none of them
+
+  # Guards against the same through a third host: what a host without the newer
+  # configuration relays must not be handled by another outdated host.
+  Scenario: A host that knows of a newer configuration takes no relayed request
+    Given host 1 has been isolated for 3 seconds
+    And host 2 knows that there is a newer configuration
+    And host 3 has stopped
+    When a lookup comes to host 1
+    Then its caller is refused within 0.1 seconds and may retry
+
+  # Guards against the same through a host that does not know the newer one.
+  Scenario: An outdated host has no request handled by an outdated one
+    Given host 1 has been isolated for 3 seconds
+    And host 1 knows that there is a newer configuration
+    When a lookup comes to host 1
+    Then its caller is refused within 0.1 seconds and may retry
+
+  # Guards against hosts of an older version, which name no configuration.
+  Scenario Outline: A host that names <what> as its version changes nothing
+    Given host 1 has been isolated for 3 seconds
+    And another host names <what> as its version
+    When the links of host 1 return
+    And lookups and payments come to host 1 for 2 seconds
+    Then host 1 relayed at most a fifth of them
+
+    Examples:
+      | what                 |
+      | nothing              |
+      | x                    |
+      | 3                    |
+      | 99999999999999999999 |
+
   # Guards against retries beyond the budget: relayed requests count once.
   Scenario: A relayed request counts at one host in the retry budgets
     Given host 1 has been isolated for 12 seconds
--- a/features/steps/direct_relays_steps.py
+++ b/features/steps/direct_relays_steps.py
@@ -18,6 +18,7 @@
 from radishferryd.router import knowledge
 from radishferryd.router import metrics
 from radishferryd.router import relay_gateway
+from radishferryd.router import relay_headers
 
 _KEYED, _PLAIN = 'stock', 'pay'
 #: Seconds between two lookups, and between two payments.
@@ -289,6 +290,30 @@
     context.hosts[0].apply_configuration(4)
 
 
+@behave.given('the other hosts have a newer configuration than host 1')
+def newer_elsewhere(context):
+    for host in context.hosts[1:]:
+        host.apply_configuration(4)
+
+
+@behave.when('host 1 gets the newer configuration')
+def gets_newer(context):
+    context.hosts[0].apply_configuration(4)
+
+
+@behave.given('host {number:d} knows that there is a newer configuration')
+def knows_newer(context, number):
+    context.hosts[number - 1].state.note_configuration_elsewhere(4)
+
+
+@behave.given('another host names {what} as its version')
+def names_version(context, what):
+    text = '' if what == 'nothing' else what
+    context.hosts[0].state.note_configuration_elsewhere(
+        relay_headers.parse_configuration(text)
+    )
+
+
 @behave.when('server {number:d} dies')
 def server_dies(context, number):
     del context.network.listeners[f's{number}', 80]
@@ -374,6 +399,12 @@
     assert ids and len(ids) == len(set(ids))
 
 
+@behave.then('host 1 relayed all of them')
+def relayed_all(context):
+    relayed = context.hosts[0].relayed - context.relayed_before
+    assert relayed == len(context.last), (relayed, len(context.last))
+
+
 @behave.then('host 1 relayed none of them')
 def relayed_none(context):
     assert context.hosts[0].relayed == context.relayed_before
--- a/features/steps/request_fixtures.py
+++ b/features/steps/request_fixtures.py
@@ -4,6 +4,7 @@
 
 from radishferry.direct import configuration
 from radishferry.direct import registry
+from radishferryd.router import knowledge
 from radishferryd.router import link_monitor
 from radishferryd.router import relays as relays_module
 
@@ -24,4 +25,11 @@
 def relays(scheduler):
     """Return the relays of a host that reaches the servers."""
     links = link_monitor.LinkMonitor(None, scheduler, registry.Registry())
-    return relays_module.Relays(None, scheduler, 'host', 'x', links)
+    return relays_module.Relays(
+        None,
+        scheduler,
+        'host',
+        'x',
+        links,
+        knowledge.RoutingState(scheduler.now),
+    )
--- a/packages/radishferryd/src/radishferryd/router/callers.py
+++ b/packages/radishferryd/src/radishferryd/router/callers.py
@@ -52,6 +52,11 @@
         """Return whether no request is in progress or being received."""
         return not self._slots and self._parser.is_between_messages
 
+    @property
+    def configuration_version(self) -> int:
+        """Return the version of the configuration in force."""
+        return self._gateway.configuration_version
+
     @property
     def open_requests(self) -> int:
         """Return the number of requests without a complete response."""
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -81,6 +81,7 @@
             settings.host_name,
             settings.host_data_centre,
             self.links,
+            routing_state,
         )
         self.announcements = announcements.Announcements()
         self.budget = budget_module.RetryBudget(
@@ -114,6 +115,16 @@
         configuration = self._routing_state.configuration
         return configuration.version if configuration is not None else 0
 
+    @property
+    def newest_configuration_version(self) -> int:
+        """Return the highest version that this host knows to be in force."""
+        return self._routing_state.newest_version
+
+    @property
+    def is_outdated(self) -> bool:
+        """Return whether a newer configuration is known to be in force."""
+        return self._routing_state.is_outdated
+
     @property
     def accepts_requests(self) -> bool:
         """Return whether further requests are sent to servers."""
--- a/packages/radishferryd/src/radishferryd/router/knowledge.py
+++ b/packages/radishferryd/src/radishferryd/router/knowledge.py
@@ -39,6 +39,8 @@
         #: When the store last answered this host or the granting host with
         #: its newest configuration, in seconds; -inf if never.
         self._configuration_read_at = -math.inf
+        #: Highest version that another host has named.
+        self._version_elsewhere = 0
         self.routes = None
         self.registry = registry_module.Registry()
         #: The list of the granting host that is in force, None if this host
@@ -57,6 +59,36 @@
             self.registry.read_at is not None
         )
 
+    @property
+    def is_outdated(self) -> bool:
+        """Return whether another host has a newer configuration.
+
+        This host may have answered requests through it, and callers must not
+        see the older one again.
+        """
+        return self.newest_version > self._version
+
+    @property
+    def newest_version(self) -> int:
+        """Return the highest version that is known to be in force."""
+        return max(self._version, self._version_elsewhere)
+
+    @property
+    def _version(self):
+        return self.configuration.version if self.configuration else 0
+
+    def note_configuration_elsewhere(self, version):
+        """Record the version of the configuration at another host."""
+        was_outdated = self.is_outdated
+        self._version_elsewhere = max(self._version_elsewhere, version)
+        if self.is_outdated and not was_outdated:
+            LOG.warning(
+                'knowledge: Another host has configuration version %d; '
+                'requests are relayed until this host has it.',
+                version,
+                extra={'own_version': self._version},
+            )
+
     @property
     def limits(self):
         """Return the configured limits for callers."""
--- a/packages/radishferryd/src/radishferryd/router/relay_gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/relay_gateway.py
@@ -48,6 +48,11 @@
             idle_timeout_s=max(limits.idle_timeout_s, MIN_IDLE_TIMEOUT_S),
         )
 
+    @property
+    def configuration_version(self) -> int:
+        """Return the version of the configuration in force."""
+        return self._gateway.configuration_version
+
     @property
     def is_stopping(self) -> bool:
         """Return whether connections close after their next response."""
@@ -98,7 +103,9 @@
                 'This host handles too many requests of other hosts.',
                 admission.retry_after_s(0.3),
             )
-        if gateway.configuration_version < origin.configuration_version:
+        if gateway.is_outdated or (
+            gateway.configuration_version < origin.configuration_version
+        ):
             return results.Refusal(
                 503,
                 results.Reason.NO_CONFIGURATION,
--- a/packages/radishferryd/src/radishferryd/router/relay_headers.py
+++ b/packages/radishferryd/src/radishferryd/router/relay_headers.py
@@ -11,8 +11,11 @@
 #: of servers never have it.
 REASON = 'radishferry-reason'
 
+#: Configuration version in force at the host that received the request.
+CONFIGURATION = 'radishferry-configuration'
+
 #: Headers that neither callers nor servers may set.
-OWN_NAMES = frozenset((RELAY, REASON))
+OWN_NAMES = frozenset((RELAY, REASON, CONFIGURATION))
 
 #: Highest configuration version and number of attempts that are accepted.
 _MAX_VERSION = 2**63 - 1
@@ -52,6 +55,18 @@
     )
 
 
+def parse_configuration(text: str) -> int:
+    """Return the version that a value of :data:`CONFIGURATION` names.
+
+    :returns: 0 for a host of an older version, which names none, and for a
+        malformed value.
+    """
+    try:
+        return _parse_count(text, _MAX_VERSION)
+    except ValueError:
+        return 0
+
+
 def _parse_count(text, maximum):
     if not (text.isascii() and text.isdigit() and len(text) <= 19):
         raise ValueError(f'not a number: {text[:40]!r}')
--- a/packages/radishferryd/src/radishferryd/router/relays.py
+++ b/packages/radishferryd/src/radishferryd/router/relays.py
@@ -36,7 +36,14 @@
     is_relay = True
 
     def note_announcements(self, head):
-        """Ignore the announcements of the server that answered."""
+        """Record the configuration of the host, and no announcements.
+
+        Those of the server that answered are for the other host.
+        """
+        text = head.header(relay_headers.CONFIGURATION)
+        self._listener.note_configuration_elsewhere(
+            relay_headers.parse_configuration(text)
+        )
 
     def note_load(self, head):
         """Ignore the load of the server that answered."""
@@ -58,27 +65,37 @@
 class Relays:
     """Hold the hosts that take relayed requests, and choose among them."""
 
-    def __init__(self, poller, scheduler, host_name, data_centre, links):
+    def __init__(
+        self, poller, scheduler, host_name, data_centre, links, routing_state
+    ):
         """Start without hosts.
 
         :param links: The
             :class:`~radishferryd.router.link_monitor.LinkMonitor` of this
             host.
+        :param routing_state: The
+            :class:`~radishferryd.router.knowledge.RoutingState`, which learns
+            the versions of the configuration at other hosts.
         """
+        self._routing_state = routing_state
         self._scheduler = scheduler
         self._host_name = host_name
         self._data_centre = data_centre
         self._links = links
         self._hosts = ()
         self._backends = backends.Backends(
-            poller, scheduler, host_name, backend_class=RelayBackend
+            poller,
+            scheduler,
+            host_name,
+            listener=routing_state,
+            backend_class=RelayBackend,
         )
         self._unreachable_until = {}
 
     @property
     def is_needed(self) -> bool:
         """Return whether all requests are to be relayed."""
-        return self._links.is_isolated
+        return self._links.is_isolated or self._routing_state.is_outdated
 
     @property
     def host_count(self) -> int:
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -53,7 +53,6 @@
         """
         self._gateway = gateway
         self._origin = origin
-        self._configuration_version = configuration.version
         self._slot = slot
         self.route = route
         self.service = service
@@ -275,7 +274,7 @@
         if backend is None:
             return False
         origin = relay_headers.Origin(
-            self._configuration_version,
+            gateway.newest_configuration_version,
             self._attempts - self._connect_failures + len(self._relays),
             self.service,
         )
--- a/packages/radishferryd/src/radishferryd/router/slots.py
+++ b/packages/radishferryd/src/radishferryd/router/slots.py
@@ -37,7 +37,8 @@
     def __init__(self, connection, head, names_refusals=False):
         """Create a slot without a response.
 
-        :param names_refusals: Whether a header names the reason of a refusal.
+        :param names_refusals: Whether headers name the reason of a refusal,
+            and the version of the configuration in force.
         """
         self.head = head
         self._names_refusals = names_refusals
@@ -177,6 +178,9 @@
         return now - self.arrived_at > limit_s
 
     def _write(self, status, lines, body):
+        if self._names_refusals:
+            version = str(self._connection.configuration_version)
+            lines = [*lines, (relay_headers.CONFIGURATION, version)]
         if self._connection.closes_after(self) or self.ends_connection:
             self._ends_connection = True
             lines = [*lines, ('Connection', 'close')]
