Report the end of paused connections to callers of servers only

The coordinator mode pauses reading while it passes on a body. A client that has sent all of it and closes its direction would lose what had not been read (read in the diff, not seen).

--- a/packages/radishferryd/src/radishferryd/net.py
+++ b/packages/radishferryd/src/radishferryd/net.py
@@ -97,14 +97,16 @@
         except OSError:
             return 'unknown'
 
-    def start(self, *, connecting=False):
+    def start(self, *, connecting=False, reports_end=False):
         """Start polling the socket.
 
         :param bool connecting: Whether the connect is still in progress.
+        :param bool reports_end: Whether the connection ends as soon as the
+            peer has closed while reading is paused.
         """
         self._is_connecting = connecting
         self._is_writing = connecting
-        self._poller.add(self._fd, self._on_ready, reports_end=not connecting)
+        self._poller.add(self._fd, self._on_ready, reports_end=reports_end)
         if connecting:
             self._poller.modify(self._fd, read=False, write=True)
         else:
@@ -319,17 +321,19 @@
 class Listener:
     """Accept TCP connections."""
 
-    def __init__(self, poller, address, handler_factory):
+    def __init__(self, poller, address, handler_factory, reports_end=False):
         """Bind and listen.
 
         :param poller: The poller of the loop.
         :param address: Pair of IP and port.
         :param handler_factory: Called without arguments for the
             :class:`Handler` of each accepted connection.
+        :param reports_end: See :meth:`Connection.start`.
         :raises OSError: The address cannot be bound.
         """
         self._poller = poller
         self._handler_factory = handler_factory
+        self._reports_end = reports_end
         self._sock = socket.create_server(address, backlog=BACKLOG)
         self._sock.setblocking(False)
         poller.add(self._sock.fileno(), self._on_ready)
@@ -362,7 +366,10 @@
                     self._pause()
                 return
             _set_options(sock)
-            Connection(self._poller, sock, self._handler_factory()).start()
+            connection = Connection(
+                self._poller, sock, self._handler_factory()
+            )
+            connection.start(reports_end=self._reports_end)
 
     def _pause(self):
         """Accept no connection until another one has been closed.
--- a/packages/radishferryd/src/radishferryd/router/callers.py
+++ b/packages/radishferryd/src/radishferryd/router/callers.py
@@ -339,5 +339,8 @@
     :raises OSError: The address cannot be bound.
     """
     return net.Listener(
-        poller, address, lambda: CallerConnection(gateway, names_refusals)
+        poller,
+        address,
+        lambda: CallerConnection(gateway, names_refusals),
+        reports_end=True,
     )
