Back off from servers at whose addresses others answer

What callers saw: a request for which an entry of another writer, or an old entry, was chosen was refused by the server at its address (421) and sent once more; without samples and failures such an entry looked like a new server, which is tried first, so that each request went there.

Cause: a 421 counted as that of a server that does not hold the key.

Change: if the answer names another server, it counts as a failed connection to the expected one, with the usual backoff.

Tests: the new scenario of direct_connections.feature failed before.

--- a/features/direct_connections.feature
+++ b/features/direct_connections.feature
@@ -176,3 +176,15 @@
     When a request is sent while the host has no descriptor left
     Then the request has not run, since the host is exhausted
     And the server has no failures
+
+  # Guards against an entry of another writer, or of a server that is gone, to
+  # which each request is sent first: the server at its address refuses it.
+  Scenario Outline: A server that names itself as <who> gets <what>
+    When a request is answered 421 by a server that names itself as <who>
+    Then it gets <what>
+
+    Examples:
+      | who     | what                   |
+      | another | no requests for 0.35 s |
+      | itself  | further requests       |
+      | nothing | further requests       |
--- a/features/steps/direct_connections_steps.py
+++ b/features/steps/direct_connections_steps.py
@@ -408,3 +408,35 @@
     stats = context.backend.stats
     assert not stats.failure_share(now) and not stats.is_paused(now)
     assert not stats.in_flight and not context.backend.open_connections
+
+
+@behave.when(
+    'a request is answered 421 by a server that names itself as {who}'
+)
+def misdirected(context, who):
+    context.sockets = behave.use_fixture(network, context)
+    context.scheduler = load_fixtures.Scheduler()
+    context.used_connections = {}
+    context.backend = backends.Backend(
+        None, context.scheduler, _SERVER, 4, idle_limit.IdleLimit()
+    )
+    sink = _send(context, 'r1')
+    names = {'another': ('X-Instance-Id: b',), 'itself': ('X-Instance-Id: a',)}
+    context.sockets[-1].deliver(
+        _format_response(
+            421, 'r1', b'', 'X-Not-Executed: 1', *names.get(who, ())
+        )
+    )
+    assert sink.result.is_misdirected, sink.result
+
+
+@behave.then('it gets no requests for {seconds:g} s')
+def gets_none(context, seconds):
+    now = context.scheduler.now()
+    assert context.backend.stats.is_paused(now + seconds)
+    assert not context.backend.stats.is_paused(now + 2.0)
+
+
+@behave.then('it gets further requests')
+def gets_more(context):
+    assert not context.backend.stats.is_paused(context.scheduler.now())
--- a/packages/radishferryd/src/radishferryd/router/backends.py
+++ b/packages/radishferryd/src/radishferryd/router/backends.py
@@ -143,6 +143,10 @@
                 self.stats.note_connection_failure(now)
                 if self._links is not None:
                     self._links.note_connect_failed(self.server)
+            elif result.is_another_server:
+                # The entry of the server is out of date, or was left by
+                # another writer.
+                self.stats.note_connection_failure(now)
             elif not (result.is_misdirected or result.is_host_exhausted):
                 self.stats.note_failure(now)
         elif result is not None:
--- a/packages/radishferryd/src/radishferryd/router/connections.py
+++ b/packages/radishferryd/src/radishferryd/router/connections.py
@@ -372,9 +372,13 @@
 
     def _not_run(self):
         status = self._head.status
+        is_misdirected = status == headers.MISDIRECTED
+        server_id = self._head.header(headers.SERVER_ID)
         return results.NotRun(
             f'the server answered {status}',
-            is_misdirected=status == headers.MISDIRECTED,
+            is_misdirected=is_misdirected,
+            is_another_server=is_misdirected
+            and server_id not in ('', self._backend.server.server_id),
         )
 
     def _validation_error(self):
--- a/packages/radishferryd/src/radishferryd/router/results.py
+++ b/packages/radishferryd/src/radishferryd/router/results.py
@@ -31,6 +31,8 @@
 
     :ivar is_misdirected: Whether the server does not hold the key or is not
         the server that the request names.
+    :ivar is_another_server: Whether the server at the address has named itself
+        as another one.
     :ivar is_unreachable: Whether no connection could be opened.
     :ivar is_server_dead: Whether nothing listens at the server's address.
     :ivar is_host_exhausted: Whether this host had no descriptor for another
@@ -42,6 +44,7 @@
     is_unreachable: bool = False
     is_server_dead: bool = False
     is_host_exhausted: bool = False
+    is_another_server: bool = False
 
     def allows_retry(self, is_idempotent) -> bool:
         """See :meth:`Answered.allows_retry`."""
