Give no keys to a server at whose address another one answers

What callers saw: a sixth of all requests to a keyed service were refused with 503 (no owner) while a complete entry of another writer named the address of a server.

Cause: the entry got ranges; orders to it were answered 421 by the server at the address, but a range that has just moved was moved on only after 4 s, and a connection that was accepted there made the entry a candidate again after a second.

Change: an answer of another server moves the ranges away at once, and the server gets none for 10 s, whoever accepts connections at its address.

Tests: the new scenario of direct_ended_servers.feature failed before.

--- a/features/direct_ended_servers.feature
+++ b/features/direct_ended_servers.feature
@@ -42,3 +42,12 @@
       | who | keys     |
       | x   | all keys |
       | a   | no keys  |
+
+  # Guards against an entry of another writer that gets ranges again and again:
+  # they had no owner for 4 s each time, since the server at its address accepts
+  # connections.
+  Scenario: A server at whose address another one answers gets no keys
+    When a renewal for "a" is answered 421 by "x"
+    Then "a" loses its keys at once
+    And "a" gets no keys for 10 seconds, although it accepts connections
+    And "a" may get keys after 11 seconds
--- a/features/steps/direct_ended_servers_steps.py
+++ b/features/steps/direct_ended_servers_steps.py
@@ -8,6 +8,7 @@
 
 import behave
 import load_fixtures
+import socket_fixtures
 
 from radishferry.direct import configuration
 from radishferry.direct import granting
@@ -180,3 +181,47 @@
         if isinstance(order, granting.Grant)
     ]
     assert found == (['b'] if keys == 'all keys' else []), found
+
+
+@behave.when('a renewal for "a" is answered 421 by "{who}"')
+def misdirected_owner(context, who):
+    context.scheduler.advance(granting.RENEW_S)
+    (order,) = _due(context)
+    context.ownership.order_sender.send(
+        order, context.entries['a'], context.granter
+    )
+    ((_, done),) = context.calls
+    done(
+        http_client.JsonResponse(
+            headers.MISDIRECTED, {}, 0.0, 0.0, ((headers.SERVER_ID, who),)
+        )
+    )
+
+
+def _candidates(context):
+    found = context.ownership._candidates('s')
+    return [server.server_id for server in found]
+
+
+@behave.then('"a" loses its keys at once')
+def loses_keys(context):
+    service = context.ownership._service('s')
+    now = context.scheduler.now()
+    found = context.ownership._owners_to_evacuate(service, now)
+    assert found == {('a', 1000)}, found
+
+
+@behave.then(
+    '"a" gets no keys for {seconds:g} seconds, although it accepts connections'
+)
+def gets_no_keys(context, seconds):
+    with socket_fixtures.accept_connections():
+        context.scheduler.advance(seconds - 0.1)
+    assert _candidates(context) == ['b'], _candidates(context)
+
+
+@behave.then('"a" may get keys after {seconds:g} seconds')
+def may_get_keys(context, seconds):
+    with socket_fixtures.accept_connections():
+        context.scheduler.advance(1.1)
+    assert _candidates(context) == ['a', 'b'], _candidates(context)
--- a/features/steps/direct_unreachable_steps.py
+++ b/features/steps/direct_unreachable_steps.py
@@ -185,7 +185,8 @@
 @behave.given('only server "{name}" has answered orders')
 def only_answering(context, name):
     context.ownership.order_sender = types.SimpleNamespace(
-        is_unreachable=lambda incarnation: incarnation[0] != name
+        is_unreachable=lambda incarnation: incarnation[0] != name,
+        is_replaced=lambda incarnation: False,
     )
 
 
--- a/packages/radishferryd/src/radishferryd/router/orders.py
+++ b/packages/radishferryd/src/radishferryd/router/orders.py
@@ -4,6 +4,7 @@
 
 import collections
 import logging
+import math
 
 from radishferry.direct import granting
 from radishferryd import http_client
@@ -22,6 +23,10 @@
 #: Seconds between attempts to connect to an unreachable server for which no
 #: order is queued. One without keys gets no orders that could succeed.
 PROBE_INTERVAL_S = 1.0
+#: Seconds for which a server gets no keys after another one has answered at
+#: its address. Its entry is out of date, or was left by another writer, and
+#: each range that it is given has no owner until the next plan.
+REPLACED_S = 10.0
 #: Maximum orders in flight to one server, each on its own connection.
 MAX_PARALLEL = 3
 #: Largest body of an answer to an order, in bytes. Headers carry all that it
@@ -89,6 +94,11 @@
         found = self._servers.get(incarnation)
         return found is not None and found.is_unreachable
 
+    def is_replaced(self, incarnation) -> bool:
+        """Return whether another server has just answered at the address."""
+        found = self._servers.get(incarnation)
+        return found is not None and found.is_replaced
+
     def _forget_failures(self):
         """Count all servers as reachable, since the links were the cause."""
         for found in self._servers.values():
@@ -118,6 +128,7 @@
         self._is_withheld = False
         self._is_dropped = False
         self._probe_timer = None
+        self._replaced_until = -math.inf
         self.failures = 0
         self._client = http_client.JsonClient(
             sender._poller,
@@ -142,9 +153,13 @@
         if self._probe_timer is not None:
             self._probe_timer.cancel()
 
+    @property
+    def is_replaced(self):
+        return self._sender._scheduler.now() < self._replaced_until
+
     @property
     def is_unreachable(self):
-        return self.failures >= UNREACHABLE_FAILURES
+        return self.failures >= UNREACHABLE_FAILURES or self.is_replaced
 
     def _schedule_probe(self):
         if self._probe_timer is None and not self._is_dropped:
@@ -169,7 +184,10 @@
 
     def _on_probed(self, result):
         is_reached = result is link_monitor.ProbeResult.REACHED
-        if is_reached and self.is_unreachable:
+        if self.is_replaced:
+            # Accepting connections tells nothing, since another server does.
+            self._schedule_probe()
+        elif is_reached and self.is_unreachable:
             # The next failed order makes it unreachable again.
             self.failures = UNREACHABLE_FAILURES - 1
             self._sender.links.note_connected()
@@ -311,6 +329,7 @@
                 )
             return
         if status is wire.OrderStatus.ANOTHER_SERVER:
+            self._replaced_until = now + REPLACED_S
             was_holder = granter.note_ended(self._server.incarnation)
             LOG.warning(
                 'orders: Another server answers at the address of %s.',
--- a/packages/radishferryd/src/radishferryd/router/ownership.py
+++ b/packages/radishferryd/src/radishferryd/router/ownership.py
@@ -382,8 +382,7 @@
         )
         for incarnation in incarnations:
             known = self._known_servers.get(incarnation)
-            address = known.address if known is not None else None
-            if registry.has_ended(incarnation, address):
+            if registry.has_ended(incarnation, known and known.address):
                 successor = registry.successor(incarnation)
                 granter.note_ended(incarnation, successor)
                 self.order_sender.drop(incarnation)
@@ -514,9 +513,10 @@
     def _owners_to_evacuate(self, service, now):
         """Return the owners that all ranges have to be moved away from."""
         granter = service.granter
-        registry = self._routing_state.registry
         usable_incarnations = {
-            server.incarnation for server in registry.usable(granter.service)
+            server.incarnation
+            for server in self._routing_state.registry.usable(granter.service)
+            if not self.order_sender.is_replaced(server.incarnation)
         }
         owners = {found.owner for found in granter.ranges}
         expired = {
