--- a/features/steps/direct_long_holds_steps.py
+++ b/features/steps/direct_long_holds_steps.py
@@ -270,6 +270,9 @@
     def __init__(self):
         self.sent = []
 
+    def is_replaced(self, incarnation):
+        return False
+
     def send(self, order, server, granter):
         self.sent.append(order)
 
