Decide the server of a request in a module of its own

Requests, admission and the coming explain command need the same decision, with its reason. server_choice returns it without side effects; availability holds the states of servers that all hosts share. Load reports with a fourth figure were dropped whole; it is read as the slowdown of the machine. The messages between hosts get the optional fields of the parts in docs/design, which older versions ignore.

--- a/features/steps/direct_requests_steps.py
+++ b/features/steps/direct_requests_steps.py
@@ -74,12 +74,15 @@
             for name, server in self._servers.items()
         }
         self.owner_name = 'a'
-        self.registry = self
+        self.availability = self
         self.left_names = ['a']
 
-    def usable(self, service):
+    def candidates(self, service):
         return [self._servers[name] for name in self.left_names]
 
+    def cold_s(self, server):
+        return 0.0
+
     def get(self, server):
         return self._backends[server.server_id]
 
@@ -108,6 +111,8 @@
     def paused_for_s(self, service):
         return 0.0
 
+    permit_wait_s = paused_for_s
+
     def note_key(self, service, key):
         """Ignore the key, which only counts as load."""
 
--- /dev/null
+++ b/packages/radishferry/src/radishferry/direct/availability.py
@@ -0,0 +1,237 @@
+"""Decide which servers may get new requests, and say why others may not.
+
+This is the one place that knows the states of a server that do not depend on
+a single host: whether it is leaving, whether its data centre is evacuated, and
+whether it is cold. Selection, admission, the granting host and the command
+that explains a route all ask it.
+
+The module does no I/O and reads no clock.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import logging
+import math
+import typing
+
+LOG = logging.getLogger(__name__)
+
+#: Seconds by which the end of a warm-up may move between two reads of the
+#: same entry without a new warm-up having begun: the age of an entry varies
+#: by a heartbeat and by the delay with which the store shows it.
+WARMUP_JITTER_S = 2.0
+#: Share of the requests a second that a cold server tolerates which all hosts
+#: together send to it while no warm server is left.
+COLD_SHARE = 0.9
+
+
+class Reason(enum.Enum):
+    """Name why a server may get no request."""
+
+    LEAVING = 'leaving'
+    EVACUATED = 'evacuated'
+    COLD = 'cold'
+    PAUSED = 'paused'
+    UNREACHABLE = 'unreachable'
+    RATE_LIMITED = 'rate-limited'
+    FULL = 'full'
+
+
+@dataclasses.dataclass(frozen=True)
+class Available:
+    """State that a server may get a request."""
+
+    is_available: typing.ClassVar[bool] = True
+
+
+@dataclasses.dataclass(frozen=True)
+class Unavailable:
+    """State that a server may get no request now.
+
+    :ivar until: When that ends, in seconds; infinite if it is not known.
+    """
+
+    reason: Reason
+    until: float = math.inf
+    is_available: typing.ClassVar[bool] = False
+
+
+Availability = typing.Union[Available, Unavailable]
+
+_AVAILABLE = Available()
+
+
+@dataclasses.dataclass(frozen=True)
+class WarmupLimit:
+    """Describe what the servers of a service tolerate while they are cold.
+
+    :ivar duration_s: Seconds for which a server is cold after its start.
+    :ivar per_s: Requests a second that it tolerates from all hosts together.
+    """
+
+    duration_s: float
+    per_s: float
+
+
+class ServerAvailability:
+    """Track evacuated data centres and cold servers."""
+
+    def __init__(self, now, registry):
+        """Start without any.
+
+        :param now: Returns the time in seconds.
+        :param registry: A :class:`~radishferry.direct.registry.Registry`.
+        """
+        self._now = now
+        self._registry = registry
+        self._limits = {}
+        self._evacuated = {}
+        self._cold_until = {}
+        #: Incremented by each change; candidates are cached until then.
+        self._revision = 0
+        self._cache = {}
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Return the data centres whose servers get no requests."""
+        return frozenset(self._evacuated)
+
+    @property
+    def cold_count(self) -> int:
+        """Return the number of servers that are cold."""
+        now = self._now()
+        return sum(1 for until in self._cold_until.values() if until > now)
+
+    def evacuated_since(self, data_centre) -> float | None:
+        """Return when this host learned of an evacuation, None without one.
+
+        :returns: Seconds on the local clock.
+        """
+        return self._evacuated.get(data_centre)
+
+    def warmup_limit(self, service) -> WarmupLimit | None:
+        """Return what cold servers of a service tolerate, None if anything."""
+        return self._limits.get(service)
+
+    def set_warmup_limits(self, limits):
+        """Replace the limits of cold servers.
+
+        :param limits: :class:`WarmupLimit` by service; a service that is
+            missing has none.
+        """
+        self._limits = dict(limits)
+        self._revision += 1
+
+    def set_evacuated(self, data_centres) -> bool:
+        """Replace the data centres whose servers get no requests.
+
+        The servers of a data centre that is taken back may have become cold
+        in the meantime, and their entries tell so only later.
+
+        :returns: Whether anything has changed.
+        """
+        now = self._now()
+        wanted = frozenset(data_centres)
+        returned = self.evacuated - wanted
+        added = wanted - self.evacuated
+        if not (returned or added):
+            return False
+        self._evacuated = {
+            data_centre: self._evacuated.get(data_centre, now)
+            for data_centre in wanted
+        }
+        for server in self._registry.all():
+            limit = self._limits.get(server.service)
+            if limit is not None and server.data_centre in returned:
+                self._cold_until[server.incarnation] = now + limit.duration_s
+        self._revision += 1
+        for data_centre in sorted(added):
+            LOG.warning(
+                'availability: Data centre %s is evacuated.', data_centre
+            )
+        for data_centre in sorted(returned):
+            LOG.warning(
+                'availability: Data centre %s is taken back; its servers '
+                'count as cold.',
+                data_centre,
+            )
+        return True
+
+    def note_servers(self, servers, read_at):
+        """Record which servers are cold, and forget those that have gone.
+
+        :param servers: All known servers.
+        :param read_at: When their entries were read, in seconds.
+        """
+        now = self._now()
+        cold_until = {}
+        for server in servers:
+            known = self._cold_until.get(server.incarnation, -math.inf)
+            until = known
+            if server.service in self._limits and server.warmup_s > 0:
+                until = read_at + server.warmup_s
+                # An entry that is read again shows the same warm-up.
+                if now < known and until < known + WARMUP_JITTER_S:
+                    until = known
+            if until > now:
+                cold_until[server.incarnation] = until
+        began = cold_until.keys() - self._cold_until.keys()
+        if began:
+            LOG.info(
+                'availability: %d servers are cold.',
+                len(cold_until),
+                extra={'new': len(began)},
+            )
+        self._cold_until = cold_until
+        self._revision += 1
+
+    def cold_s(self, server) -> float:
+        """Return the seconds for which a server is still cold, 0 if it isn't.
+
+        A warm-up that its service does not limit counts too: the server is
+        only slower.
+        """
+        now = self._now()
+        until = self._cold_until.get(server.incarnation, -math.inf)
+        return max(0.0, until - now)
+
+    def check(self, server) -> Availability:
+        """Return whether a server may get new requests."""
+        if server.is_leaving:
+            return Unavailable(Reason.LEAVING)
+        if server.data_centre in self._evacuated:
+            return Unavailable(Reason.EVACUATED)
+        until = self._cold_until.get(server.incarnation, -math.inf)
+        if until > self._now():
+            return Unavailable(Reason.COLD, until)
+        return _AVAILABLE
+
+    def candidates(self, service):
+        """Return the servers of a service that may get new requests.
+
+        Cold servers are left out unless no warm one is left.
+
+        :returns: Tuple of :class:`~radishferry.direct.registry.Server`.
+        """
+        now = self._now()
+        cached = self._cache.get(service)
+        state = self._revision, self._registry.revision
+        if cached is not None and cached[0] == state and now < cached[1]:
+            return cached[2]
+        checked = [
+            (server, self.check(server))
+            for server in self._registry.servers_of(service)
+        ]
+        found = tuple(s for s, state_ in checked if state_.is_available)
+        cold = [
+            (server, found_.until)
+            for server, found_ in checked
+            if not found_.is_available and found_.reason is Reason.COLD
+        ]
+        valid_until = min((until for _, until in cold), default=math.inf)
+        if not found:
+            found = tuple(server for server, _ in cold)
+        self._cache[service] = state, valid_until, found
+        return found
--- a/packages/radishferry/src/radishferry/direct/configuration.py
+++ b/packages/radishferry/src/radishferry/direct/configuration.py
@@ -69,6 +69,10 @@
     :ivar is_keyed: Whether each key is owned by one server.
     :ivar warm_s: Seconds for which requests for a key are slow after it
         changed its owner without the state of the previous one.
+    :ivar cold_s: Seconds for which a server is cold after its start; 0 if the
+        service does not limit requests to cold servers.
+    :ivar cold_per_s: Requests a second that a cold server tolerates from all
+        hosts together.
     """
 
     name: str
@@ -76,6 +80,8 @@
     max_connections: int
     is_keyed: bool
     warm_s: float
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/radishferry/src/radishferry/direct/registry.py
+++ b/packages/radishferry/src/radishferry/direct/registry.py
@@ -130,6 +130,8 @@
         self._announced_leaving = {}
         self._read_at = None
         self._keep_missing_until = 0.0
+        #: Incremented by each change of the servers.
+        self.revision = 0
 
     @property
     def read_at(self) -> float | None:
@@ -278,3 +280,4 @@
         for server in servers:
             by_service.setdefault(server.service, []).append(server)
         self._by_service = {k: tuple(v) for k, v in by_service.items()}
+        self.revision += 1
--- a/packages/radishferryd/idl/router.thrift
+++ b/packages/radishferryd/idl/router.thrift
@@ -15,6 +15,31 @@
   3: optional string relay_address
 }
 
+/* Loads and speeds of servers. Each list has one entry per server, as in
+ * KeyMapPush.
+ */
+struct ServerLoads {
+  1: list<string> server_ids
+  /* Requests at the server, running or queued, in tenths. */
+  2: list<i16> loads
+  /* Time of a request on a free slot in percent of the mean of the service. */
+  3: list<i16> relative_times
+}
+
+/* Requests of one rank for a service since the sender's last report. */
+struct ServiceDemand {
+  1: string service_name
+  2: i32 rank
+  3: i32 arrived
+  4: i32 refused
+}
+
+/* Rank and share below which requests for a service are refused. */
+struct AdmissionLevel {
+  1: string service_name
+  2: double level
+}
+
 /* Heartbeat that the granting host sends at a fixed interval. */
 struct Beat {
   1: i32 hosts
@@ -33,6 +58,9 @@
    * configuration.
    */
   7: double configuration_age_s
+  /* Servers whose load or speed has changed; older versions ignore both. */
+  8: optional ServerLoads loads
+  9: optional list<AdmissionLevel> levels
 }
 
 /* Consents to longer grants under one version of the term. */
@@ -63,6 +91,10 @@
   2: list<ServerEntry> changed
   3: list<string> gone
   4: double age_s
+  /* Data centres whose servers get no requests; missing if the sender is of
+   * an older version.
+   */
+  5: optional list<string> evacuated
 }
 
 struct Owner {
@@ -134,6 +166,9 @@
   6: optional list<Crash> crashes
   /* Fingerprints of suspect requests that a server has completed. */
   7: optional list<i64> completed
+  /* Missing if the sender is of an older version, or has seen none. */
+  8: optional ServerLoads loads
+  9: optional list<ServiceDemand> demand
 }
 
 /* Host that reaches servers and takes requests that other hosts relay. */
--- a/packages/radishferryd/src/radishferryd/gen/router/ttypes.py
+++ b/packages/radishferryd/src/radishferryd/gen/router/ttypes.py
@@ -95,6 +95,267 @@
         return not (self == other)
 
 
+class ServerLoads(object):
+    """
+    Attributes:
+     - server_ids
+     - loads
+     - relative_times
+
+    """
+
+
+    def __init__(self, server_ids=None, loads=None, relative_times=None,):
+        self.server_ids = server_ids
+        self.loads = loads
+        self.relative_times = relative_times
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.server_ids = []
+                    (_etype901, _size902) = iprot.readListBegin()
+                    for _i903 in range(_size902):
+                        _elem904 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.server_ids.append(_elem904)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.loads = []
+                    (_etype905, _size906) = iprot.readListBegin()
+                    for _i907 in range(_size906):
+                        _elem908 = iprot.readI16()
+                        self.loads.append(_elem908)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.relative_times = []
+                    (_etype909, _size910) = iprot.readListBegin()
+                    for _i911 in range(_size910):
+                        _elem912 = iprot.readI16()
+                        self.relative_times.append(_elem912)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServerLoads')
+        if self.server_ids is not None:
+            oprot.writeFieldBegin('server_ids', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.server_ids))
+            for iter913 in self.server_ids:
+                oprot.writeString(iter913.encode('utf-8') if sys.version_info[0] == 2 else iter913)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.LIST, 2)
+            oprot.writeListBegin(TType.I16, len(self.loads))
+            for iter914 in self.loads:
+                oprot.writeI16(iter914)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.relative_times is not None:
+            oprot.writeFieldBegin('relative_times', TType.LIST, 3)
+            oprot.writeListBegin(TType.I16, len(self.relative_times))
+            for iter915 in self.relative_times:
+                oprot.writeI16(iter915)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServiceDemand(object):
+    """
+    Attributes:
+     - service_name
+     - rank
+     - arrived
+     - refused
+
+    """
+
+
+    def __init__(self, service_name=None, rank=None, arrived=None, refused=None,):
+        self.service_name = service_name
+        self.rank = rank
+        self.arrived = arrived
+        self.refused = refused
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.arrived = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.refused = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceDemand')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 2)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
+        if self.arrived is not None:
+            oprot.writeFieldBegin('arrived', TType.I32, 3)
+            oprot.writeI32(self.arrived)
+            oprot.writeFieldEnd()
+        if self.refused is not None:
+            oprot.writeFieldBegin('refused', TType.I32, 4)
+            oprot.writeI32(self.refused)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AdmissionLevel(object):
+    """
+    Attributes:
+     - service_name
+     - level
+
+    """
+
+
+    def __init__(self, service_name=None, level=None,):
+        self.service_name = service_name
+        self.level = level
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.level = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AdmissionLevel')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.level is not None:
+            oprot.writeFieldBegin('level', TType.DOUBLE, 2)
+            oprot.writeDouble(self.level)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Beat(object):
     """
     Attributes:
@@ -105,11 +366,13 @@
      - has_usual_holds
      - wants_long_holds
      - configuration_age_s
+     - loads
+     - levels
 
     """
 
 
-    def __init__(self, hosts=None, registry_age_s=None, is_stopping=None, term_version=None, has_usual_holds=None, wants_long_holds=None, configuration_age_s=None,):
+    def __init__(self, hosts=None, registry_age_s=None, is_stopping=None, term_version=None, has_usual_holds=None, wants_long_holds=None, configuration_age_s=None, loads=None, levels=None,):
         self.hosts = hosts
         self.registry_age_s = registry_age_s
         self.is_stopping = is_stopping
@@ -117,6 +380,8 @@
         self.has_usual_holds = has_usual_holds
         self.wants_long_holds = wants_long_holds
         self.configuration_age_s = configuration_age_s
+        self.loads = loads
+        self.levels = levels
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -162,6 +427,23 @@
                     self.configuration_age_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.loads = ServerLoads()
+                    self.loads.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.levels = []
+                    (_etype916, _size917) = iprot.readListBegin()
+                    for _i918 in range(_size917):
+                        _elem919 = AdmissionLevel()
+                        _elem919.read(iprot)
+                        self.levels.append(_elem919)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -200,6 +482,17 @@
             oprot.writeFieldBegin('configuration_age_s', TType.DOUBLE, 7)
             oprot.writeDouble(self.configuration_age_s)
             oprot.writeFieldEnd()
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.STRUCT, 8)
+            self.loads.write(oprot)
+            oprot.writeFieldEnd()
+        if self.levels is not None:
+            oprot.writeFieldBegin('levels', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.levels))
+            for iter920 in self.levels:
+                iter920.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -484,15 +777,17 @@
      - changed
      - gone
      - age_s
+     - evacuated
 
     """
 
 
-    def __init__(self, is_full=None, changed=None, gone=None, age_s=None,):
+    def __init__(self, is_full=None, changed=None, gone=None, age_s=None, evacuated=None,):
         self.is_full = is_full
         self.changed = changed
         self.gone = gone
         self.age_s = age_s
+        self.evacuated = evacuated
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -534,6 +829,16 @@
                     self.age_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.evacuated = []
+                    (_etype926, _size927) = iprot.readListBegin()
+                    for _i928 in range(_size927):
+                        _elem929 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.evacuated.append(_elem929)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -566,6 +871,13 @@
             oprot.writeFieldBegin('age_s', TType.DOUBLE, 4)
             oprot.writeDouble(self.age_s)
             oprot.writeFieldEnd()
+        if self.evacuated is not None:
+            oprot.writeFieldBegin('evacuated', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.evacuated))
+            for iter930 in self.evacuated:
+                oprot.writeString(iter930.encode('utf-8') if sys.version_info[0] == 2 else iter930)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1115,11 +1427,13 @@
      - reaches_servers
      - crashes
      - completed
+     - loads
+     - demand
 
     """
 
 
-    def __init__(self, keys=None, speeds=None, suspects=None, notices=None, reaches_servers=None, crashes=None, completed=None,):
+    def __init__(self, keys=None, speeds=None, suspects=None, notices=None, reaches_servers=None, crashes=None, completed=None, loads=None, demand=None,):
         self.keys = keys
         self.speeds = speeds
         self.suspects = suspects
@@ -1127,6 +1441,8 @@
         self.reaches_servers = reaches_servers
         self.crashes = crashes
         self.completed = completed
+        self.loads = loads
+        self.demand = demand
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1211,6 +1527,23 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.loads = ServerLoads()
+                    self.loads.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.demand = []
+                    (_etype921, _size922) = iprot.readListBegin()
+                    for _i923 in range(_size922):
+                        _elem924 = ServiceDemand()
+                        _elem924.read(iprot)
+                        self.demand.append(_elem924)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1271,6 +1604,17 @@
                 oprot.writeI64(iter106)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.STRUCT, 8)
+            self.loads.write(oprot)
+            oprot.writeFieldEnd()
+        if self.demand is not None:
+            oprot.writeFieldBegin('demand', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.demand))
+            for iter925 in self.demand:
+                iter925.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1740,6 +2084,27 @@
     (2, TType.STRING, 'data_centre', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'relay_address', 'UTF8', None, ),  # 3
 )
+all_structs.append(ServerLoads)
+ServerLoads.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'server_ids', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.LIST, 'loads', (TType.I16, None, False), None, ),  # 2
+    (3, TType.LIST, 'relative_times', (TType.I16, None, False), None, ),  # 3
+)
+all_structs.append(ServiceDemand)
+ServiceDemand.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'rank', None, None, ),  # 2
+    (3, TType.I32, 'arrived', None, None, ),  # 3
+    (4, TType.I32, 'refused', None, None, ),  # 4
+)
+all_structs.append(AdmissionLevel)
+AdmissionLevel.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'level', None, None, ),  # 2
+)
 all_structs.append(Beat)
 Beat.thrift_spec = (
     None,  # 0
@@ -1750,6 +2115,8 @@
     (5, TType.BOOL, 'has_usual_holds', None, None, ),  # 5
     (6, TType.BOOL, 'wants_long_holds', None, None, ),  # 6
     (7, TType.DOUBLE, 'configuration_age_s', None, None, ),  # 7
+    (8, TType.STRUCT, 'loads', [ServerLoads, None], None, ),  # 8
+    (9, TType.LIST, 'levels', (TType.STRUCT, [AdmissionLevel, None], False), None, ),  # 9
 )
 all_structs.append(LongHoldConsent)
 LongHoldConsent.thrift_spec = (
@@ -1781,6 +2148,7 @@
     (2, TType.LIST, 'changed', (TType.STRUCT, [ServerEntry, None], False), None, ),  # 2
     (3, TType.LIST, 'gone', (TType.STRING, 'UTF8', False), None, ),  # 3
     (4, TType.DOUBLE, 'age_s', None, None, ),  # 4
+    (5, TType.LIST, 'evacuated', (TType.STRING, 'UTF8', False), None, ),  # 5
 )
 all_structs.append(Owner)
 Owner.thrift_spec = (
@@ -1834,6 +2202,8 @@
     (5, TType.BOOL, 'reaches_servers', None, None, ),  # 5
     (6, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 6
     (7, TType.LIST, 'completed', (TType.I64, None, False), None, ),  # 7
+    (8, TType.STRUCT, 'loads', [ServerLoads, None], None, ),  # 8
+    (9, TType.LIST, 'demand', (TType.STRUCT, [ServiceDemand, None], False), None, ),  # 9
 )
 all_structs.append(RelayHost)
 RelayHost.thrift_spec = (
--- a/packages/radishferryd/src/radishferryd/platform/documents.py
+++ b/packages/radishferryd/src/radishferryd/platform/documents.py
@@ -16,6 +16,9 @@
 OPERATOR_TABLE = 'op'
 #: Key of the configuration in force.
 CONFIGURATION_KEY = 'config'
+#: Start of the keys of rows that ask for the evacuation of a data centre, as
+#: long as they exist; the name of the data centre follows.
+EVACUATION_PREFIX = 'evacuate/'
 #: Table in which servers register themselves; read-only for this system.
 SERVER_TABLE = 'servers'
 
@@ -134,6 +137,8 @@
         ),
         is_keyed=bool(fields.get('sharded')),
         warm_s=_number(fields.get('warm_s') or 0.0, 0, MAX_TIME_S),
+        cold_s=_number(fields.get('warmup_s') or 0.0, 0, MAX_TIME_S),
+        cold_per_s=_number(fields.get('warmup_per_s') or 0.0, 0, MAX_COUNT),
     )
 
 
--- a/packages/radishferryd/src/radishferryd/platform/headers.py
+++ b/packages/radishferryd/src/radishferryd/platform/headers.py
@@ -21,7 +21,8 @@
 HANDOVER = 'x-handover'
 #: ID of the responding server.
 SERVER_ID = 'x-instance-id'
-#: Load of a server: running, waiting, slots.
+#: Load of a server: running, waiting, slots and, at some servers, the time
+#: that work takes there now in percent of its usual time.
 LOAD = 'x-server-load'
 #: ``1`` in all responses of a server that is about to stop.
 LEAVING = 'server-leaving'
@@ -61,19 +62,26 @@
 
 @dataclasses.dataclass(frozen=True)
 class Load:
-    """Represent the load that a server reports."""
+    """Represent the load that a server reports.
+
+    :ivar slowdown: Time that work takes on the server's machine at this
+        moment, relative to its usual time.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float = 1.0
 
 
 def parse_load(text) -> Load | None:
     """Return the load in a header, None when it is missing or malformed."""
     parts = text.split(',')
-    if len(parts) != 3 or not all(map(_is_count, parts)):
+    if len(parts) not in (3, 4) or not all(map(_is_count, parts)):
         return None
-    return Load(*map(int, parts))
+    running, waiting, slots, *percent = map(int, parts)
+    slowdown = percent[0] / 100 if percent and percent[0] else 1.0
+    return Load(running, waiting, slots, slowdown)
 
 
 def _is_count(text):
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -135,6 +135,11 @@
         """Return the registry of known servers."""
         return self._routing_state.registry
 
+    @property
+    def availability(self):
+        """Return which servers may get new requests."""
+        return self._routing_state.availability
+
     def now(self):
         """Return the time in seconds."""
         return self.scheduler.now()
@@ -431,7 +436,7 @@
         return min(
             (
                 self.backends.stats(server).requested_pause_s(now)
-                for server in self.registry.usable(service)
+                for server in self.availability.candidates(service)
             ),
             default=0.0,
         )
@@ -445,7 +450,7 @@
         return min(
             (
                 wait_s
-                for server in self.registry.usable(service)
+                for server in self.availability.candidates(service)
                 if (wait_s := self.backends.stats(server).permit_wait_s(now))
             ),
             default=0.0,
--- a/packages/radishferryd/src/radishferryd/router/knowledge.py
+++ b/packages/radishferryd/src/radishferryd/router/knowledge.py
@@ -6,6 +6,7 @@
 import logging
 import math
 
+from radishferry.direct import availability as availability_module
 from radishferry.direct import configuration as configuration_module
 from radishferry.direct import key_map
 from radishferry.direct import registry as registry_module
@@ -43,6 +44,9 @@
         self._version_elsewhere = 0
         self.routes = None
         self.registry = registry_module.Registry()
+        self.availability = availability_module.ServerAvailability(
+            now, self.registry
+        )
         #: The list of the granting host that is in force, None if this host
         #: has read the list in force itself.
         self._pushed_servers = None
@@ -140,6 +144,15 @@
             route.name: self._choice_for(route, current)
             for route in found.routes
         }
+        self.availability.set_warmup_limits(
+            {
+                name: availability_module.WarmupLimit(
+                    service.cold_s, service.cold_per_s
+                )
+                for name, service in found.services.items()
+                if service.cold_per_s
+            }
+        )
         LOG.info(
             'knowledge: Configuration version %d is in force.',
             found.version,
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -8,7 +8,6 @@
 
 from radishferry.direct import admission
 from radishferry.direct import key_map
-from radishferry.direct import selection
 from radishferryd import http_message
 from radishferryd.platform import headers
 from radishferryd.router import connections
@@ -16,6 +15,7 @@
 from radishferryd.router import relay_headers
 from radishferryd.router import relays
 from radishferryd.router import results
+from radishferryd.router import server_choice
 
 LOG = logging.getLogger(__name__)
 
@@ -443,137 +443,68 @@
                 'No server and no further host can be reached.',
                 admission.retry_after_s(0.5),
             )
-        elif self.is_keyed:
-            self._send_to_owner(now)
         else:
-            self._send_to_any_server(now)
+            self._choose_server(now)
 
-    def _send_to_owner(self, now):
+    def _choose_server(self, now):
+        """Send the request to the chosen server, or end or hold it."""
         gateway = self._gateway
-        segment, server = gateway.owner(self.service, self.key)
-        if server is None:
-            self._wait_for_owner(
-                results.Reason.NO_OWNER, 'The key has no owner now.'
-            )
-            return
-        backend = gateway.backends.get(server)
-        stats = backend.stats
-        if requested_pause_s := stats.requested_pause_s(now):
-            self._wait_for_owner(
+        decision = server_choice.choose(
+            gateway,
+            server_choice.Query(
+                self.route,
+                self.service,
+                self.key,
+                gateway.route_stats(self),
+                self._left_s(now),
+                tuple(self._tried),
+            ),
+            now,
+        )
+        if isinstance(decision, server_choice.NoServer):
+            self._handle_no_server(decision, now)
+        elif isinstance(decision, server_choice.NoOwner):
+            if decision.unreachable is None or not self._relay_around(
+                decision.unreachable, now
+            ):
+                self._wait_for_owner(
+                    decision.reason, decision.detail, decision.retry_after_s
+                )
+        else:
+            if decision.facts:
+                self._selection = decision.facts
+            if isinstance(decision, server_choice.Send):
+                self._send(decision.backend, now)
+            else:
+                self._refuse_overloaded(
+                    decision.reason, decision.wait_s, decision.detail
+                )
+
+    def _handle_no_server(self, decision, now):
+        if decision.paused_for_s and not self._may_have_run:
+            self._refuse(
+                503,
                 results.Reason.SERVER_PAUSED,
-                f'{server.server_id} wants no request now.',
-                admission.retry_after_pause_s(requested_pause_s),
+                f'All servers of {self.service} want a pause.',
+                admission.retry_after_pause_s(decision.paused_for_s),
             )
+        elif self._relay_around(self.service, now):
             return
-        if stats.is_paused(now):
-            if self._relay_around(server.incarnation, now):
-                return
-            self._wait_for_owner(
-                results.Reason.OWNER_UNREACHABLE,
-                f'{server.server_id} cannot be reached.',
-            )
-            return
-        if permit_wait_s := stats.permit_wait_s(now):
+        elif self._last_result is not None:
+            self._give_up(self._last_result)
+        elif decision.permit_wait_s:
             self._refuse_overloaded(
                 results.Reason.RATE_LIMITED,
-                permit_wait_s,
-                f'{server.server_id} has a limit of {stats.limit_per_s} '
-                'requests a second.',
-            )
-            return
-        usual = gateway.route_stats(self).service_s
-        expected = stats.expected_s(usual, now)
-        if server.warmup_s > 0:
-            expected *= selection.WARMUP_FACTOR
-        self._record_selection(server, stats, expected, now, segment.fence)
-        if stats.load(now) >= stats.slots and backend.in_flight_by_key[
-            self.key
-        ] >= admission.key_limit(self.route, stats, usual, gateway.host_count):
-            self._refuse_overloaded(
-                results.Reason.HOT_KEY, expected, 'The key is overloaded.'
-            )
-            return
-        if not self._is_admitted(stats, expected, now):
-            self._refuse_overloaded(
-                results.Reason.OVERLOADED,
-                expected,
-                f'{server.server_id} has too much work.',
+                decision.permit_wait_s,
+                f'The servers of {self.service} have a limit.',
             )
-            return
-        self._send(backend, now)
-
-    def _send_to_any_server(self, now):
-        gateway = self._gateway
-        stats = gateway.route_stats(self)
-        choice = selection.choose(
-            gateway.registry.usable(self.service),
-            gateway.backends.stats,
-            usual_s=stats.service_s,
-            data_centre=gateway.data_centre,
-            answer_bytes=stats.answer_bytes,
-            now=now,
-            hosts=gateway.host_count,
-            skip=self._tried,
-        )
-        if choice is None:
-            paused_for_s = self._paused_for_s()
-            if paused_for_s and not self._may_have_run:
-                self._refuse(
-                    503,
-                    results.Reason.SERVER_PAUSED,
-                    f'All servers of {self.service} want a pause.',
-                    admission.retry_after_pause_s(paused_for_s),
-                )
-                return
-            if self._relay_around(self.service, now):
-                return
-            if self._last_result is not None:
-                self._give_up(self._last_result)
-                return
-            if permit_wait_s := gateway.permit_wait_s(self.service):
-                self._refuse_overloaded(
-                    results.Reason.RATE_LIMITED,
-                    permit_wait_s,
-                    f'The servers of {self.service} have a limit.',
-                )
-                return
+        else:
             self._refuse(
                 503,
                 results.Reason.NO_SERVER,
                 f'No server of {self.service} can be reached.',
                 admission.retry_after_s(0.5),
             )
-            return
-        chosen = gateway.backends.stats(choice.server)
-        self._record_selection(choice.server, chosen, choice.expected_s, now)
-        if not self._is_admitted(chosen, choice.expected_s, now):
-            self._refuse_overloaded(
-                results.Reason.OVERLOADED,
-                choice.expected_s,
-                f'{self.service} has too much work.',
-            )
-            return
-        self._send(gateway.backends.get(choice.server), now)
-
-    def _record_selection(self, server, stats, expected_s, now, fence=None):
-        self._selection = {
-            'server': server.server_id,
-            'load': round(stats.load(now), 1),
-            'slots': stats.slots,
-            'expected_s': round(expected_s, 3),
-            'left_s': round(self._left_s(now), 3),
-            'fence': fence,
-        }
-
-    def _is_admitted(self, stats, expected_s, now):
-        return admission.is_admitted(
-            self.route,
-            stats,
-            self._gateway.route_stats(self).service_s,
-            expected_s=expected_s,
-            left_s=self._left_s(now),
-            now=now,
-        )
 
     def _send(self, backend, now):
         gateway = self._gateway
