Evacuate data centres, and spare cold servers

Callers saw servers of an evacuated data centre get 10,290 requests after the bound, and servers that crashed in their warm-up: nothing read the operators' rows or the limits of cold servers. Each host now leaves both out; the granting host moves keys away and pushes the set of evacuated data centres with the list of servers. The entries of servers in pushes name the rest of the warm-up, so that hosts that do not read the store no longer treat a server as cold for ever.

--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -16,6 +16,7 @@
 
 from radishferry.direct import admission
 from radishferry.direct import announcements
+from radishferry.direct import availability
 from radishferry.direct import budget
 from radishferry.direct import capacities
 from radishferry.direct import configuration
@@ -68,6 +69,9 @@
         self.backends = backends.Backends(None, scheduler, 'h', self.listener)
         self.relays = request_fixtures.relays(scheduler)
         self.backends.configure({'stock': request_fixtures.SERVICE}, hosts)
+        self.availability = availability.ServerAvailability(
+            scheduler.now, registry.Registry()
+        )
         self.budget = budget.RetryBudget(0.2, 60, 10.0)
         self.told_at = None
         self._stats = admission.RouteStats(configuration.Kind.SAFE)
--- a/packages/radishferry/src/radishferry/direct/availability.py
+++ b/packages/radishferry/src/radishferry/direct/availability.py
@@ -23,8 +23,17 @@
 #: by a heartbeat and by the delay with which the store shows it.
 WARMUP_JITTER_S = 2.0
 #: Share of the requests a second that a cold server tolerates which all hosts
-#: together send to it while no warm server is left.
-COLD_SHARE = 0.9
+#: together send to it. The hosts do not coordinate, and the permits that they
+#: have saved up may be used in the same second.
+COLD_SHARE = 0.75
+#: Share of the time in which an evacuation has to be complete for which the
+#: owner of a key still gets requests for it. Until then the key has usually
+#: been moved; the rest of the time is for hosts that learn of it late.
+OWNER_SHARE = 0.4
+
+
+#: Maximum number of servers that one log line names.
+MAX_LOGGED_SERVERS = 5
 
 
 class Reason(enum.Enum):
@@ -78,14 +87,17 @@
 class ServerAvailability:
     """Track evacuated data centres and cold servers."""
 
-    def __init__(self, now, registry):
+    def __init__(self, now, registry, evacuate_within_s=math.inf):
         """Start without any.
 
         :param now: Returns the time in seconds.
         :param registry: A :class:`~radishferry.direct.registry.Registry`.
+        :param evacuate_within_s: Seconds after the request for an evacuation
+            within which the last request must have been sent.
         """
         self._now = now
         self._registry = registry
+        self._owner_s = OWNER_SHARE * evacuate_within_s
         self._limits = {}
         self._evacuated = {}
         self._cold_until = {}
@@ -104,13 +116,6 @@
         now = self._now()
         return sum(1 for until in self._cold_until.values() if until > now)
 
-    def evacuated_since(self, data_centre) -> float | None:
-        """Return when this host learned of an evacuation, None without one.
-
-        :returns: Seconds on the local clock.
-        """
-        return self._evacuated.get(data_centre)
-
     def warmup_limit(self, service) -> WarmupLimit | None:
         """Return what cold servers of a service tolerate, None if anything."""
         return self._limits.get(service)
@@ -124,28 +129,31 @@
         self._limits = dict(limits)
         self._revision += 1
 
-    def set_evacuated(self, data_centres) -> bool:
+    def set_evacuated(self, data_centres):
         """Replace the data centres whose servers get no requests.
 
         The servers of a data centre that is taken back may have become cold
         in the meantime, and their entries tell so only later.
 
-        :returns: Whether anything has changed.
+        :returns: The servers that count as cold since this call.
         """
         now = self._now()
         wanted = frozenset(data_centres)
         returned = self.evacuated - wanted
         added = wanted - self.evacuated
-        if not (returned or added):
-            return False
+        cold = tuple(
+            server
+            for server in self._registry.all()
+            if server.data_centre in returned
+            and server.service in self._limits
+        )
         self._evacuated = {
             data_centre: self._evacuated.get(data_centre, now)
             for data_centre in wanted
         }
-        for server in self._registry.all():
-            limit = self._limits.get(server.service)
-            if limit is not None and server.data_centre in returned:
-                self._cold_until[server.incarnation] = now + limit.duration_s
+        for server in cold:
+            duration_s = self._limits[server.service].duration_s
+            self._cold_until[server.incarnation] = now + duration_s
         self._revision += 1
         for data_centre in sorted(added):
             LOG.warning(
@@ -157,41 +165,51 @@
                 'count as cold.',
                 data_centre,
             )
-        return True
+        return cold
 
     def note_servers(self, servers, read_at):
         """Record which servers are cold, and forget those that have gone.
 
         :param servers: All known servers.
         :param read_at: When their entries were read, in seconds.
+        :returns: The servers that have become cold.
         """
         now = self._now()
         cold_until = {}
+        became_cold = []
         for server in servers:
             known = self._cold_until.get(server.incarnation, -math.inf)
             until = known
-            if server.service in self._limits and server.warmup_s > 0:
+            if server.warmup_s > 0:
                 until = read_at + server.warmup_s
                 # An entry that is read again shows the same warm-up.
                 if now < known and until < known + WARMUP_JITTER_S:
                     until = known
             if until > now:
                 cold_until[server.incarnation] = until
-        began = cold_until.keys() - self._cold_until.keys()
-        if began:
+                if known <= now:
+                    became_cold.append(server)
+        if became_cold:
             LOG.info(
-                'availability: %d servers are cold.',
-                len(cold_until),
-                extra={'new': len(began)},
+                'availability: %d servers have become cold.',
+                len(became_cold),
+                extra={
+                    'cold': len(cold_until),
+                    'examples': ' '.join(
+                        server.server_id
+                        for server in became_cold[:MAX_LOGGED_SERVERS]
+                    ),
+                },
             )
         self._cold_until = cold_until
         self._revision += 1
+        return tuple(became_cold)
 
     def cold_s(self, server) -> float:
         """Return the seconds for which a server is still cold, 0 if it isn't.
 
-        A warm-up that its service does not limit counts too: the server is
-        only slower.
+        A server whose service does not limit requests to cold servers is only
+        slower.
         """
         now = self._now()
         until = self._cold_until.get(server.incarnation, -math.inf)
@@ -204,10 +222,22 @@
         if server.data_centre in self._evacuated:
             return Unavailable(Reason.EVACUATED)
         until = self._cold_until.get(server.incarnation, -math.inf)
-        if until > self._now():
+        if until > self._now() and server.service in self._limits:
             return Unavailable(Reason.COLD, until)
         return _AVAILABLE
 
+    def may_own(self, server) -> bool:
+        """Return whether the owner of a key still gets requests for it.
+
+        A leaving server gets none, even before its keys have been moved. In a
+        data centre that is evacuated an owner gets them for a while, so that
+        they are served until the keys have been moved.
+        """
+        if server.is_leaving:
+            return False
+        since = self._evacuated.get(server.data_centre)
+        return since is None or self._now() - since < self._owner_s
+
     def candidates(self, service):
         """Return the servers of a service that may get new requests.
 
--- a/packages/radishferry/src/radishferry/direct/registry.py
+++ b/packages/radishferry/src/radishferry/direct/registry.py
@@ -104,14 +104,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Change:
-    """Describe how the known servers differ from those known before."""
+    """Describe how the known servers differ from those known before.
+
+    :ivar cold: Servers that have become cold; they may be new too.
+    """
 
     added: tuple[Server, ...] = ()
     leaving: tuple[Server, ...] = ()
     gone: tuple[Server, ...] = ()
+    cold: tuple[Server, ...] = ()
 
     def __bool__(self):
-        return bool(self.added or self.leaving or self.gone)
+        return bool(self.added or self.leaving or self.gone or self.cold)
 
 
 class Registry:
--- a/packages/radishferry/src/radishferry/direct/selection.py
+++ b/packages/radishferry/src/radishferry/direct/selection.py
@@ -92,6 +92,8 @@
     _requested_pause_until: float = -math.inf
     _needs_probe: bool = False
     _rate_limit: rate_limit.RateLimit | None = None
+    _cold_limit: rate_limit.RateLimit | None = None
+    _cold_until: float = -math.inf
 
     @property
     def limit_per_s(self) -> float | None:
@@ -114,9 +116,25 @@
             self._rate_limit.update(limit_per_s, hosts, now)
 
     def permit_wait_s(self, now) -> float:
-        """Return the seconds until the server's limit permits a request."""
-        limit = self._rate_limit
-        return limit.wait_s(now) if limit is not None else 0.0
+        """Return the seconds until the server's limits permit a request."""
+        return max(
+            (limit.wait_s(now) for limit in self._limits(now)), default=0.0
+        )
+
+    def limit_while_cold(self, limit_per_s, hosts, until, now):
+        """Limit the requests of this host to a server that is cold.
+
+        :param limit_per_s: Requests a second from all hosts together.
+        :param until: When the warm-up ends, in seconds.
+        """
+        self._cold_limit = rate_limit.RateLimit(limit_per_s, hosts, now)
+        self._cold_until = until
+
+    def _limits(self, now):
+        if self._rate_limit is not None:
+            yield self._rate_limit
+        if now < self._cold_until:
+            yield self._cold_limit
 
     def note_report(self, running, waiting, slots, now):
         """Record the load that the server reported with an answer.
@@ -164,8 +182,8 @@
         follows for :data:`INITIAL_BACKOFF_S`, or until it is answered.
         """
         self.in_flight += 1
-        if self._rate_limit is not None:
-            self._rate_limit.take(now)
+        for limit in self._limits(now):
+            limit.take(now)
         if self._connection_failures or self._needs_probe:
             self._backoff_until = now + INITIAL_BACKOFF_S
 
--- a/packages/radishferryd/src/radishferryd/platform/documents.py
+++ b/packages/radishferryd/src/radishferryd/platform/documents.py
@@ -75,6 +75,24 @@
         raise DocumentError(f'configuration: {exc!r:.200}') from exc
 
 
+def apply_evacuations(data_centres, rows) -> frozenset[str]:
+    """Return the evacuated data centres after some rows were written.
+
+    :param data_centres: Data centres that were evacuated before.
+    :param rows: Rows of :data:`OPERATOR_TABLE` in the order of their writes.
+    """
+    evacuated = set(data_centres)
+    for row in rows:
+        if not row.key.startswith(EVACUATION_PREFIX):
+            continue
+        data_centre = row.key[len(EVACUATION_PREFIX) :]
+        if row.is_deleted:
+            evacuated.discard(data_centre)
+        else:
+            evacuated.add(data_centre)
+    return frozenset(evacuated)
+
+
 def _text(value):
     if not isinstance(value, str):
         raise ValueError(f'expected a string, found {value!r:.40}')
--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -73,7 +73,7 @@
         exception_log.ExceptionLog().register(self)
         self._metrics = metrics_module.Metrics()
         self._routing_state = knowledge_module.RoutingState(
-            self._scheduler.now
+            self._scheduler.now, settings.evacuation_within_s
         )
         self._crashes = crashes_module.CrashCounts()
         self._store = store_module.Store(
@@ -372,6 +372,7 @@
             'configuration_age_s': routing_state.configuration_age_s,
             'open_requests': self._gateway.open_requests,
             'store_calls': self._store.calls,
+            'evacuated': sorted(routing_state.availability.evacuated),
             'registry': [
                 {
                     'server_id': server.server_id,
@@ -430,6 +431,9 @@
         metrics.poison_requests.set(
             self._crashes.count_poison(self._scheduler.now())
         )
+        availability = self._routing_state.availability
+        metrics.evacuated_data_centres.set(len(availability.evacuated))
+        metrics.cold_servers.set(availability.cold_count)
         metrics.open_requests.set(self._gateway.open_requests)
         if self._log_stream is not None:
             metrics.dropped_lines.set(self._log_stream.dropped)
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -9,6 +9,7 @@
 
 from radishferry.direct import admission
 from radishferry.direct import announcements
+from radishferry.direct import availability
 from radishferry.direct import budget as budget_module
 from radishferryd.platform import headers
 from radishferryd.router import backends as backends_module
@@ -510,9 +511,23 @@
 
     def _on_servers(self, change):
         self.backends.keep(self.registry.all())
+        self._limit_cold_servers(change.cold)
         for service in {s.service for s in change.added}:
             self._on_owners(service)
 
+    def _limit_cold_servers(self, servers):
+        """Share among the hosts what each cold server tolerates."""
+        now = self.now()
+        for server in servers:
+            limit = self.availability.warmup_limit(server.service)
+            if limit is not None:
+                self.backends.stats(server).limit_while_cold(
+                    availability.COLD_SHARE * limit.per_s,
+                    self.host_count,
+                    now + self.availability.cold_s(server),
+                    now,
+                )
+
     def _on_owners(self, service):
         for request in list(self._waiting[service]):
             request.owner_changed()
--- a/packages/radishferryd/src/radishferryd/router/hub.py
+++ b/packages/radishferryd/src/radishferryd/router/hub.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import logging
 
 from radishferry import field_checks
@@ -70,6 +71,7 @@
         self._announced_version = 0
         routing_state.on_configuration.append(self._on_configuration)
         routing_state.on_servers.append(self._on_servers)
+        routing_state.on_evacuations.append(self._on_evacuations)
         ownership.on_segments.append(self._on_segments)
         ownership.on_long_holds_wanted.append(self.tick)
         crashes.on_change.append(self._on_poison)
@@ -276,11 +278,21 @@
         servers = list(self._routing_state.registry.all())
         return ttypes.ServersPush(
             True,
-            [_server_entry(server) for server in servers],
+            [self._server_entry(server) for server in servers],
             [],
             self._routing_state.registry.age(self._scheduler.now()),
+            self._evacuated,
         )
 
+    @property
+    def _evacuated(self):
+        return sorted(self._routing_state.availability.evacuated)
+
+    def _server_entry(self, server):
+        """Return the entry of a server with the rest of its warm-up."""
+        cold_s = self._routing_state.availability.cold_s(server)
+        return _server_entry(dataclasses.replace(server, warmup_s=cold_s))
+
     # Updates.
 
     def _on_configuration(self, configuration):
@@ -323,20 +335,30 @@
         if not self._is_active:
             return
         registry = self._routing_state.registry
-        changed = (*change.added, *change.leaving)
+        changed = {
+            server.server_id: registry.get(server.server_id)
+            for server in (*change.added, *change.leaving, *change.cold)
+        }
         self._send_all(
             'servers_push',
             ttypes.ServersPush(
                 False,
-                [
-                    _server_entry(registry.get(server.server_id))
-                    for server in changed
-                ],
+                list(map(self._server_entry, changed.values())),
                 [server.server_id for server in change.gone],
                 registry.age(self._scheduler.now()),
+                self._evacuated,
             ),
         )
 
+    def _on_evacuations(self):
+        if not self._is_active:
+            return
+        age_s = self._routing_state.registry.age(self._scheduler.now())
+        self._send_all(
+            'servers_push',
+            ttypes.ServersPush(False, [], [], age_s, self._evacuated),
+        )
+
     def _on_segments(self, service, segments):
         self._snapshot_cache = None
         known = self._pending_segments.get(service, ())
--- a/packages/radishferryd/src/radishferryd/router/knowledge.py
+++ b/packages/radishferryd/src/radishferryd/router/knowledge.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import itertools
 import logging
 import math
@@ -29,10 +30,12 @@
     servers never by one that was read from the store earlier.
     """
 
-    def __init__(self, now):
+    def __init__(self, now, evacuate_within_s=math.inf):
         """Create an empty instance.
 
         :param now: Returns the time in seconds.
+        :param evacuate_within_s: Seconds in which the evacuation of a data
+            centre has to be complete.
         """
         self._now = now
         self.configuration = None
@@ -45,8 +48,11 @@
         self.routes = None
         self.registry = registry_module.Registry()
         self.availability = availability_module.ServerAvailability(
-            now, self.registry
+            now, self.registry, evacuate_within_s
         )
+        #: When the evacuations were read from the store, in seconds; -inf if
+        #: never.
+        self._evacuations_read_at = -math.inf
         #: The list of the granting host that is in force, None if this host
         #: has read the list in force itself.
         self._pushed_servers = None
@@ -54,6 +60,7 @@
         self.on_configuration = []
         self.on_servers = []
         self.on_owners = []
+        self.on_evacuations = []
         self._choices = {}
 
     @property
@@ -244,6 +251,27 @@
             },
         )
 
+    def apply_evacuations(self, data_centres, read_at):
+        """Replace the data centres whose servers get no requests.
+
+        :param data_centres: Names of the data centres.
+        :param read_at: When the list was read from the store, in seconds; it
+            is ignored if an earlier call had a later one.
+        """
+        if read_at < self._evacuations_read_at:
+            return
+        self._evacuations_read_at = read_at
+        before = self.availability.evacuated
+        if before == frozenset(data_centres):
+            return
+        cold = self.availability.set_evacuated(data_centres)
+        if cold:
+            self._notify_servers(
+                registry_module.Change(cold=cold), read_at, 'evacuation'
+            )
+        for callback in self.on_evacuations:
+            callback()
+
     def note_leaving(self, incarnation, age_s, source):
         """Mark a server as leaving that announced this itself.
 
@@ -257,6 +285,9 @@
 
     def _apply(self, servers, read_at, source, *, is_own):
         change = self.registry.apply(servers, read_at, is_own=is_own)
+        cold = self.availability.note_servers(self.registry.all(), read_at)
+        if cold:
+            change = dataclasses.replace(change, cold=cold)
         if change:
             self._notify_servers(change, read_at, source)
 
@@ -314,9 +345,7 @@
         server = self.registry.get(segment.owner[0])
         if server is None or server.incarnation != segment.owner:
             return segment, None
-        # A leaving server accepts no requests, even before its keys have
-        # been moved.
-        if server.is_leaving:
+        if not self.availability.may_own(server):
             return segment, None
         return segment, server
 
--- a/packages/radishferryd/src/radishferryd/router/metrics.py
+++ b/packages/radishferryd/src/radishferryd/router/metrics.py
@@ -118,6 +118,18 @@
         'Fingerprints of requests that are refused, since they were in '
         'flight at several crashes of servers.',
     ),
+    _METRIC(
+        'evacuated_data_centres',
+        'radishferry_evacuated_data_centres',
+        'gauge',
+        'Data centres whose servers get no requests.',
+    ),
+    _METRIC(
+        'cold_servers',
+        'radishferry_cold_servers',
+        'gauge',
+        'Servers in their warm-up.',
+    ),
     _METRIC(
         'open_requests',
         'radishferry_open_requests',
--- a/packages/radishferryd/src/radishferryd/router/ownership.py
+++ b/packages/radishferryd/src/radishferryd/router/ownership.py
@@ -506,16 +506,17 @@
     def _candidates(self, service):
         return [
             server
-            for server in self._routing_state.registry.usable(service)
+            for server in self._routing_state.availability.candidates(service)
             if not self.order_sender.is_unreachable(server.incarnation)
         ]
 
     def _owners_to_evacuate(self, service, now):
         """Return the owners that all ranges have to be moved away from."""
         granter = service.granter
+        candidates = self._routing_state.availability.candidates
         usable_incarnations = {
             server.incarnation
-            for server in self._routing_state.registry.usable(granter.service)
+            for server in candidates(granter.service)
             if not self.order_sender.is_replaced(server.incarnation)
         }
         owners = {found.owner for found in granter.ranges}
--- a/packages/radishferryd/src/radishferryd/router/settings.py
+++ b/packages/radishferryd/src/radishferryd/router/settings.py
@@ -28,6 +28,7 @@
     retry_window_s: float
     grants_hold_max_s: float
     stop_grace_s: float
+    evacuation_within_s: float = 5.0
     host_is_first_start: bool = False
     host_link_mbps: float = 1000.0
     retry_hosts: int = 16
@@ -160,6 +161,15 @@
         setting_readers.read_number,
         'Seconds after SIGTERM at which the process is killed.',
     ),
+    _option(
+        'evacuation',
+        'within_s',
+        'number',
+        setting_readers.read_number,
+        'Seconds after the request to evacuate a data centre within which the '
+        'last request must have been sent to its servers.',
+        '5',
+    ),
     _option(
         'log',
         'level',
--- a/packages/radishferryd/src/radishferryd/router/spoke.py
+++ b/packages/radishferryd/src/radishferryd/router/spoke.py
@@ -61,6 +61,9 @@
         #: Servers by id as pushed over the current link, None before the
         #: first push.
         self._pushed_servers = None
+        #: Data centres that the granting host has pushed over the current
+        #: link as evacuated, None before the first push.
+        self._pushed_evacuated = None
         #: Whether the current link has brought the configuration.
         self._has_configuration = False
         self._granter_read_at = scheduler.now()
@@ -116,6 +119,7 @@
         self._address = address
         self._has_heartbeat = False
         self._pushed_servers = None
+        self._pushed_evacuated = None
         self._has_configuration = False
         ip, _, port = address.rpartition(':')
         self._link = links.Link(self._scheduler, self)
@@ -268,6 +272,7 @@
             )
         if self._pushed_servers is not None:
             self._routing_state.confirm_pushed(self._pushed_servers, read_at)
+        self._apply_evacuated()
         if message.is_stopping:
             self._drop()
 
@@ -300,8 +305,24 @@
             if (server := self._usable_server(entry)) is not None
         )
         self._pushed_servers = servers
+        if message.evacuated is not None:
+            # A granting host of an older version sends none.
+            self._pushed_evacuated = frozenset(message.evacuated)
+            self._apply_evacuated()
         self._routing_state.apply_pushed(servers, read_at)
 
+    def _apply_evacuated(self):
+        """Apply the evacuations that the granting host has pushed.
+
+        They are as old as its configuration, since it reads both from the
+        same table. If this host has read the table later itself, they are
+        applied with the next heartbeat that shows a later read.
+        """
+        if self._pushed_evacuated is not None:
+            self._routing_state.apply_evacuations(
+                self._pushed_evacuated, self._granter_configuration_read_at
+            )
+
     def _usable_server(self, entry):
         """Return the server of an entry, None if it cannot be used."""
         server = _server(entry)
--- a/packages/radishferryd/src/radishferryd/router/store_reader.py
+++ b/packages/radishferryd/src/radishferryd/router/store_reader.py
@@ -97,6 +97,8 @@
         self._polling = _Polling('servers and the configuration', scheduler)
         self._interval_s = STANDALONE_INTERVAL_S
         self._feed_version = None
+        #: Data centres that are evacuated by the rows read so far.
+        self._evacuations = frozenset()
         self._is_available = True
 
     def set_polling(self, is_polling, interval_s=STANDALONE_INTERVAL_S):
@@ -159,6 +161,7 @@
                 self._log_failure(answer)
                 self._polling.call_later(RETRY_S, self._read_configuration)
                 return
+            self._evacuations = frozenset()
             self._apply(answer)
             self._watch()
 
@@ -199,6 +202,12 @@
         for row in answer.rows:
             if row.key == documents.CONFIGURATION_KEY and not row.is_deleted:
                 self._routing_state.apply_document(row.value, 'store')
+        self._evacuations = documents.apply_evacuations(
+            self._evacuations, answer.rows
+        )
+        self._routing_state.apply_evacuations(
+            self._evacuations, self._scheduler.now()
+        )
 
     def apply_owners(self, rows):
         """Use the owners in rows of the store.
