Take an unnamed 421 to an order as proof that its server has ended

A data centre's servers had restarted under new ids at their addresses just after long holds were granted.

Cause: they answered releases 421 without naming themselves, which counted as an answer without meaning, so their keys waited for the end of the leases.

Only a server that the order does not name answers 421 to it. One that names itself as the expected server still proves nothing.

The new example of direct_ended_servers.feature failed before.

--- a/features/direct_ended_servers.feature
+++ b/features/direct_ended_servers.feature
@@ -39,9 +39,10 @@
     Then "b" is granted <keys>
 
     Examples:
-      | who | keys     |
-      | x   | all keys |
-      | a   | no keys  |
+      | who     | keys     |
+      | x       | all keys |
+      | a       | no keys  |
+      | unnamed | all keys |
 
   # Guards against an entry of another writer that gets ranges again and again:
   # they had no owner for 4 s each time, since the server at its address accepts
--- a/features/steps/direct_ended_servers_steps.py
+++ b/features/steps/direct_ended_servers_steps.py
@@ -158,6 +158,10 @@
     assert order.incarnation == ('a', 1000)
 
 
+def _names(who):
+    return () if who == 'unnamed' else ((headers.SERVER_ID, who),)
+
+
 @behave.when('a release for "a" is answered 421 by "{who}"')
 def misdirected(context, who):
     (order,) = _due(context)
@@ -168,7 +172,7 @@
     assert target == '/api/release', target
     done(
         http_client.JsonResponse(
-            headers.MISDIRECTED, {}, 0.0, 0.0, ((headers.SERVER_ID, who),)
+            headers.MISDIRECTED, {}, 0.0, 0.0, _names(who)
         )
     )
 
@@ -193,7 +197,7 @@
     ((_, done),) = context.calls
     done(
         http_client.JsonResponse(
-            headers.MISDIRECTED, {}, 0.0, 0.0, ((headers.SERVER_ID, who),)
+            headers.MISDIRECTED, {}, 0.0, 0.0, _names(who)
         )
     )
 
--- a/packages/radishferryd/src/radishferryd/platform/orders.py
+++ b/packages/radishferryd/src/radishferryd/platform/orders.py
@@ -117,10 +117,12 @@
     if response.status == 409:
         return OrderResult(OrderStatus.STALE, is_leaving=is_leaving)
     if response.status == headers.MISDIRECTED:
+        # The expected server never rejects an order like this. Another one
+        # does not always name itself.
         responding_id = response.header(headers.SERVER_ID)
-        if responding_id and responding_id != server_id:
+        if responding_id != server_id:
             return OrderResult(
-                OrderStatus.ANOTHER_SERVER, detail=responding_id
+                OrderStatus.ANOTHER_SERVER, detail=responding_id or 'unnamed'
             )
     # Any other status: another program responded, or the server failed.
     return OrderResult(OrderStatus.UNKNOWN, detail=f'status {response.status}')
