--- a/features/direct_availability.feature
+++ b/features/direct_availability.feature
@@ -46,6 +46,8 @@
     And the granting host reads the same entry again
     And 1.6 seconds pass for both hosts
     Then both hosts send requests to it
+    When another server joins x
+    Then both hosts send requests to it
 
   # Guards against all hosts together exceeding what cold servers tolerate when
   # no warm server is left.
--- a/features/steps/direct_availability_steps.py
+++ b/features/steps/direct_availability_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import itertools
 import types
 from unittest import mock
@@ -169,6 +170,15 @@
     _read_servers(context)
 
 
+@behave.when('another server joins x')
+def another_joins(context):
+    # The entry of the first one has no warm-up by now.
+    context.servers[-1] = dataclasses.replace(context.joined, warmup_s=0.0)
+    (joined,) = _servers('o', 1)
+    context.servers.append(joined)
+    _read_servers(context)
+
+
 @behave.when('the granting host reads the same entry again')
 def reads_again(context):
     _read_servers(context)
--- a/packages/radishferryd/src/radishferryd/router/spoke.py
+++ b/packages/radishferryd/src/radishferryd/router/spoke.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import logging
 
 from radishferry import field_checks
@@ -296,7 +297,13 @@
         # The first push of a granting host that had no list when the link was
         # opened is not marked as full.
         has_base = not message.is_full and self._pushed_servers is not None
-        servers = dict(self._pushed_servers) if has_base else {}
+        # The warm-ups of earlier messages are counted from their arrival.
+        servers = {
+            server_id: dataclasses.replace(server, warmup_s=0.0)
+            for server_id, server in (
+                self._pushed_servers.items() if has_base else ()
+            )
+        }
         for server_id in message.gone:
             servers.pop(server_id, None)
         servers.update(
