Admit requests by rank, by the time already spent and by the queues seen

The more urgent of two routes of a service lost its room to the less urgent one, whose target allows a longer queue. Queues that are not known at a server are now expected as long as in its data centre, returning callers are admitted before new ones, and what cannot be in time is refused with a delay that lets its caller be in time if that is possible.

--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -71,6 +71,7 @@
         self.budget = budget.RetryBudget(0.2, 60, 10.0)
         self.told_at = None
         self._stats = admission.RouteStats(configuration.Kind.SAFE)
+        self.admission = admission.Admission()
 
     def owner(self, service, key):
         return key_map.Segment(0, 65535, _SERVER.incarnation, 1), _SERVER
--- a/features/steps/direct_requests_steps.py
+++ b/features/steps/direct_requests_steps.py
@@ -63,6 +63,7 @@
         self.relays = request_fixtures.relays(scheduler)
         self.budget = budget.RetryBudget(0.2, 10, 10.0)
         self._stats = admission.RouteStats(configuration.Kind.SAFE)
+        self.admission = admission.Admission()
         self._servers = {
             name: registry.Server(
                 name, 1, 'stock', ('127.0.0.1', 1), 'x', 4, False, 0.0
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -84,6 +84,7 @@
             routing_state,
         )
         self.announcements = announcements.Announcements()
+        self.admission = admission.Admission()
         self.budget = budget_module.RetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
@@ -220,6 +221,8 @@
         )
         if origin is None or not origin.attempts:
             self.budget.note_request(service, self.now())
+        if origin is None:
+            self._note_arrival(request, head)
         self.open_requests += 1
         self.open_relayed_requests += request.is_relayed
         # The slot must know its request before a response arrives.
@@ -227,6 +230,19 @@
         request.start()
         return request
 
+    def _note_arrival(self, request, head):
+        """Record a request of a caller for the rule of admission."""
+        now = self.now()
+        route_stats = self.route_stats(request)
+        self.admission.note_arrival(
+            request.service, request.route, route_stats, now
+        )
+        remaining_s = headers.parse_remaining_s(
+            head.header(headers.REMAINING_MS)
+        )
+        if remaining_s is not None:
+            route_stats.note_arrival(remaining_s, now)
+
     def _choose_part(self, route, origin):
         """Return the service of a request.
 
@@ -335,6 +351,7 @@
         """
         detector = self.crash_detector
         if isinstance(result, results.Answered):
+            self._note_report(request, attempt)
             if detector.needs_completions and not headers.implies_not_run(
                 result.head
             ):
@@ -342,11 +359,23 @@
         elif isinstance(result, results.NotRun):
             if result.is_server_dead:
                 detector.note_refused(attempt.server)
+            elif not (result.is_unreachable or result.is_host_exhausted):
+                self._note_report(request, attempt)
         elif result.is_connection_lost and not result.is_unacknowledged:
             detector.note_connection_lost(
                 attempt.server, request.fingerprint, attempt.sent_at
             )
 
+    def _note_report(self, request, attempt):
+        backend = attempt.backend
+        self.admission.note_report(
+            attempt.server,
+            backend.stats,
+            backend.last_queue_length,
+            self.route_stats(request).service_s,
+            self.now(),
+        )
+
     def attempt_lost(self, request, attempt, result):
         """Log a failed attempt that a server may have run."""
         LOG.info(
@@ -502,6 +531,7 @@
             for part in route.parts
         }
         self._stats = {k: v for k, v in self._stats.items() if k in names}
+        self.admission.keep_routes(names)
 
     def _update_connection_limits(self):
         configuration = self._routing_state.configuration
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -449,18 +449,16 @@
     def _choose_server(self, now):
         """Send the request to the chosen server, or end or hold it."""
         gateway = self._gateway
-        decision = server_choice.choose(
-            gateway,
-            server_choice.Query(
-                self.route,
-                self.service,
-                self.key,
-                gateway.route_stats(self),
-                self._left_s(now),
-                tuple(self._tried),
-            ),
-            now,
+        query = server_choice.Query(
+            self.route,
+            self.service,
+            self.key,
+            gateway.route_stats(self),
+            self._left_s(now),
+            tuple(self._tried),
+            self._caller_deadline - now,
         )
+        decision = server_choice.choose(gateway, query, now)
         if isinstance(decision, server_choice.NoServer):
             self._handle_no_server(decision, now)
         elif isinstance(decision, server_choice.NoOwner):
@@ -477,7 +475,7 @@
                 self._send(decision.backend, now)
             else:
                 self._refuse_overloaded(
-                    decision.reason, decision.wait_s, decision.detail
+                    decision.reason, decision.retry_after_s, decision.detail
                 )
 
     def _handle_no_server(self, decision, now):
@@ -495,7 +493,7 @@
         elif decision.permit_wait_s:
             self._refuse_overloaded(
                 results.Reason.RATE_LIMITED,
-                decision.permit_wait_s,
+                admission.retry_after_s(decision.permit_wait_s),
                 f'The servers of {self.service} have a limit.',
             )
         else:
@@ -525,7 +523,7 @@
             self._attempt = None
             self._refuse_overloaded(
                 results.Reason.OVERLOADED,
-                0.3,
+                admission.retry_after_s(0.3),
                 f'All connections to {server.server_id} are in use.',
             )
             return
@@ -699,11 +697,11 @@
             results.Refusal(502, results.Reason.BAD_ANSWER, detail)
         )
 
-    def _refuse_overloaded(self, reason, expected_s, detail):
+    def _refuse_overloaded(self, reason, retry_after_s, detail):
         if self._may_have_run and not self.is_idempotent:
             self._give_up(self._last_result)
             return
-        self._refuse(503, reason, detail, admission.retry_after_s(expected_s))
+        self._refuse(503, reason, detail, retry_after_s)
 
     def _refuse(self, status, reason, detail, retry_after_s=None):
         self._end()
--- a/packages/radishferryd/src/radishferryd/router/results.py
+++ b/packages/radishferryd/src/radishferryd/router/results.py
@@ -101,6 +101,8 @@
     SERVER_PAUSED = 'server-paused'
     RATE_LIMITED = 'rate-limited'
     OVERLOADED = 'overloaded'
+    OUTRANKED = 'outranked'
+    TOO_LATE = 'too-late'
     HOT_KEY = 'hot-key'
     POISON = 'poison'
     NOT_RUN = 'not-run'
--- a/packages/radishferryd/src/radishferryd/router/server_choice.py
+++ b/packages/radishferryd/src/radishferryd/router/server_choice.py
@@ -25,6 +25,8 @@
         of the route and the service.
     :ivar left_s: Seconds until the deadline of the request.
     :ivar tried: Incarnations to which it has been sent already.
+    :ivar remaining_s: Seconds for which the caller still waits, None if it
+        waits until the deadline of the request.
     """
 
     route: object
@@ -33,6 +35,7 @@
     route_stats: admission.RouteStats
     left_s: float
     tried: tuple[tuple[str, int], ...] = ()
+    remaining_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,13 +53,12 @@
 class Overloaded:
     """Refuse the request, since it would not be answered in time.
 
-    :ivar wait_s: Seconds after which there may be room, before limits and
-        randomisation.
+    :ivar retry_after_s: Seconds after which the caller may retry.
     :ivar facts: Log fields that describe the decision, empty without a server.
     """
 
     reason: results.Reason
-    wait_s: float
+    retry_after_s: float
     detail: str
     facts: dict = dataclasses.field(default_factory=dict)
 
@@ -93,6 +95,18 @@
 
 Decision = typing.Union[Send, Overloaded, NoOwner, NoServer]
 
+_REFUSALS = {
+    admission.Cause.QUEUE: (results.Reason.OVERLOADED, 'has too much work'),
+    admission.Cause.RANK: (
+        results.Reason.OUTRANKED,
+        'keeps its room for more urgent requests',
+    ),
+    admission.Cause.LATE: (
+        results.Reason.TOO_LATE,
+        'has no room for requests that are late',
+    ),
+}
+
 
 def choose(gateway, query: Query, now: float) -> Decision:
     """Return where a request goes now.
@@ -122,16 +136,12 @@
         query.key
     ] >= admission.key_limit(query.route, stats, usual, gateway.host_count):
         return Overloaded(
-            results.Reason.HOT_KEY, expected, 'The key is overloaded.', facts
-        )
-    if not _is_admitted(query, stats, expected, now):
-        return Overloaded(
-            results.Reason.OVERLOADED,
-            expected,
-            f'{server.server_id} has too much work.',
+            results.Reason.HOT_KEY,
+            admission.retry_after_s(expected),
+            'The key is overloaded.',
             facts,
         )
-    return Send(backend, facts)
+    return _admit(gateway, query, backend, expected, facts, now)
 
 
 def _state(gateway, server, stats, now):
@@ -164,7 +174,7 @@
         )
     return Overloaded(
         results.Reason.RATE_LIMITED,
-        state.until - now,
+        admission.retry_after_s(state.until - now),
         f'{server.server_id} has a limit of {stats.limit_per_s} requests a '
         'second.',
     )
@@ -190,25 +200,30 @@
     facts = _facts(
         query, choice.server, backend.stats, choice.expected_s, now, None
     )
-    if not _is_admitted(query, backend.stats, choice.expected_s, now):
-        return Overloaded(
-            results.Reason.OVERLOADED,
-            choice.expected_s,
-            f'{query.service} has too much work.',
-            facts,
-        )
-    return Send(backend, facts)
-
-
-def _is_admitted(query, stats, expected_s, now):
-    return admission.is_admitted(
-        query.route,
-        stats,
-        query.route_stats.service_s,
-        expected_s=expected_s,
-        left_s=query.left_s,
-        now=now,
+    return _admit(gateway, query, backend, choice.expected_s, facts, now)
+
+
+def _admit(gateway, query, backend, expected_s, facts, now):
+    """Send a request to a server, or refuse it for want of room there."""
+    verdict = gateway.admission.decide(
+        admission.Asked(
+            query.service,
+            query.route,
+            query.route_stats,
+            backend.stats,
+            backend.server.data_centre,
+            expected_s,
+            query.left_s,
+            query.left_s if query.remaining_s is None else query.remaining_s,
+            bool(query.tried),
+        ),
+        now,
     )
+    if isinstance(verdict, admission.Admitted):
+        return Send(backend, facts)
+    reason, why = _REFUSALS[verdict.cause]
+    detail = f'{backend.server.server_id} of {query.service} {why}.'
+    return Overloaded(reason, verdict.retry_after_s, detail, facts)
 
 
 def _facts(query, server, stats, expected_s, now, fence):
