--- a/packages/radishferry/src/radishferry/direct/admission.py
+++ b/packages/radishferry/src/radishferry/direct/admission.py
@@ -65,7 +65,7 @@
 REFUSE_FROM, REFUSE_ALL = 0.6, 2.0
 #: Shift of these shares for callers that have spent all of the target latency,
 #: in proportion for others.
-RETURN_SHIFT = 0.5
+RETURN_SHIFT = 1.5
 #: Wait in seconds below which a rank is not limited further.
 MIN_WAIT_S = 0.015
 #: Share of the wait in which the most urgent requests would be in time, up to
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -11,6 +11,7 @@
 from radishferry.direct import announcements
 from radishferry.direct import availability
 from radishferry.direct import budget as budget_module
+from radishferry.direct import refusal_periods
 from radishferryd.platform import headers
 from radishferryd.router import backends as backends_module
 from radishferryd.router import crash_detector
@@ -25,6 +26,17 @@
 #: Seconds after which callers may retry at a host without configuration.
 STARTING_RETRY_S = 0.5
 
+#: Outcomes of requests that were refused for want of room.
+_OVERLOAD_OUTCOMES = frozenset(
+    reason.value
+    for reason in (
+        results.Reason.OVERLOADED,
+        results.Reason.OUTRANKED,
+        results.Reason.TOO_LATE,
+        results.Reason.HOT_KEY,
+    )
+)
+
 
 @dataclasses.dataclass(frozen=True)
 class Observations:
@@ -86,6 +98,7 @@
         )
         self.announcements = announcements.Announcements()
         self.admission = admission.Admission()
+        self._refusal_periods = refusal_periods.RefusalPeriods()
         self.budget = budget_module.RetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
@@ -499,6 +512,7 @@
             self._metrics.count_request(
                 request.service, request.route.name, outcome, took_s
             )
+            self._note_admission(request, outcome, now)
         if request.relays:
             self._metrics.count_relay('sent', outcome)
         in_time = took_s <= request.route.target_latency_s
@@ -522,6 +536,25 @@
             },
         )
 
+    def _note_admission(self, request, outcome, now):
+        """Count a request by its rank, and log when refusals begin or end."""
+        rank = request.route.priority
+        is_refused = outcome in _OVERLOAD_OUTCOMES
+        self._metrics.count_admission(
+            request.service, rank, outcome if is_refused else 'admitted'
+        )
+        change = self._refusal_periods.note(
+            request.service, rank, is_refused, now
+        )
+        if change is not None:
+            LOG.info(
+                'admission: %s %s to refuse requests of rank %d.',
+                change.service,
+                'begins' if change.has_begun else 'has ceased',
+                change.rank,
+                extra={'reason': outcome, 'refused': change.refused},
+            )
+
     # Changes of the configuration, servers and owners.
 
     def _on_configuration(self, configuration):
--- a/packages/radishferryd/src/radishferryd/router/metrics.py
+++ b/packages/radishferryd/src/radishferryd/router/metrics.py
@@ -26,6 +26,25 @@
         {'service': (), 'outcome': ()},
         _MAX_SERIES,
     ),
+    _METRIC(
+        'admissions',
+        'radishferry_admissions_total',
+        'counter',
+        'Requests admitted, or refused for want of room, by service, rank and '
+        'reason.',
+        {
+            'service': (),
+            'rank': (),
+            'decision': (
+                'admitted',
+                'overloaded',
+                'outranked',
+                'too-late',
+                'hot-key',
+            ),
+        },
+        _MAX_SERIES,
+    ),
     _METRIC(
         'refusals',
         'radishferry_early_refusals_total',
@@ -157,6 +176,10 @@
         self.requests.inc(service, route, outcome)
         self.latency.observe(took_s, service, outcome)
 
+    def count_admission(self, service, rank, decision):
+        """Count a request that was admitted, or refused for want of room."""
+        self.admissions.inc(service, str(rank), decision)
+
     def count_refusal(self, reason):
         """Count a request that was answered before it was routed."""
         self.refusals.inc(reason)
