--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -11,6 +11,7 @@
 from radishferry.direct import announcements
 from radishferry.direct import availability
 from radishferry.direct import budget as budget_module
+from radishferry.direct import refusal_periods
 from radishferryd.platform import headers
 from radishferryd.router import backends as backends_module
 from radishferryd.router import crash_detector
@@ -25,6 +26,17 @@
 #: Seconds after which callers may retry at a host without configuration.
 STARTING_RETRY_S = 0.5
 
+#: Outcomes of requests that were refused for want of room.
+_OVERLOAD_OUTCOMES = frozenset(
+    reason.value
+    for reason in (
+        results.Reason.OVERLOADED,
+        results.Reason.OUTRANKED,
+        results.Reason.TOO_LATE,
+        results.Reason.HOT_KEY,
+    )
+)
+
 
 @dataclasses.dataclass(frozen=True)
 class Observations:
@@ -85,6 +97,8 @@
             routing_state,
         )
         self.announcements = announcements.Announcements()
+        self.admission = admission.Admission()
+        self._refusal_periods = refusal_periods.RefusalPeriods()
         self.budget = budget_module.RetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
@@ -221,6 +235,8 @@
         )
         if origin is None or not origin.attempts:
             self.budget.note_request(service, self.now())
+        if origin is None:
+            self._note_arrival(request, head)
         self.open_requests += 1
         self.open_relayed_requests += request.is_relayed
         # The slot must know its request before a response arrives.
@@ -228,6 +244,19 @@
         request.start()
         return request
 
+    def _note_arrival(self, request, head):
+        """Record a request of a caller for the rule of admission."""
+        now = self.now()
+        route_stats = self.route_stats(request)
+        self.admission.note_arrival(
+            request.service, request.route, route_stats, now
+        )
+        remaining_s = headers.parse_remaining_s(
+            head.header(headers.REMAINING_MS)
+        )
+        if remaining_s is not None:
+            route_stats.note_arrival(remaining_s, now)
+
     def _choose_part(self, route, origin):
         """Return the service of a request.
 
@@ -336,6 +365,7 @@
         """
         detector = self.crash_detector
         if isinstance(result, results.Answered):
+            self._note_report(request, attempt)
             if detector.needs_completions and not headers.implies_not_run(
                 result.head
             ):
@@ -343,11 +373,23 @@
         elif isinstance(result, results.NotRun):
             if result.is_server_dead:
                 detector.note_refused(attempt.server)
+            elif not (result.is_unreachable or result.is_host_exhausted):
+                self._note_report(request, attempt)
         elif result.is_connection_lost and not result.is_unacknowledged:
             detector.note_connection_lost(
                 attempt.server, request.fingerprint, attempt.sent_at
             )
 
+    def _note_report(self, request, attempt):
+        backend = attempt.backend
+        self.admission.note_report(
+            attempt.server,
+            backend.stats,
+            backend.last_queue_length,
+            self.route_stats(request).service_s,
+            self.now(),
+        )
+
     def attempt_lost(self, request, attempt, result):
         """Log a failed attempt that a server may have run."""
         LOG.info(
@@ -470,6 +512,7 @@
             self._metrics.count_request(
                 request.service, request.route.name, outcome, took_s
             )
+            self._note_admission(request, outcome, now)
         if request.relays:
             self._metrics.count_relay('sent', outcome)
         in_time = took_s <= request.route.target_latency_s
@@ -493,6 +536,25 @@
             },
         )
 
+    def _note_admission(self, request, outcome, now):
+        """Count a request by its rank, and log when refusals begin or end."""
+        rank = request.route.priority
+        is_refused = outcome in _OVERLOAD_OUTCOMES
+        self._metrics.count_admission(
+            request.service, rank, outcome if is_refused else 'admitted'
+        )
+        change = self._refusal_periods.note(
+            request.service, rank, is_refused, now
+        )
+        if change is not None:
+            LOG.info(
+                'admission: %s %s to refuse requests of rank %d.',
+                change.service,
+                'begins' if change.has_begun else 'has ceased',
+                change.rank,
+                extra={'reason': outcome, 'refused': change.refused},
+            )
+
     # Changes of the configuration, servers and owners.
 
     def _on_configuration(self, configuration):
@@ -503,6 +565,7 @@
             for part in route.parts
         }
         self._stats = {k: v for k, v in self._stats.items() if k in names}
+        self.admission.keep_routes(names)
 
     def _update_connection_limits(self):
         configuration = self._routing_state.configuration
