Find requests that hang at full servers, and bound what these get

Servers of some services never answer a request that they cannot queue. Such a request is found by a later one that was answered, by load reports below what this host has outstanding, or by the end of its time. For services where that is seen, requests to servers whose slots and learned queue are in use are refused as full, or sent to another server.

--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -20,6 +20,7 @@
 from radishferry.direct import capacities
 from radishferry.direct import configuration
 from radishferry.direct import key_map
+from radishferry.direct import outstanding
 from radishferry.direct import rate_limit
 from radishferry.direct import registry
 from radishferry.direct import selection
@@ -55,6 +56,9 @@
     def on_malformed_announcement(self, server, detail):
         """Ignore what is only logged."""
 
+    def on_load(self, server, load):
+        return load.running + load.waiting
+
 
 class _Host:
     """Stand in for the gateway of a host."""
@@ -70,6 +74,7 @@
         self.backends.configure({'stock': request_fixtures.SERVICE}, hosts)
         self.budget = budget.RetryBudget(0.2, 60, 10.0)
         self.told_at = None
+        self.outstanding = outstanding.Outstanding(hosts)
         self._stats = admission.RouteStats(configuration.Kind.SAFE)
 
     def owner(self, service, key):
--- a/features/steps/direct_requests_steps.py
+++ b/features/steps/direct_requests_steps.py
@@ -17,6 +17,7 @@
 from radishferry.direct import budget
 from radishferry.direct import configuration
 from radishferry.direct import key_map
+from radishferry.direct import outstanding
 from radishferry.direct import registry
 from radishferry.direct import selection
 from radishferryd import http_message
@@ -75,6 +76,7 @@
         }
         self.owner_name = 'a'
         self.availability = self
+        self.outstanding = outstanding.Outstanding()
         self.left_names = ['a']
 
     def candidates(self, service):
--- a/packages/radishferry-testing/src/radishferry_testing/users/platform/server.py
+++ b/packages/radishferry-testing/src/radishferry_testing/users/platform/server.py
@@ -12,6 +12,10 @@
 
 #: Header by which a test sets the seconds of work of one request.
 WORK_HEADER = 'x-test-work-s'
+#: Requests that a server runs at a time and that may wait for it, with the
+#: failure ``hang``.
+HANG_SLOTS = 2
+HANG_QUEUE = 2
 
 
 class Server:
@@ -37,7 +41,8 @@
         self.is_registered = True
         #: Simulated failure: ``shed`` refuses with 503, ``reset`` aborts after
         #: the run is recorded, ``extra`` answers with the id of another
-        #: request; empty for none.
+        #: request, ``hang`` answers no request beyond its slots and queue, nor
+        #: any further one on the connection; empty for none.
         self.failure = ''
         #: Whether its answers announce that it is about to stop.
         self.says_leaving = False
@@ -52,6 +57,8 @@
         self._grants = []
         self._seq = 0
         self._requests = weakref.WeakSet()
+        self._slots = asyncio.Semaphore(HANG_SLOTS)
+        self._accepted = 0
 
     def entry(self):
         """Return the server's next entry in the store."""
@@ -170,6 +177,22 @@
                 (('Retry-After', retry_after),) if retry_after else (),
             )
             return
+        if self.failure != 'hang':
+            await self._run_accepted(request)
+            return
+        if self._accepted >= HANG_SLOTS + HANG_QUEUE:
+            self._record_event('hang', self, {})
+            # The connection serves one request at a time, and its end
+            # cancels this wait.
+            await asyncio.Event().wait()
+        self._accepted += 1
+        try:
+            async with self._slots:
+                await self._run_accepted(request)
+        finally:
+            self._accepted -= 1
+
+    async def _run_accepted(self, request):
         body = await request.body.read()
         request_id = request.headers['x-request-id']
         self._record_event(
@@ -184,6 +207,12 @@
                 {'id': request_id, 'is_broken_off': request.is_aborted},
             )
 
+    def _load(self):
+        if self.failure != 'hang':
+            return '1,0,6'
+        running = min(self._accepted, HANG_SLOTS)
+        return f'{running},{self._accepted - running},{HANG_SLOTS}'
+
     async def _work(self, request, request_id, body):
         if self.failure == 'reset':
             request.abort()
@@ -200,7 +229,7 @@
             answer + body,
             (
                 ('X-Response-Signature', f'{zlib.crc32(answer):x}'),
-                ('X-Server-Load', '1,0,6'),
+                ('X-Server-Load', self._load()),
             ),
         )
 
--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -317,6 +317,7 @@
     def _on_tick(self):
         self._spoke.tick()
         self._isolation_hand_over.check()
+        self._gateway.hang_monitor.check()
         self._report_load()
         self._ticks += 1
         if not self._ticks % SWEEP_TICKS:
@@ -414,6 +415,7 @@
         metrics = self._metrics
         configuration = self._routing_state.configuration
         age = self._routing_state.registry.age(self._scheduler.now())
+        metrics.hanging_services.set(len(self._gateway.outstanding.hanging))
         metrics.store_calls.set(self._store.calls)
         for order, count in self._ownership.order_sender.counts.items():
             metrics.orders.set(count, order)
--- a/packages/radishferryd/src/radishferryd/router/backends.py
+++ b/packages/radishferryd/src/radishferryd/router/backends.py
@@ -8,7 +8,9 @@
 import typing
 import zlib
 
+from radishferry.direct import hangs
 from radishferry.direct import idle_limit
+from radishferry.direct import outstanding
 from radishferry.direct import selection
 from radishferryd.platform import headers
 from radishferryd.router import connections
@@ -40,6 +42,12 @@
     def on_malformed_announcement(self, server, detail) -> None:
         """Handle an announcement that cannot be parsed."""
 
+    def on_load(self, server, load) -> int:
+        """Handle a load report, and return the requests left there."""
+
+    def on_unanswered(self, server, attempt) -> None:
+        """Handle that a server sent nothing in the time it was given."""
+
 
 class Backend:
     """Hold the connection pool and the statistics of one server."""
@@ -93,6 +101,8 @@
         #: Requests that were queued at the server at its last response.
         self.last_queue_length = 0
         self._announced_limit_per_s = None
+        #: Finds requests that the server will never answer.
+        self.watch = hangs.Watch()
         self._idle = []
         self._open = set()
 
@@ -109,7 +119,12 @@
         connection = self._acquire_connection(is_idempotent, attempt)
         if connection is None:
             return False
-        self.stats.note_sent(self._scheduler.now())
+        now = self._scheduler.now()
+        attempt.is_idempotent = is_idempotent
+        if self.stats.freshness(now) >= outstanding.MIN_FRESHNESS:
+            attempt.load_at_send = self.stats.load(now)
+        self.stats.note_sent(now)
+        self.watch.note_sent(attempt)
         if attempt.key is not None:
             self.in_flight_by_key[attempt.key] += 1
         connection.send(attempt)
@@ -126,7 +141,9 @@
             if not self.in_flight_by_key[attempt.key]:
                 del self.in_flight_by_key[attempt.key]
         now = self._scheduler.now()
+        self.watch.note_ended(attempt)
         if isinstance(result, results.Answered):
+            self.watch.note_answered(attempt, now)
             elapsed = now - attempt.sent_at
             waiting = self.last_queue_length
             if self._was_delayed_by_loss(attempt):
@@ -149,7 +166,14 @@
                 self.stats.note_connection_failure(now)
             elif not (result.is_misdirected or result.is_host_exhausted):
                 self.stats.note_failure(now)
-        elif result is not None:
+        elif result is None:
+            if (
+                attempt.is_silent
+                and now > attempt.answer_by
+                and self._listener is not None
+            ):
+                self._listener.on_unanswered(self.server, attempt)
+        else:
             self.stats.note_failure(now)
             if result.is_unacknowledged and self._links is not None:
                 self._links.note_unacknowledged(self.server)
@@ -181,6 +205,9 @@
                 load.slots,
                 self._scheduler.now(),
             )
+            if self._listener is not None:
+                left = self._listener.on_load(self.server, load)
+                self.watch.note_report(left, self._scheduler.now())
 
     def note_announcements(self, head):
         """Handle what the server announces in a response."""
--- a/packages/radishferryd/src/radishferryd/router/connections.py
+++ b/packages/radishferryd/src/radishferryd/router/connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import math
 import typing
 
 from radishferry.direct import idle_limit
@@ -71,6 +72,13 @@
         self.sink = sink
         self.data = data
         self.sent_at = None
+        #: See :class:`radishferry.direct.hangs.Pending`.
+        self.answer_by = math.inf
+        self.usual_s = 0.0
+        self.is_idempotent = False
+        #: Load of the server that was assumed at the send, None without a
+        #: fresh report.
+        self.load_at_send = None
         self.connection = None
         self._is_done = False
 
@@ -79,6 +87,22 @@
         """Return the server."""
         return self.backend.server
 
+    @property
+    def is_silent(self) -> bool:
+        """Return whether the server has accepted it and sent nothing."""
+        return self.connection is not None and self.connection.awaits_answer(
+            self
+        )
+
+    def expect(self, answer_by, usual_s):
+        """Set when an answer is due.
+
+        :param answer_by: End of the time that the server is given, in seconds.
+        :param usual_s: Usual time of such a request, in seconds.
+        """
+        self.answer_by = answer_by
+        self.usual_s = usual_s
+
     def finish(self, result):
         """Report the result, unless the attempt has already ended."""
         if self._is_done:
@@ -169,6 +193,19 @@
     def close(self):
         self._connection.close()
 
+    def awaits_answer(self, attempt) -> bool:
+        """Return whether an attempt was sent and no answer to it began."""
+        return (
+            self._attempt is attempt
+            and self.is_connected
+            and not self._pending_data
+            and self._head is None
+        )
+
+    def give_up(self, result):
+        """End the current attempt with a result, and reset."""
+        self._abort_with(result)
+
     def pause_reading(self):
         self._connection.pause_reading()
 
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -10,10 +10,12 @@
 from radishferry.direct import admission
 from radishferry.direct import announcements
 from radishferry.direct import budget as budget_module
+from radishferry.direct import outstanding as outstanding_module
 from radishferryd.platform import headers
 from radishferryd.router import backends as backends_module
 from radishferryd.router import crash_detector
 from radishferryd.router import crashes as crashes_module
+from radishferryd.router import hang_monitor
 from radishferryd.router import link_monitor
 from radishferryd.router import relays as relays_module
 from radishferryd.router import requests
@@ -92,6 +94,10 @@
         self.crash_detector = crash_detector.CrashDetector(
             poller, scheduler, self.links, crashes
         )
+        self.outstanding = outstanding_module.Outstanding()
+        self.hang_monitor = hang_monitor.HangMonitor(
+            scheduler, self.backends, self.links, self.outstanding, metrics
+        )
         self._metrics = metrics
         self._stats = {}
         self._keys = collections.defaultdict(list)
@@ -148,6 +154,7 @@
         """Divide connection limits and retry budgets among the hosts."""
         self.host_count = max(1, count)
         self.budget.set_hosts(self.host_count)
+        self.outstanding.hosts = self.host_count
         self._update_connection_limits()
 
     # Planned stop.
@@ -427,6 +434,16 @@
             detail,
         )
 
+    def on_load(self, server, load) -> int:
+        """Record a load report, and return the requests left there."""
+        return self.outstanding.note_report(
+            server.service, load.running, load.waiting
+        )
+
+    def on_unanswered(self, server, attempt):
+        """Record that a server sent nothing in the time it was given."""
+        self.hang_monitor.note_unanswered(server, attempt)
+
     def paused_for_s(self, service) -> float:
         """Return the time until the first server of a service ends its pause.
 
--- a/packages/radishferryd/src/radishferryd/router/metrics.py
+++ b/packages/radishferryd/src/radishferryd/router/metrics.py
@@ -50,6 +50,19 @@
         'a new limit or its end, and malformed ones.',
         {'kind': ('leaving', 'pause', 'limit', 'malformed')},
     ),
+    _METRIC(
+        'hung_requests',
+        'radishferry_hung_requests_total',
+        'counter',
+        'Requests that a server did not answer at all, by what showed it.',
+        {'evidence': ('overtaken', 'report', 'unanswered')},
+    ),
+    _METRIC(
+        'hanging_services',
+        'radishferry_hanging_services',
+        'gauge',
+        'Services whose servers do not answer requests beyond their queue.',
+    ),
     _METRIC(
         'store_calls',
         'radishferry_store_calls_total',
@@ -153,6 +166,10 @@
         """Count a request that was sent to or received from another host."""
         self.relayed_requests.inc(direction, outcome)
 
+    def count_hang(self, evidence):
+        """Count a request that a server did not answer at all."""
+        self.hung_requests.inc(evidence)
+
     def count_announcement(self, kind):
         """Count an announcement of a server."""
         self.announcements.inc(kind)
--- a/packages/radishferryd/src/radishferryd/router/relays.py
+++ b/packages/radishferryd/src/radishferryd/router/relays.py
@@ -55,6 +55,7 @@
     def ended(self, attempt, result):
         """See :meth:`radishferryd.router.backends.Backend.ended`."""
         self.stats.in_flight -= 1
+        self.watch.note_ended(attempt)
         now = self._scheduler.now()
         if isinstance(result, results.Answered):
             self.stats.note_answer(now - attempt.sent_at, 0, now)
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -306,9 +306,7 @@
 
     def _relay_after(self, attempt, result):
         """Relay the request after its last attempt to connect failed."""
-        if not isinstance(result, results.NotRun) or (
-            not result.is_unreachable
-        ):
+        if not (isinstance(result, results.NotRun) and result.is_unreachable):
             return False
         target = attempt.server.incarnation if self.is_keyed else self.service
         return self._relay_around(target, self._gateway.now())
@@ -520,6 +518,9 @@
             self.key,
             self._used_connections,
         )
+        attempt.expect(
+            now + self._left_s(now), gateway.route_stats(self).service_s
+        )
         self._attempt = attempt
         if not backend.send(attempt, self.is_idempotent):
             self._attempt = None
@@ -549,9 +550,7 @@
             and name != 'content-length'
         ]
         lines = headers.forwarded_headers(
-            kept,
-            max(0.001, self._left_s(now) - RESPONSE_MARGIN_S),
-            server_id,
+            kept, max(0.001, self._left_s(now) - RESPONSE_MARGIN_S), server_id
         )
         if origin is not None:
             lines.append(
--- a/packages/radishferryd/src/radishferryd/router/results.py
+++ b/packages/radishferryd/src/radishferryd/router/results.py
@@ -101,6 +101,7 @@
     SERVER_PAUSED = 'server-paused'
     RATE_LIMITED = 'rate-limited'
     OVERLOADED = 'overloaded'
+    FULL = 'full'
     HOT_KEY = 'hot-key'
     POISON = 'poison'
     NOT_RUN = 'not-run'
--- a/packages/radishferryd/src/radishferryd/router/server_choice.py
+++ b/packages/radishferryd/src/radishferryd/router/server_choice.py
@@ -110,7 +110,7 @@
         return NoOwner(results.Reason.NO_OWNER, 'The key has no owner now.')
     backend = gateway.backends.get(server)
     stats = backend.stats
-    state = _state(gateway, server, stats, now)
+    state = _state(gateway, server, stats, query, now)
     if not state.is_available:
         return _owner_unavailable(server, stats, state, now)
     usual = query.route_stats.service_s
@@ -134,7 +134,7 @@
     return Send(backend, facts)
 
 
-def _state(gateway, server, stats, now):
+def _state(gateway, server, stats, query, now):
     """Return whether the owner of a key may get a request from this host."""
     if stats.requested_pause_s(now):
         return availability.Unavailable(
@@ -146,7 +146,17 @@
         return availability.Unavailable(
             availability.Reason.RATE_LIMITED, now + permit_wait_s
         )
-    return availability.Available()
+    return _full_state(gateway, server, query, now)
+
+
+def _full_state(gateway, server, query, now):
+    """Return whether a server may get a request beyond those it has."""
+    return gateway.outstanding.check(
+        server,
+        gateway.backends.stats(server),
+        query.route_stats.service_s,
+        now,
+    )
 
 
 def _owner_unavailable(server, stats, state, now):
@@ -162,6 +172,12 @@
             f'{server.server_id} cannot be reached.',
             unreachable=server.incarnation,
         )
+    if state.reason is availability.Reason.FULL:
+        return Overloaded(
+            results.Reason.FULL,
+            state.until - now,
+            f'{server.server_id} is full.',
+        )
     return Overloaded(
         results.Reason.RATE_LIMITED,
         state.until - now,
@@ -171,8 +187,21 @@
 
 
 def _choose_any(gateway, query, now):
+    candidates = gateway.availability.candidates(query.service)
+    if candidates and gateway.outstanding.is_hanging(query.service):
+        states = [
+            (server, _full_state(gateway, server, query, now))
+            for server in candidates
+        ]
+        candidates = tuple(s for s, state in states if state.is_available)
+        if not candidates:
+            return Overloaded(
+                results.Reason.FULL,
+                min(state.until for _, state in states) - now,
+                f'All servers of {query.service} are full.',
+            )
     choice = selection.choose(
-        gateway.availability.candidates(query.service),
+        candidates,
         gateway.backends.stats,
         usual_s=query.route_stats.service_s,
         data_centre=gateway.data_centre,
