--- a/packages/radishferry/src/radishferry/direct/outstanding.py
+++ b/packages/radishferry/src/radishferry/direct/outstanding.py
@@ -132,6 +132,9 @@
         if known.queue is not None:
             self._shrink(known, server.slots, load, now)
             return
+        if not is_proven and load is not None and load < server.slots:
+            # A server with a free slot is not full.
+            return
         known.unanswered = [
             (at, incarnation)
             for at, incarnation in known.unanswered
