--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -21,6 +21,7 @@
 from radishferry.direct import capacities
 from radishferry.direct import configuration
 from radishferry.direct import key_map
+from radishferry.direct import outstanding
 from radishferry.direct import rate_limit
 from radishferry.direct import registry
 from radishferry.direct import selection
@@ -56,6 +57,9 @@
     def on_malformed_announcement(self, server, detail):
         """Ignore what is only logged."""
 
+    def on_load(self, server, load):
+        return load.running + load.waiting
+
 
 class _Host:
     """Stand in for the gateway of a host."""
@@ -74,6 +78,7 @@
         )
         self.budget = budget.RetryBudget(0.2, 60, 10.0)
         self.told_at = None
+        self.outstanding = outstanding.Outstanding(hosts)
         self._stats = admission.RouteStats(configuration.Kind.SAFE)
         self.admission = admission.Admission()
 
