--- a/features/steps/direct_requests_steps.py
+++ b/features/steps/direct_requests_steps.py
@@ -16,6 +16,7 @@
 from radishferry.direct import admission
 from radishferry.direct import budget
 from radishferry.direct import configuration
+from radishferry.direct import cost_choice
 from radishferry.direct import key_map
 from radishferry.direct import registry
 from radishferry.direct import selection
@@ -75,6 +76,7 @@
         }
         self.owner_name = 'a'
         self.availability = self
+        self.cost_choice = cost_choice.CostChoice(self.stats, 'x')
         self.left_names = ['a']
 
     def candidates(self, service):
@@ -102,6 +104,9 @@
     def route_stats(self, request):
         return self._stats
 
+    def note_answer(self, request, attempt, result):
+        """Ignore the answer."""
+
     def wait_for_owner(self, request):
         self.waiting[request] = None
 
--- a/packages/radishferry/src/radishferry/direct/admission.py
+++ b/packages/radishferry/src/radishferry/direct/admission.py
@@ -6,6 +6,7 @@
 import random
 
 from radishferry.direct import configuration
+from radishferry.direct import work
 
 #: Share of the target latency that a request may be expected to take. A
 #: request that is expected to take longer is refused at once, while its caller
@@ -38,6 +39,8 @@
         is_download = kind is configuration.Kind.DOWNLOAD
         self.answer_bytes = DOWNLOAD_BYTES if is_download else 0.0
         self.service_s = DEFAULT_SERVICE_S
+        #: Work of the requests, for services whose loads are shared.
+        self.work = work.WorkEstimate()
 
     def note(self, size, elapsed_s, waiting):
         """Record one answer.
--- a/packages/radishferry/src/radishferry/direct/pacing.py
+++ b/packages/radishferry/src/radishferry/direct/pacing.py
@@ -19,6 +19,12 @@
 #: Seconds between two pushes of changed owners, for each linked host. A move
 #: of many ranges takes hundreds of steps, and each push is sent on each link.
 PUSH_S_PER_LINK = 0.00025
+#: Share of the link of the granting host that the loads of servers may take.
+LOADS_LINK_SHARE = 0.1
+#: Bytes a second that they may take at each of the other hosts.
+MAX_LOADS_BYTES_PER_S = 2000.0
+#: Bytes of the load of one server in a heartbeat.
+LOAD_ENTRY_BYTES = 6
 
 
 def report_interval_s(hosts: int) -> float:
@@ -37,6 +43,18 @@
     return links * PUSH_S_PER_LINK
 
 
+def load_entries(links: int, link_mbps: float, interval_s: float) -> int:
+    """Return how many loads of servers a heartbeat may carry.
+
+    :param links: Number of hosts that it is sent to.
+    :param link_mbps: Bandwidth of the granting host in Mbit/s.
+    :param interval_s: Seconds between two heartbeats.
+    """
+    share = LOADS_LINK_SHARE * link_mbps * 1e6 / 8 / max(1, links)
+    bytes_per_s = min(MAX_LOADS_BYTES_PER_S, share)
+    return int(bytes_per_s * interval_s / LOAD_ENTRY_BYTES)
+
+
 def transfer_s(size: int, links: int, link_mbps: float) -> float:
     """Return the seconds in which a host can send a message on all links.
 
--- a/packages/radishferry/src/radishferry/direct/selection.py
+++ b/packages/radishferry/src/radishferry/direct/selection.py
@@ -7,6 +7,7 @@
 import random
 
 from radishferry.direct import rate_limit
+from radishferry.direct import server_loads
 
 #: Weight of a new sample in the moving average of service times.
 SPEED_WEIGHT = 0.08
@@ -62,6 +63,16 @@
 #: Number of hosts that try a new server early. A few suffice to give it work;
 #: hundreds would each open a connection and send to it at once.
 EARLY_HOSTS = 12
+#: Seconds after which the slowdown of a machine that a server reported counts
+#: half; it changes several times a second.
+SLOWDOWN_HALF_LIFE_S = 0.2
+#: Largest slowdown of a machine that counts, so that one report never keeps a
+#: server from getting requests.
+MAX_SLOWDOWN = 4.0
+#: Exponent with which the expected time grows as the slots of a server with a
+#: shared load fill up. The load is an estimate, and a request may have to wait
+#: although it is below the number of slots.
+USE_EXPONENT = 2.5
 #: Queued requests for each slot above which a server counts as full.
 MAX_WAITING_PER_SLOT = 2.5
 
@@ -75,6 +86,10 @@
     :ivar in_flight: Number of requests of this host without an answer.
     :ivar service_s: Moving average of the time that a request takes on a
         free slot, in seconds; 0 before the first sample.
+    :ivar shared: What all hosts together know of the server, a
+        :class:`~radishferry.direct.server_loads.SharedLoad`, None if its load
+        is not shared.
+    :ivar outstanding: Attempts of this host without an answer.
     """
 
     slots: int
@@ -82,6 +97,9 @@
     in_flight: int = 0
     service_s: float = 0.0
     samples: int = 0
+    shared: server_loads.SharedLoad | None = None
+    outstanding: set = dataclasses.field(default_factory=set)
+    _slowdown: float = 1.0
     _failure_average: float = 0.0
     _failure_at: float = 0.0
     _reported_others: float = 0.0
@@ -118,14 +136,17 @@
         limit = self._rate_limit
         return limit.wait_s(now) if limit is not None else 0.0
 
-    def note_report(self, running, waiting, slots, now):
+    def note_report(self, running, waiting, slots, now, slowdown=1.0):
         """Record the load that the server reported with an answer.
 
         :param running: Number of requests in its slots.
         :param waiting: Number of requests in its queue.
         :param slots: Number of its slots, 0 if it did not report them.
+        :param slowdown: Time that work takes on its machine at this moment,
+            relative to its usual time.
         """
         self.slots = slots or self.slots
+        self._slowdown = min(MAX_SLOWDOWN, max(1 / MAX_SLOWDOWN, slowdown))
         others = max(0.0, running + waiting - self.in_flight)
         gap = now - self._reported_at
         weight = min(0.5, 1 - 0.5 ** (gap / BASELINE_HALF_LIFE_S))
@@ -224,6 +245,8 @@
         its baseline: a queue that was long in all reports is also long
         between them. The requests of this host are added.
         """
+        if self.has_shared_load(now):
+            return self._shared_load(now)
         age = max(0.0, now - self._reported_at)
         baseline = self._baseline_others * 0.5 ** (
             age / BASELINE_DECAY_HALF_LIFE_S
@@ -232,6 +255,26 @@
         others = baseline + deviation * 0.5 ** (age / REPORT_HALF_LIFE_S)
         return others + self.in_flight
 
+    def has_shared_load(self, now) -> bool:
+        """Return whether the granting host has told the load of late."""
+        return self.shared is not None and self.shared.is_fresh(now)
+
+    def _shared_load(self, now):
+        """Return the load from the newest report to this or another host."""
+        shared = self.shared
+        if self._reported_at > shared.told_at:
+            load, seen_at = self._reported_others, self._reported_at
+        else:
+            load = max(0.0, shared.load - self.in_flight)
+            seen_at = shared.told_at
+        return shared.expected_load(load, seen_at, now) + self.in_flight
+
+    def slowdown(self, now) -> float:
+        """Return the slowdown of the machine that is expected now."""
+        age = max(0.0, now - self._reported_at)
+        weight = 0.5 ** (age / SLOWDOWN_HALF_LIFE_S)
+        return 1 + (self._slowdown - 1) * weight
+
     def freshness(self, now) -> float:
         """Return the weight of the last report by its age, 0 to 1."""
         age = max(0.0, now - self._reported_at)
@@ -245,12 +288,21 @@
         :param prior_use: Load for each slot that is assumed in place of the
             last report as that gets older.
         """
+        if self.has_shared_load(now):
+            return self._shared_expected_s(usual_s, now)
         service = self.service_s if self.samples >= 3 else usual_s
         load = self.load(now)
         load += (1 - self.freshness(now)) * prior_use * self.slots
         waiting = max(0.0, load + 1 - self.slots)
         return service * (1 + waiting / self.slots)
 
+    def _shared_expected_s(self, work_s, now):
+        load = self.load(now)
+        use = min(1.0, load / self.slots) ** USE_EXPONENT
+        waiting = use * max(1.0, load + 1 - self.slots)
+        service_s = work_s * self.shared.relative_time * self.slowdown(now)
+        return service_s * (1 + waiting / self.slots)
+
     def is_full(self, now) -> bool:
         """Return whether the queue reaches :data:`MAX_WAITING_PER_SLOT`."""
         return self.load(now) >= self.slots * (1 + MAX_WAITING_PER_SLOT)
@@ -309,29 +361,50 @@
         expected = stats.expected_s(usual_s, now, uses[server.data_centre])
         if server.warmup_s > 0:
             expected *= WARMUP_FACTOR
-        # A failed request costs a second attempt.
-        failure_share = stats.failure_share(now)
-        cost = expected / max(0.05, 1 - failure_share)
-        is_remote = server.data_centre != data_centre
-        is_untried = not (stats.samples or stats.in_flight or failure_share)
-        if (
-            is_untried
-            and not is_remote
-            and stats.preference * hosts < EARLY_HOSTS
-        ):
-            cost *= UNTRIED_FACTOR
-        cost *= 1 + _spread(stats, now)
-        if is_remote:
-            cost += max(REMOTE_COST_S, REMOTE_COST_SHARE * expected)
-            cost += REMOTE_COST_S_PER_BYTE * answer_bytes
-        if stats.is_full(now):
-            # More than the usual costs, so that full servers are chosen last.
-            cost += 10.0
+        cost = cost_s(
+            server,
+            stats,
+            expected,
+            data_centre=data_centre,
+            answer_bytes=answer_bytes,
+            now=now,
+            hosts=hosts,
+        )
         if cost < best_cost:
             best, best_cost = Choice(server, expected), cost
     return best
 
 
+def cost_s(
+    server, stats, expected_s, *, data_centre, answer_bytes, now, hosts
+) -> float:
+    """Return the cost of a request at a server, in seconds of waiting.
+
+    :param expected_s: Expected time of the request there in seconds; for the
+        other parameters see :func:`choose`.
+    """
+    # A failed request costs a second attempt.
+    failure_share = stats.failure_share(now)
+    cost = expected_s / max(0.05, 1 - failure_share)
+    is_remote = server.data_centre != data_centre
+    is_untried = not (
+        stats.samples
+        or stats.in_flight
+        or failure_share
+        or stats.has_shared_load(now)
+    )
+    if is_untried and not is_remote and stats.preference * hosts < EARLY_HOSTS:
+        cost *= UNTRIED_FACTOR
+    cost *= 1 + _spread(stats, now)
+    if is_remote:
+        cost += max(REMOTE_COST_S, REMOTE_COST_SHARE * expected_s)
+        cost += REMOTE_COST_S_PER_BYTE * answer_bytes
+    if stats.is_full(now):
+        # More than the usual costs, so that full servers are chosen last.
+        cost += 10.0
+    return cost
+
+
 def _mean_uses(candidates, now):
     """Return the mean reported load for each slot by data centre.
 
--- a/packages/radishferryd/idl/router.thrift
+++ b/packages/radishferryd/idl/router.thrift
@@ -19,11 +19,16 @@
  * KeyMapPush.
  */
 struct ServerLoads {
-  1: list<string> server_ids
-  /* Requests at the server, running or queued, in tenths. */
-  2: list<i16> loads
-  /* Time of a request on a free slot in percent of the mean of the service. */
-  3: list<i16> relative_times
+  /* CRC-32 of the server's id: the ids would take three times the bytes. */
+  1: list<i32> servers
+  /* Requests at the server, running or queued, in quarters; -128 if it is
+   * not told.
+   */
+  2: list<i8> loads
+  /* Natural logarithm of the time of a request on a free slot, relative to
+   * the service, in thirtieths; -128 if it is not told.
+   */
+  3: list<i8> log_times
 }
 
 /* Requests of one rank for a service since the sender's last report. */
--- a/packages/radishferryd/src/radishferryd/gen/router/ttypes.py
+++ b/packages/radishferryd/src/radishferryd/gen/router/ttypes.py
@@ -98,17 +98,17 @@
 class ServerLoads(object):
     """
     Attributes:
-     - server_ids
+     - servers
      - loads
-     - relative_times
+     - log_times
 
     """
 
 
-    def __init__(self, server_ids=None, loads=None, relative_times=None,):
-        self.server_ids = server_ids
+    def __init__(self, servers=None, loads=None, log_times=None,):
+        self.servers = servers
         self.loads = loads
-        self.relative_times = relative_times
+        self.log_times = log_times
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -121,11 +121,11 @@
                 break
             if fid == 1:
                 if ftype == TType.LIST:
-                    self.server_ids = []
+                    self.servers = []
                     (_etype901, _size902) = iprot.readListBegin()
                     for _i903 in range(_size902):
-                        _elem904 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.server_ids.append(_elem904)
+                        _elem904 = iprot.readI32()
+                        self.servers.append(_elem904)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -134,18 +134,18 @@
                     self.loads = []
                     (_etype905, _size906) = iprot.readListBegin()
                     for _i907 in range(_size906):
-                        _elem908 = iprot.readI16()
+                        _elem908 = iprot.readByte()
                         self.loads.append(_elem908)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
-                    self.relative_times = []
+                    self.log_times = []
                     (_etype909, _size910) = iprot.readListBegin()
                     for _i911 in range(_size910):
-                        _elem912 = iprot.readI16()
-                        self.relative_times.append(_elem912)
+                        _elem912 = iprot.readByte()
+                        self.log_times.append(_elem912)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -159,25 +159,25 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('ServerLoads')
-        if self.server_ids is not None:
-            oprot.writeFieldBegin('server_ids', TType.LIST, 1)
-            oprot.writeListBegin(TType.STRING, len(self.server_ids))
-            for iter913 in self.server_ids:
-                oprot.writeString(iter913.encode('utf-8') if sys.version_info[0] == 2 else iter913)
+        if self.servers is not None:
+            oprot.writeFieldBegin('servers', TType.LIST, 1)
+            oprot.writeListBegin(TType.I32, len(self.servers))
+            for iter913 in self.servers:
+                oprot.writeI32(iter913)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
-            oprot.writeListBegin(TType.I16, len(self.loads))
+            oprot.writeListBegin(TType.BYTE, len(self.loads))
             for iter914 in self.loads:
-                oprot.writeI16(iter914)
+                oprot.writeByte(iter914)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.relative_times is not None:
-            oprot.writeFieldBegin('relative_times', TType.LIST, 3)
-            oprot.writeListBegin(TType.I16, len(self.relative_times))
-            for iter915 in self.relative_times:
-                oprot.writeI16(iter915)
+        if self.log_times is not None:
+            oprot.writeFieldBegin('log_times', TType.LIST, 3)
+            oprot.writeListBegin(TType.BYTE, len(self.log_times))
+            for iter915 in self.log_times:
+                oprot.writeByte(iter915)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2087,9 +2087,9 @@
 all_structs.append(ServerLoads)
 ServerLoads.thrift_spec = (
     None,  # 0
-    (1, TType.LIST, 'server_ids', (TType.STRING, 'UTF8', False), None, ),  # 1
-    (2, TType.LIST, 'loads', (TType.I16, None, False), None, ),  # 2
-    (3, TType.LIST, 'relative_times', (TType.I16, None, False), None, ),  # 3
+    (1, TType.LIST, 'servers', (TType.I32, None, False), None, ),  # 1
+    (2, TType.LIST, 'loads', (TType.BYTE, None, False), None, ),  # 2
+    (3, TType.LIST, 'log_times', (TType.BYTE, None, False), None, ),  # 3
 )
 all_structs.append(ServiceDemand)
 ServiceDemand.thrift_spec = (
--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -127,6 +127,7 @@
             self._crashes,
             settings.host_link_mbps,
             self._relay_directory,
+            self.apply_loads,
         )
         self._spoke = spoke_module.Spoke(
             self._poller,
@@ -278,6 +279,10 @@
         """
         self._gateway.relays.set_hosts(hosts)
 
+    def apply_loads(self, loads):
+        """Use the loads of servers as merged by the granting host."""
+        self._gateway.apply_loads(loads)
+
     def _set_own_relay_hosts(self, hosts):
         self.set_relay_hosts(
             [(host.name, host.data_centre, host.address) for host in hosts]
@@ -328,6 +333,7 @@
             load = self._gateway.take_load()
             self._ownership.note_load(load.keys, load.speeds)
             self._hub.note_notices(self._settings.host_name, load.notices)
+            self._hub.note_loads(load.loads)
         else:
             self._spoke.report(self._gateway.host_count)
 
--- a/packages/radishferryd/src/radishferryd/router/backends.py
+++ b/packages/radishferryd/src/radishferryd/router/backends.py
@@ -10,6 +10,7 @@
 
 from radishferry.direct import idle_limit
 from radishferry.direct import selection
+from radishferry.direct import server_loads
 from radishferryd.platform import headers
 from radishferryd.router import connections
 from radishferryd.router import results
@@ -110,6 +111,7 @@
         if connection is None:
             return False
         self.stats.note_sent(self._scheduler.now())
+        self.stats.outstanding.add(attempt)
         if attempt.key is not None:
             self.in_flight_by_key[attempt.key] += 1
         connection.send(attempt)
@@ -121,6 +123,7 @@
         :param result: None if it was cancelled.
         """
         self.stats.in_flight -= 1
+        self.stats.outstanding.discard(attempt)
         if attempt.key is not None:
             self.in_flight_by_key[attempt.key] -= 1
             if not self.in_flight_by_key[attempt.key]:
@@ -180,7 +183,30 @@
                 load.waiting,
                 load.slots,
                 self._scheduler.now(),
+                load.slowdown,
             )
+            if self.stats.shared is not None:
+                self.stats.shared.note_seen(load.running + load.waiting)
+
+    def note_work(self, estimate, attempt, elapsed_s):
+        """Record the work of an answered request of a route.
+
+        :param estimate: The :class:`~radishferry.direct.work.WorkEstimate` of
+            the route.
+        :param elapsed_s: Seconds from the send to the answer. They say
+            nothing of the work if requests wait at the server.
+        """
+        shared = self.stats.shared
+        if (
+            shared is None
+            or self.last_queue_length
+            or self._was_delayed_by_loss(attempt)
+        ):
+            return
+        own_s = elapsed_s / self.stats.slowdown(self._scheduler.now())
+        if not attempt.is_overdue:
+            shared.note_sample(own_s / estimate.mean_s)
+        estimate.note(own_s / shared.relative_time)
 
     def note_announcements(self, head):
         """Handle what the server announces in a response."""
@@ -309,8 +335,10 @@
         listener=None,
         links=None,
         backend_class=Backend,
+        shared_loads=None,
     ):
         self._backend_class = backend_class
+        self._shared_loads = shared_loads
         self._host_name = host_name
         self._listener = listener
         self._links = links
@@ -355,6 +383,11 @@
                     self._links,
                 )
             )
+            if (
+                self._shared_loads is not None
+                and server.slots <= server_loads.MAX_SLOTS
+            ):
+                found.stats.shared = self._shared_loads.entry(server.server_id)
         found.server = server
         return found
 
--- a/packages/radishferryd/src/radishferryd/router/connections.py
+++ b/packages/radishferryd/src/radishferryd/router/connections.py
@@ -71,6 +71,8 @@
         self.sink = sink
         self.data = data
         self.sent_at = None
+        #: Whether it has been reported to run much longer than expected.
+        self.is_overdue = False
         self.connection = None
         self._is_done = False
 
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -10,6 +10,8 @@
 from radishferry.direct import admission
 from radishferry.direct import announcements
 from radishferry.direct import budget as budget_module
+from radishferry.direct import cost_choice
+from radishferry.direct import server_loads
 from radishferryd.platform import headers
 from radishferryd.router import backends as backends_module
 from radishferryd.router import crash_detector
@@ -23,6 +25,9 @@
 
 #: Seconds after which callers may retry at a host without configuration.
 STARTING_RETRY_S = 0.5
+#: Times its expected duration after which a request is reported to run long.
+#: One to three requests in a hundred take that long at a healthy server.
+OVERDUE_FACTOR = 4.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -36,12 +41,15 @@
         :class:`~radishferryd.router.crashes.News`.
     :ivar notices: A :class:`~radishferry.direct.announcements.Notice` for
         each server that has announced something.
+    :ivar loads: :class:`~radishferry.direct.server_loads.Loads` of servers
+        with few slots.
     """
 
     keys: dict
     speeds: list
     crashes: crashes_module.News
     notices: list
+    loads: server_loads.Loads
 
 
 class Gateway:
@@ -71,8 +79,18 @@
         self.links = link_monitor.LinkMonitor(
             poller, scheduler, routing_state.registry
         )
+        #: Loads and speeds of servers with few slots.
+        self.shared_loads = server_loads.SharedLoads()
         self.backends = backends_module.Backends(
-            poller, scheduler, settings.host_name, self, self.links
+            poller,
+            scheduler,
+            settings.host_name,
+            self,
+            self.links,
+            shared_loads=self.shared_loads,
+        )
+        self.cost_choice = cost_choice.CostChoice(
+            self.backends.stats, self.data_centre
         )
         self.links.on_restored.append(self.backends.forget_failures)
         self.relays = relays_module.Relays(
@@ -287,13 +305,47 @@
                     )
                 )
                 backend.service_time_s, backend.service_time_count = 0.0, 0
+            self._note_overdue(backend)
         return Observations(
             keys,
             speeds,
             self._crashes.take_new(self.now()),
             self.announcements.take_new(self.now()),
+            self.shared_loads.take_new(),
         )
 
+    def _note_overdue(self, backend):
+        """Record requests of a server that run much longer than expected.
+
+        A server that has become slow answers, and reports its load, late.
+        """
+        shared = backend.stats.shared
+        if shared is None:
+            return
+        now = self.now()
+        for attempt in backend.stats.outstanding:
+            estimate = self.route_stats(attempt.sink).work
+            expected_s = estimate.mean_s * shared.relative_time
+            ran_s = now - attempt.sent_at
+            if not attempt.is_overdue and ran_s > OVERDUE_FACTOR * expected_s:
+                attempt.is_overdue = True
+                shared.note_sample(ran_s / estimate.mean_s)
+
+    def apply_loads(self, loads):
+        """Apply the loads that the granting host has told.
+
+        :param loads: A :class:`~radishferry.direct.server_loads.Loads`.
+        """
+        self.shared_loads.apply(loads, self.now())
+
+    def note_answer(self, request, attempt, result):
+        """Record what an answer tells about the requests of a route."""
+        elapsed_s = self.now() - attempt.sent_at
+        backend = attempt.backend
+        stats = self.route_stats(request)
+        stats.note(len(result.body), elapsed_s, backend.last_queue_length)
+        backend.note_work(stats.work, attempt, elapsed_s)
+
     def route_stats(self, request):
         """Return the statistics of the route and service of a request."""
         name = request.route.name, request.service
@@ -510,6 +562,7 @@
 
     def _on_servers(self, change):
         self.backends.keep(self.registry.all())
+        self.shared_loads.keep(s.server_id for s in self.registry.all())
         for service in {s.service for s in change.added}:
             self._on_owners(service)
 
--- a/packages/radishferryd/src/radishferryd/router/hub.py
+++ b/packages/radishferryd/src/radishferryd/router/hub.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import collections
 import logging
 
 from radishferry import field_checks
 from radishferry.direct import announcements
 from radishferry.direct import pacing
+from radishferry.direct import server_loads
 from radishferryd.gen.router import ttypes
 from radishferryd.router import crashes as crashes_module
 from radishferryd.router import knowledge as knowledge_module
@@ -41,6 +43,7 @@
         crashes,
         link_mbps,
         relay_directory,
+        on_loads=None,
     ):
         """Create a hub without links.
 
@@ -50,7 +53,11 @@
         :param link_mbps: Bandwidth of this host in Mbit/s.
         :param relay_directory: A
             :class:`~radishferryd.router.relay_directory.RelayDirectory`.
+        :param on_loads: Called with the loads of servers that are told to
+            the other hosts.
         """
+        self._loads = server_loads.MergedLoads()
+        self._on_loads = on_loads
         self._relay_directory = relay_directory
         self._scheduler = scheduler
         self._routing_state = routing_state
@@ -109,6 +116,7 @@
         """Close all links, so that the hosts look up the new granting host."""
         self._is_active = False
         self._pending_segments = {}
+        self._loads.clear()
         self._snapshot_cache = None
         for link in list(self._links):
             link.close()
@@ -126,7 +134,38 @@
                 LOG.warning('hub: The link to %s is silent.', link.host)
                 link.close()
         if self._is_active:
-            self._send_all('beat', self._heartbeat(False))
+            self._send_all(
+                'beat', self._heartbeat(False, self._take_loads(now))
+            )
+
+    def note_loads(self, loads):
+        """Merge the loads of servers that a host has seen.
+
+        :param loads: A :class:`~radishferry.direct.server_loads.Loads`.
+        """
+        self._loads.note(loads, self._scheduler.now())
+
+    def _take_loads(self, now):
+        """Return the loads for a heartbeat, None if there are few hosts."""
+        if self.host_count < server_loads.MIN_HOSTS:
+            return None
+        loads = self._loads.take_changes(
+            self._shared_services(),
+            pacing.load_entries(
+                len(self._links), self._link_mbps, links.HEARTBEAT_S
+            ),
+            now,
+        )
+        if self._on_loads is not None:
+            self._on_loads(loads)
+        return ttypes.ServerLoads(loads.servers, loads.loads, loads.log_times)
+
+    def _shared_services(self):
+        by_service = collections.defaultdict(list)
+        for server in self._routing_state.registry.all():
+            if server.slots <= server_loads.MAX_SLOTS:
+                by_service[server.service].append(server.server_id)
+        return by_service.values()
 
     def announce_renewal(self):
         """Announce renewed leadership and the leases under it.
@@ -138,7 +177,7 @@
         if self._is_active and is_new and self.host_count <= MAX_PROMPT_HOSTS:
             self._send_all('beat', self._heartbeat(False))
 
-    def _heartbeat(self, is_stopping):
+    def _heartbeat(self, is_stopping, loads=None):
         age = self._routing_state.registry.age(self._scheduler.now())
         ownership = self._ownership
         ownership.consent.note_renewed(ownership.term_version)
@@ -151,6 +190,7 @@
             ownership.has_usual_holds and ownership.is_active,
             ownership.wants_long_holds,
             self._reported_configuration_age_s,
+            loads,
         )
 
     # Called by links.
@@ -174,6 +214,8 @@
                 [(s.server_id, s.total_s, s.answers) for s in message.speeds],
             )
             self._note_crashes(message)
+            if message.loads is not None:
+                self.note_loads(links.from_server_loads(message.loads))
             # A host of an older version sends no notices.
             self.note_notices(link.host, map(_notice, message.notices or ()))
         elif name == 'long_hold_consent':
--- a/packages/radishferryd/src/radishferryd/router/links.py
+++ b/packages/radishferryd/src/radishferryd/router/links.py
@@ -5,6 +5,7 @@
 import logging
 import zlib
 
+from radishferry.direct import server_loads
 from radishferryd import frames
 from radishferryd import net
 from radishferryd.gen.router import ttypes
@@ -33,6 +34,24 @@
 _CODEC = frames.Codec(ttypes.Frame, ('beat', 'load_report'))
 
 
+def to_server_loads(loads):
+    """Return the struct of :class:`~radishferry.direct.server_loads.Loads`.
+
+    :returns: None if they are empty.
+    """
+    if not loads.servers:
+        return None
+    return ttypes.ServerLoads(loads.servers, loads.loads, loads.log_times)
+
+
+def from_server_loads(message):
+    """Return the loads of a struct, none if its lists do not match."""
+    columns = message.servers, message.loads, message.log_times
+    if None in columns or len(set(map(len, columns))) != 1:
+        return server_loads.Loads([], [], [])
+    return server_loads.Loads(*columns)
+
+
 def encode(name, message) -> bytes:
     """Return the bytes of a message, compressed if it is large.
 
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -404,10 +404,7 @@
             self._gateway.attempt_lost(self, attempt, result)
             self._start_attempt()
             return
-        elapsed = self._gateway.now() - attempt.sent_at
-        self._gateway.route_stats(self).note(
-            len(result.body), elapsed, attempt.backend.last_queue_length
-        )
+        self._gateway.note_answer(self, attempt, result)
         self._finish_answer(result)
 
     def _finish_answer(self, result):
--- a/packages/radishferryd/src/radishferryd/router/server_choice.py
+++ b/packages/radishferryd/src/radishferryd/router/server_choice.py
@@ -113,7 +113,7 @@
     state = _state(gateway, server, stats, now)
     if not state.is_available:
         return _owner_unavailable(server, stats, state, now)
-    usual = query.route_stats.service_s
+    usual = _usual_s(query, stats, now)
     expected = stats.expected_s(usual, now)
     if gateway.availability.cold_s(server):
         expected *= selection.WARMUP_FACTOR
@@ -171,16 +171,7 @@
 
 
 def _choose_any(gateway, query, now):
-    choice = selection.choose(
-        gateway.availability.candidates(query.service),
-        gateway.backends.stats,
-        usual_s=query.route_stats.service_s,
-        data_centre=gateway.data_centre,
-        answer_bytes=query.route_stats.answer_bytes,
-        now=now,
-        hosts=gateway.host_count,
-        skip=query.tried,
-    )
+    choice = _cheapest(gateway, query, now)
     if choice is None:
         return NoServer(
             gateway.paused_for_s(query.service),
@@ -200,11 +191,45 @@
     return Send(backend, facts)
 
 
+def _cheapest(gateway, query, now):
+    servers = gateway.availability.candidates(query.service)
+    if gateway.cost_choice.acts_on(servers, now):
+        choice = gateway.cost_choice.choose(
+            query.service,
+            servers,
+            work_s=query.route_stats.work.mean_s,
+            answer_bytes=query.route_stats.answer_bytes,
+            now=now,
+            hosts=gateway.host_count,
+            skip=query.tried,
+        )
+        if choice is not None:
+            return choice
+    return selection.choose(
+        servers,
+        gateway.backends.stats,
+        usual_s=query.route_stats.service_s,
+        data_centre=gateway.data_centre,
+        answer_bytes=query.route_stats.answer_bytes,
+        now=now,
+        hosts=gateway.host_count,
+        skip=query.tried,
+    )
+
+
+def _usual_s(query, stats, now):
+    """Return the time of a request of the route at a usual server."""
+    route_stats = query.route_stats
+    if stats.has_shared_load(now) and route_stats.work.is_known:
+        return route_stats.work.mean_s
+    return route_stats.service_s
+
+
 def _is_admitted(query, stats, expected_s, now):
     return admission.is_admitted(
         query.route,
         stats,
-        query.route_stats.service_s,
+        _usual_s(query, stats, now),
         expected_s=expected_s,
         left_s=query.left_s,
         now=now,
@@ -212,6 +237,7 @@
 
 
 def _facts(query, server, stats, expected_s, now, fence):
+    shared = stats.shared
     return {
         'server': server.server_id,
         'load': round(stats.load(now), 1),
@@ -219,4 +245,6 @@
         'expected_s': round(expected_s, 3),
         'left_s': round(query.left_s, 3),
         'fence': fence,
+        'relative_time': shared and round(shared.relative_time, 2),
+        'has_shared_load': stats.has_shared_load(now),
     }
--- a/packages/radishferryd/src/radishferryd/router/spoke.py
+++ b/packages/radishferryd/src/radishferryd/router/spoke.py
@@ -46,8 +46,8 @@
             relayed requests as ``ip:port``.
         :param owner: Offers ``granter_lost()``, ``set_host_count(count)``,
             ``adopt_crash_counts(counts)``, ``take_load()``,
-            ``repeat_announcements()``, ``reaches_servers()`` and
-            ``set_relay_hosts(hosts)``.
+            ``repeat_announcements()``, ``reaches_servers()``,
+            ``set_relay_hosts(hosts)`` and ``apply_loads(loads)``.
         """
         self._poller = poller
         self._scheduler = scheduler
@@ -164,6 +164,7 @@
                     for crash in crashes
                 ],
                 load.crashes.completed,
+                links.to_server_loads(load.loads),
             ),
         )
 
@@ -254,6 +255,8 @@
             )
         self._note_holds(message)
         self._owner.set_host_count(message.hosts)
+        if message.loads is not None:
+            self._owner.apply_loads(links.from_server_loads(message.loads))
         read_at = now - message.registry_age_s
         self._granter_read_at = read_at
         # A granting host of an older version does not send the age of its
