--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -88,6 +88,13 @@
     def route_stats(self, request):
         return self._stats
 
+    def note_answer(self, request, attempt, result):
+        self._stats.note(
+            len(result.body),
+            self.now() - attempt.sent_at,
+            attempt.backend.last_queue_length,
+        )
+
     def wait_for_owner(self, request):
         """Ignore requests that wait."""
 
--- a/features/steps/direct_requests_steps.py
+++ b/features/steps/direct_requests_steps.py
@@ -105,7 +105,11 @@
         return self._stats
 
     def note_answer(self, request, attempt, result):
-        """Ignore the answer."""
+        self._stats.note(
+            len(result.body),
+            self.now() - attempt.sent_at,
+            attempt.backend.last_queue_length,
+        )
 
     def wait_for_owner(self, request):
         self.waiting[request] = None
--- a/packages/radishferryd/src/radishferryd/router/backends.py
+++ b/packages/radishferryd/src/radishferryd/router/backends.py
@@ -111,7 +111,8 @@
         if connection is None:
             return False
         self.stats.note_sent(self._scheduler.now())
-        self.stats.outstanding.add(attempt)
+        if self.stats.shared is not None:
+            self.stats.outstanding.add(attempt)
         if attempt.key is not None:
             self.in_flight_by_key[attempt.key] += 1
         connection.send(attempt)
