--- a/features/steps/cost_world.py
+++ b/features/steps/cost_world.py
@@ -48,7 +48,9 @@
         }
         self.work = collections.defaultdict(work.WorkEstimate)
         self.usual_s = collections.defaultdict(lambda: 0.1)
-        self.cost_choice = cost_choice.CostChoice(self.stats_of, 'a')
+        self.cost_choice = cost_choice.CostChoice(
+            self.shared, self.stats_of, 'a'
+        )
 
     def stats_of(self, server):
         """Return the statistics of a server."""
--- a/features/steps/direct_requests_steps.py
+++ b/features/steps/direct_requests_steps.py
@@ -20,6 +20,7 @@
 from radishferry.direct import key_map
 from radishferry.direct import registry
 from radishferry.direct import selection
+from radishferry.direct import server_loads
 from radishferryd import http_message
 from radishferryd.platform import headers
 from radishferryd.router import requests
@@ -76,7 +77,9 @@
         }
         self.owner_name = 'a'
         self.availability = self
-        self.cost_choice = cost_choice.CostChoice(self.stats, 'x')
+        self.cost_choice = cost_choice.CostChoice(
+            server_loads.SharedLoads(), self.stats, 'x'
+        )
         self.left_names = ['a']
 
     def candidates(self, service):
--- a/packages/radishferry/src/radishferry/direct/cost_choice.py
+++ b/packages/radishferry/src/radishferry/direct/cost_choice.py
@@ -53,13 +53,17 @@
 class CostChoice:
     """Choose servers for the services whose loads are shared."""
 
-    def __init__(self, stats_of, data_centre):
+    def __init__(self, loads, stats_of, data_centre):
         """Start without servers.
 
+        :param loads: The
+            :class:`~radishferry.direct.server_loads.SharedLoads` of this
+            host.
         :param stats_of: Function that returns the
             :class:`~radishferry.direct.selection.ServerStats` of a server.
         :param data_centre: Data centre of this host.
         """
+        self._loads = loads
         self._stats_of = stats_of
         self._data_centre = data_centre
         self._orders = {}
@@ -69,9 +73,11 @@
 
         :param servers: Candidates of one service.
         """
-        if not servers or servers[0].slots > server_loads.MAX_SLOTS:
-            return False
-        return self._stats_of(random.choice(servers)).has_shared_load(now)
+        return (
+            bool(servers)
+            and servers[0].slots <= server_loads.MAX_SLOTS
+            and not self._loads.is_stale(now)
+        )
 
     def choose(
         self,
--- a/packages/radishferry/src/radishferry/direct/server_loads.py
+++ b/packages/radishferry/src/radishferry/direct/server_loads.py
@@ -131,18 +131,21 @@
     :ivar told_at: When that load was seen, in seconds.
     :ivar relative_time: Time of a request on a free slot, relative to the
         other servers of the service.
+    :ivar stale_at: When the load is no longer used unless another heartbeat
+        with loads arrives, in seconds.
     """
 
     load: float = 0.0
     told_at: float = -math.inf
     relative_time: float = 1.0
+    stale_at: float = -math.inf
     _baseline: float = 0.0
     _seen_load: float | None = None
     _log_samples: list[float] = dataclasses.field(default_factory=list)
 
     def is_fresh(self, now) -> bool:
-        """Return whether the granting host has told the load of late."""
-        return now - self.told_at < STALE_S + QUIET_S
+        """Return whether the granting host tells the load of the server."""
+        return now < self.stale_at
 
     def note_seen(self, load):
         """Record the load that the server reported to this host."""
@@ -173,6 +176,7 @@
             self._baseline += weight * (self.load - self._baseline)
         self.load = load
         self.told_at = seen_at
+        self.stale_at = now + STALE_S
 
     def expected_load(self, load, seen_at, now) -> float:
         """Return the load that is expected now.
@@ -235,6 +239,9 @@
             are ignored.
         """
         self._applied_at = now
+        for entry in self._by_number.values():
+            if entry.told_at > -math.inf:
+                entry.stale_at = now + STALE_S
         for number, load, log_time in loads.entries():
             entry = self._by_number.get(number)
             if entry is None:
--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -424,6 +424,9 @@
         metrics.store_calls.set(self._store.calls)
         for order, count in self._ownership.order_sender.counts.items():
             metrics.orders.set(count, order)
+        metrics.shared_loads_age.set(
+            min(1e9, self._gateway.shared_loads.age_s(self._scheduler.now()))
+        )
         metrics.registry_age.set(min(age, 1e9))
         metrics.configuration_age.set(self._routing_state.configuration_age_s)
         metrics.configuration_version.set(
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -82,6 +82,7 @@
         )
         #: Loads and speeds of servers with few slots.
         self.shared_loads = server_loads.SharedLoads()
+        self._has_stale_loads = True
         self.backends = backends_module.Backends(
             poller,
             scheduler,
@@ -91,7 +92,7 @@
             shared_loads=self.shared_loads,
         )
         self.cost_choice = cost_choice.CostChoice(
-            self.backends.stats, self.data_centre
+            self.shared_loads, self.backends.stats, self.data_centre
         )
         self.links.on_restored.append(self.backends.forget_failures)
         self.relays = relays_module.Relays(
@@ -294,6 +295,7 @@
 
         :returns: :class:`Observations`.
         """
+        self._check_shared_loads()
         keys, self._keys = dict(self._keys), collections.defaultdict(list)
         speeds = []
         for backend in self.backends:
@@ -332,6 +334,20 @@
                 attempt.is_overdue = True
                 shared.note_sample(ran_s / estimate.mean_s)
 
+    def _check_shared_loads(self):
+        """Log when shared loads come into use, and when they are stale."""
+        is_stale = self.shared_loads.is_stale(self.now())
+        if is_stale == self._has_stale_loads:
+            return
+        self._has_stale_loads = is_stale
+        if is_stale:
+            LOG.warning(
+                'gateway: The loads of servers that hosts share are stale; '
+                'this host relies on its own view.'
+            )
+        else:
+            LOG.info('gateway: Uses the loads of servers that hosts share.')
+
     def apply_loads(self, loads):
         """Apply the loads that the granting host has told.
 
--- a/packages/radishferryd/src/radishferryd/router/metrics.py
+++ b/packages/radishferryd/src/radishferryd/router/metrics.py
@@ -81,6 +81,13 @@
         'gauge',
         'Version of the configuration in force.',
     ),
+    _METRIC(
+        'shared_loads_age',
+        'radishferry_shared_loads_age_seconds',
+        'gauge',
+        'Seconds since the granting host last told the loads of servers with '
+        'few slots; 1e9 before the first time.',
+    ),
     _METRIC(
         'is_granter',
         'radishferry_is_granter',
