--- a/features/steps/direct_requests_steps.py
+++ b/features/steps/direct_requests_steps.py
@@ -16,10 +16,12 @@
 from radishferry.direct import admission
 from radishferry.direct import budget
 from radishferry.direct import configuration
+from radishferry.direct import cost_choice
 from radishferry.direct import key_map
 from radishferry.direct import outstanding
 from radishferry.direct import registry
 from radishferry.direct import selection
+from radishferry.direct import server_loads
 from radishferryd import http_message
 from radishferryd.platform import headers
 from radishferryd.router import requests
@@ -78,6 +80,9 @@
         self.owner_name = 'a'
         self.availability = self
         self.outstanding = outstanding.Outstanding()
+        self.cost_choice = cost_choice.CostChoice(
+            server_loads.SharedLoads(), self.stats, 'x'
+        )
         self.left_names = ['a']
 
     def candidates(self, service):
@@ -105,6 +110,13 @@
     def route_stats(self, request):
         return self._stats
 
+    def note_answer(self, request, attempt, result):
+        self._stats.note(
+            len(result.body),
+            self.now() - attempt.sent_at,
+            attempt.backend.last_queue_length,
+        )
+
     def wait_for_owner(self, request):
         self.waiting[request] = None
 
--- a/packages/radishferry/src/radishferry/direct/admission.py
+++ b/packages/radishferry/src/radishferry/direct/admission.py
@@ -19,6 +19,7 @@
 
 from radishferry.direct import configuration
 from radishferry.direct import selection
+from radishferry.direct import work
 
 #: Lowest target that is applied, as a factor of the usual time of the route:
 #: with a lower one nothing would ever be in time.
@@ -112,6 +113,8 @@
         self._full_s = self._next_full_s = 0.0
         self._window_ends_at = -math.inf
         self._arrivals = self._first_attempts = 0.0
+        #: Work of the requests, for services whose loads are shared.
+        self.work = work.WorkEstimate()
 
     def note(self, size, elapsed_s, waiting):
         """Record one answer.
--- a/packages/radishferryd/src/radishferryd/router/connections.py
+++ b/packages/radishferryd/src/radishferryd/router/connections.py
@@ -79,6 +79,8 @@
         #: Load of the server that was assumed at the send, None without a
         #: fresh report.
         self.load_at_send = None
+        #: Whether it has been reported to run much longer than expected.
+        self.is_overdue = False
         self.connection = None
         self._is_done = False
 
--- a/packages/radishferryd/src/radishferryd/router/server_choice.py
+++ b/packages/radishferryd/src/radishferryd/router/server_choice.py
@@ -127,7 +127,7 @@
     state = _state(gateway, server, stats, query, now)
     if not state.is_available:
         return _owner_unavailable(server, stats, state, now)
-    usual = query.route_stats.service_s
+    usual = _usual_s(query, stats, now)
     expected = stats.expected_s(usual, now)
     if gateway.availability.cold_s(server):
         expected *= selection.WARMUP_FACTOR
@@ -212,16 +212,7 @@
                 ),
                 f'All servers of {query.service} are full.',
             )
-    choice = selection.choose(
-        candidates,
-        gateway.backends.stats,
-        usual_s=query.route_stats.service_s,
-        data_centre=gateway.data_centre,
-        answer_bytes=query.route_stats.answer_bytes,
-        now=now,
-        hosts=gateway.host_count,
-        skip=query.tried,
-    )
+    choice = _cheapest(gateway, query, candidates, now)
     if choice is None:
         return NoServer(
             gateway.paused_for_s(query.service),
@@ -258,6 +249,7 @@
 
 
 def _facts(query, server, stats, expected_s, now, fence):
+    shared = stats.shared
     return {
         'server': server.server_id,
         'load': round(stats.load(now), 1),
@@ -265,4 +257,39 @@
         'expected_s': round(expected_s, 3),
         'left_s': round(query.left_s, 3),
         'fence': fence,
+        'relative_time': shared and round(shared.relative_time, 2),
+        'has_shared_load': stats.has_shared_load(now),
     }
+
+
+def _cheapest(gateway, query, servers, now):
+    if gateway.cost_choice.acts_on(servers, now):
+        choice = gateway.cost_choice.choose(
+            query.service,
+            servers,
+            work_s=query.route_stats.work.mean_s,
+            answer_bytes=query.route_stats.answer_bytes,
+            now=now,
+            hosts=gateway.host_count,
+            skip=query.tried,
+        )
+        if choice is not None:
+            return choice
+    return selection.choose(
+        servers,
+        gateway.backends.stats,
+        usual_s=query.route_stats.service_s,
+        data_centre=gateway.data_centre,
+        answer_bytes=query.route_stats.answer_bytes,
+        now=now,
+        hosts=gateway.host_count,
+        skip=query.tried,
+    )
+
+
+def _usual_s(query, stats, now):
+    """Return the time of a request of the route at a usual server."""
+    route_stats = query.route_stats
+    if stats.has_shared_load(now) and route_stats.work.is_known:
+        return route_stats.work.mean_s
+    return route_stats.service_s
