--- a/packages/radishferry-testing/src/radishferry_testing/bench.py
+++ b/packages/radishferry-testing/src/radishferry_testing/bench.py
@@ -17,6 +17,7 @@
     'poison',
     'balance',
     'cost',
+    'choice',
 )
 
 
@@ -29,7 +30,8 @@
 ):
     """Run experiments.
 
-    :param names: crest, long_work, reservations, poison, balance or cost;
+    :param names: crest, long_work, reservations, poison, balance, cost or
+        choice;
         all if none is given.
     :param repeats: Number of runs of each variant.
     :param output: Directory of the results.
