--- a/features/steps/direct_admission_steps.py
+++ b/features/steps/direct_admission_steps.py
@@ -14,6 +14,7 @@
 from radishferry.direct import admission
 from radishferry.direct import configuration
 from radishferry.direct import key_map
+from radishferry.direct import outstanding
 from radishferry.direct import registry
 from radishferry.direct import selection
 from radishferryd.router import server_choice
@@ -94,6 +95,9 @@
             data_centre='abc'[number % 3],
             admission=rule,
             availability=known,
+            # Stand-ins of rules that act on other services only.
+            outstanding=outstanding.Outstanding(),
+            cost_choice=types.SimpleNamespace(acts_on=lambda *_: False),
             servers=self.servers,
             views={},
             routes=collections.defaultdict(
--- a/packages/radishferry/src/radishferry/direct/admission.py
+++ b/packages/radishferry/src/radishferry/direct/admission.py
@@ -294,8 +294,10 @@
         """Return the wait to add for the age of a server's last report.
 
         Without a recent report its queue is expected to be as long as that of
-        the others of its data centre.
+        the others of its data centre, unless the granting host tells its load.
         """
+        if asked.stats.has_shared_load(now):
+            return 0.0
         mean_wait_s = self._waits[asked.service, asked.data_centre].value_s(
             now
         )
