--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -11,10 +11,15 @@
 from radishferry.direct import announcements
 from radishferry.direct import availability
 from radishferry.direct import budget as budget_module
+from radishferry.direct import cost_choice
+from radishferry.direct import outstanding as outstanding_module
+from radishferry.direct import refusal_periods
+from radishferry.direct import server_loads
 from radishferryd.platform import headers
 from radishferryd.router import backends as backends_module
 from radishferryd.router import crash_detector
 from radishferryd.router import crashes as crashes_module
+from radishferryd.router import hang_monitor
 from radishferryd.router import link_monitor
 from radishferryd.router import relays as relays_module
 from radishferryd.router import requests
@@ -24,6 +29,20 @@
 
 #: Seconds after which callers may retry at a host without configuration.
 STARTING_RETRY_S = 0.5
+#: Times its expected duration after which a request is reported to run long.
+#: One to three requests in a hundred take that long at a healthy server.
+OVERDUE_FACTOR = 4.0
+
+#: Outcomes of requests that were refused for want of room.
+_OVERLOAD_OUTCOMES = frozenset(
+    reason.value
+    for reason in (
+        results.Reason.OVERLOADED,
+        results.Reason.OUTRANKED,
+        results.Reason.TOO_LATE,
+        results.Reason.HOT_KEY,
+    )
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -37,12 +56,15 @@
         :class:`~radishferryd.router.crashes.News`.
     :ivar notices: A :class:`~radishferry.direct.announcements.Notice` for
         each server that has announced something.
+    :ivar loads: :class:`~radishferry.direct.server_loads.Loads` of servers
+        with few slots.
     """
 
     keys: dict
     speeds: list
     crashes: crashes_module.News
     notices: list
+    loads: server_loads.Loads
 
 
 class Gateway:
@@ -72,8 +94,19 @@
         self.links = link_monitor.LinkMonitor(
             poller, scheduler, routing_state.registry
         )
+        #: Loads and speeds of servers with few slots.
+        self.shared_loads = server_loads.SharedLoads()
+        self._has_stale_loads = True
         self.backends = backends_module.Backends(
-            poller, scheduler, settings.host_name, self, self.links
+            poller,
+            scheduler,
+            settings.host_name,
+            self,
+            self.links,
+            shared_loads=self.shared_loads,
+        )
+        self.cost_choice = cost_choice.CostChoice(
+            self.shared_loads, self.backends.stats, self.data_centre
         )
         self.links.on_restored.append(self.backends.forget_failures)
         self.relays = relays_module.Relays(
@@ -85,6 +118,8 @@
             routing_state,
         )
         self.announcements = announcements.Announcements()
+        self.admission = admission.Admission()
+        self._refusal_periods = refusal_periods.RefusalPeriods()
         self.budget = budget_module.RetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
@@ -93,6 +128,10 @@
         self.crash_detector = crash_detector.CrashDetector(
             poller, scheduler, self.links, crashes
         )
+        self.outstanding = outstanding_module.Outstanding()
+        self.hang_monitor = hang_monitor.HangMonitor(
+            scheduler, self.backends, self.links, self.outstanding, metrics
+        )
         self._metrics = metrics
         self._stats = {}
         self._keys = collections.defaultdict(list)
@@ -149,6 +188,7 @@
         """Divide connection limits and retry budgets among the hosts."""
         self.host_count = max(1, count)
         self.budget.set_hosts(self.host_count)
+        self.outstanding.hosts = self.host_count
         self._update_connection_limits()
 
     # Planned stop.
@@ -221,6 +261,8 @@
         )
         if origin is None or not origin.attempts:
             self.budget.note_request(service, self.now())
+        if origin is None:
+            self._note_arrival(request, head)
         self.open_requests += 1
         self.open_relayed_requests += request.is_relayed
         # The slot must know its request before a response arrives.
@@ -228,6 +270,19 @@
         request.start()
         return request
 
+    def _note_arrival(self, request, head):
+        """Record a request of a caller for the rule of admission."""
+        now = self.now()
+        route_stats = self.route_stats(request)
+        self.admission.note_arrival(
+            request.service, request.route, route_stats, now
+        )
+        remaining_s = headers.parse_remaining_s(
+            head.header(headers.REMAINING_MS)
+        )
+        if remaining_s is not None:
+            route_stats.note_arrival(remaining_s, now)
+
     def _choose_part(self, route, origin):
         """Return the service of a request.
 
@@ -276,6 +331,7 @@
 
         :returns: :class:`Observations`.
         """
+        self._check_shared_loads()
         keys, self._keys = dict(self._keys), collections.defaultdict(list)
         speeds = []
         for backend in self.backends:
@@ -288,13 +344,61 @@
                     )
                 )
                 backend.service_time_s, backend.service_time_count = 0.0, 0
+            self._note_overdue(backend)
         return Observations(
             keys,
             speeds,
             self._crashes.take_new(self.now()),
             self.announcements.take_new(self.now()),
+            self.shared_loads.take_new(),
         )
 
+    def _note_overdue(self, backend):
+        """Record requests of a server that run much longer than expected.
+
+        A server that has become slow answers, and reports its load, late.
+        """
+        shared = backend.stats.shared
+        if shared is None:
+            return
+        now = self.now()
+        for attempt in backend.stats.outstanding:
+            estimate = self.route_stats(attempt.sink).work
+            expected_s = estimate.mean_s * shared.relative_time
+            ran_s = now - attempt.sent_at
+            if not attempt.is_overdue and ran_s > OVERDUE_FACTOR * expected_s:
+                attempt.is_overdue = True
+                shared.note_sample(ran_s / estimate.mean_s)
+
+    def _check_shared_loads(self):
+        """Log when shared loads come into use, and when they are stale."""
+        is_stale = self.shared_loads.is_stale(self.now())
+        if is_stale == self._has_stale_loads:
+            return
+        self._has_stale_loads = is_stale
+        if is_stale:
+            LOG.warning(
+                'gateway: The loads of servers that hosts share are stale; '
+                'this host relies on its own view.'
+            )
+        else:
+            LOG.info('gateway: Uses the loads of servers that hosts share.')
+
+    def apply_loads(self, loads):
+        """Apply the loads that the granting host has told.
+
+        :param loads: A :class:`~radishferry.direct.server_loads.Loads`.
+        """
+        self.shared_loads.apply(loads, self.now())
+
+    def note_answer(self, request, attempt, result):
+        """Record what an answer tells about the requests of a route."""
+        elapsed_s = self.now() - attempt.sent_at
+        backend = attempt.backend
+        stats = self.route_stats(request)
+        stats.note(len(result.body), elapsed_s, backend.last_queue_length)
+        backend.note_work(stats.work, attempt, elapsed_s)
+
     def route_stats(self, request):
         """Return the statistics of the route and service of a request."""
         name = request.route.name, request.service
@@ -336,6 +440,7 @@
         """
         detector = self.crash_detector
         if isinstance(result, results.Answered):
+            self._note_report(request, attempt)
             if detector.needs_completions and not headers.implies_not_run(
                 result.head
             ):
@@ -343,11 +448,23 @@
         elif isinstance(result, results.NotRun):
             if result.is_server_dead:
                 detector.note_refused(attempt.server)
+            elif not (result.is_unreachable or result.is_host_exhausted):
+                self._note_report(request, attempt)
         elif result.is_connection_lost and not result.is_unacknowledged:
             detector.note_connection_lost(
                 attempt.server, request.fingerprint, attempt.sent_at
             )
 
+    def _note_report(self, request, attempt):
+        backend = attempt.backend
+        self.admission.note_report(
+            attempt.server,
+            backend.stats,
+            backend.last_queue_length,
+            self.route_stats(request).service_s,
+            self.now(),
+        )
+
     def attempt_lost(self, request, attempt, result):
         """Log a failed attempt that a server may have run."""
         LOG.info(
@@ -428,6 +545,16 @@
             detail,
         )
 
+    def on_load(self, server, load) -> int:
+        """Record a load report, and return the requests left there."""
+        return self.outstanding.note_report(
+            server.service, load.running, load.waiting
+        )
+
+    def on_unanswered(self, server, attempt):
+        """Record that a server sent nothing in the time it was given."""
+        self.hang_monitor.note_unanswered(server, attempt)
+
     def paused_for_s(self, service) -> float:
         """Return the time until the first server of a service ends its pause.
 
@@ -470,6 +597,7 @@
             self._metrics.count_request(
                 request.service, request.route.name, outcome, took_s
             )
+            self._note_admission(request, outcome, now)
         if request.relays:
             self._metrics.count_relay('sent', outcome)
         in_time = took_s <= request.route.target_latency_s
@@ -493,6 +621,25 @@
             },
         )
 
+    def _note_admission(self, request, outcome, now):
+        """Count a request by its rank, and log when refusals begin or end."""
+        rank = request.route.priority
+        is_refused = outcome in _OVERLOAD_OUTCOMES
+        self._metrics.count_admission(
+            request.service, rank, outcome if is_refused else 'admitted'
+        )
+        change = self._refusal_periods.note(
+            request.service, rank, is_refused, now
+        )
+        if change is not None:
+            LOG.info(
+                'admission: %s %s to refuse requests of rank %d.',
+                change.service,
+                'begins' if change.has_begun else 'has ceased',
+                change.rank,
+                extra={'reason': outcome, 'refused': change.refused},
+            )
+
     # Changes of the configuration, servers and owners.
 
     def _on_configuration(self, configuration):
@@ -503,6 +650,7 @@
             for part in route.parts
         }
         self._stats = {k: v for k, v in self._stats.items() if k in names}
+        self.admission.keep_routes(names)
 
     def _update_connection_limits(self):
         configuration = self._routing_state.configuration
@@ -511,6 +659,7 @@
 
     def _on_servers(self, change):
         self.backends.keep(self.registry.all())
+        self.shared_loads.keep(s.server_id for s in self.registry.all())
         self._limit_cold_servers(change.cold)
         for service in {s.service for s in change.added}:
             self._on_owners(service)
--- a/packages/radishferryd/src/radishferryd/router/metrics.py
+++ b/packages/radishferryd/src/radishferryd/router/metrics.py
@@ -26,6 +26,25 @@
         {'service': (), 'outcome': ()},
         _MAX_SERIES,
     ),
+    _METRIC(
+        'admissions',
+        'radishferry_admissions_total',
+        'counter',
+        'Requests admitted, or refused for want of room, by service, rank and '
+        'reason.',
+        {
+            'service': (),
+            'rank': (),
+            'decision': (
+                'admitted',
+                'overloaded',
+                'outranked',
+                'too-late',
+                'hot-key',
+            ),
+        },
+        _MAX_SERIES,
+    ),
     _METRIC(
         'refusals',
         'radishferry_early_refusals_total',
@@ -50,6 +69,19 @@
         'a new limit or its end, and malformed ones.',
         {'kind': ('leaving', 'pause', 'limit', 'malformed')},
     ),
+    _METRIC(
+        'hung_requests',
+        'radishferry_hung_requests_total',
+        'counter',
+        'Requests that a server did not answer at all, by what showed it.',
+        {'evidence': ('overtaken', 'report', 'unanswered')},
+    ),
+    _METRIC(
+        'hanging_services',
+        'radishferry_hanging_services',
+        'gauge',
+        'Services whose servers do not answer requests beyond their queue.',
+    ),
     _METRIC(
         'store_calls',
         'radishferry_store_calls_total',
@@ -81,6 +113,13 @@
         'gauge',
         'Version of the configuration in force.',
     ),
+    _METRIC(
+        'shared_loads_age',
+        'radishferry_shared_loads_age_seconds',
+        'gauge',
+        'Seconds since the granting host last told the loads of servers with '
+        'few slots; 1e9 before the first time.',
+    ),
     _METRIC(
         'is_granter',
         'radishferry_is_granter',
@@ -157,6 +196,10 @@
         self.requests.inc(service, route, outcome)
         self.latency.observe(took_s, service, outcome)
 
+    def count_admission(self, service, rank, decision):
+        """Count a request that was admitted, or refused for want of room."""
+        self.admissions.inc(service, str(rank), decision)
+
     def count_refusal(self, reason):
         """Count a request that was answered before it was routed."""
         self.refusals.inc(reason)
@@ -165,6 +208,10 @@
         """Count a request that was sent to or received from another host."""
         self.relayed_requests.inc(direction, outcome)
 
+    def count_hang(self, evidence):
+        """Count a request that a server did not answer at all."""
+        self.hung_requests.inc(evidence)
+
     def count_announcement(self, kind):
         """Count an announcement of a server."""
         self.announcements.inc(kind)
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -306,9 +306,7 @@
 
     def _relay_after(self, attempt, result):
         """Relay the request after its last attempt to connect failed."""
-        if not isinstance(result, results.NotRun) or (
-            not result.is_unreachable
-        ):
+        if not (isinstance(result, results.NotRun) and result.is_unreachable):
             return False
         target = attempt.server.incarnation if self.is_keyed else self.service
         return self._relay_around(target, self._gateway.now())
@@ -404,10 +402,7 @@
             self._gateway.attempt_lost(self, attempt, result)
             self._start_attempt()
             return
-        elapsed = self._gateway.now() - attempt.sent_at
-        self._gateway.route_stats(self).note(
-            len(result.body), elapsed, attempt.backend.last_queue_length
-        )
+        self._gateway.note_answer(self, attempt, result)
         self._finish_answer(result)
 
     def _finish_answer(self, result):
@@ -449,18 +444,16 @@
     def _choose_server(self, now):
         """Send the request to the chosen server, or end or hold it."""
         gateway = self._gateway
-        decision = server_choice.choose(
-            gateway,
-            server_choice.Query(
-                self.route,
-                self.service,
-                self.key,
-                gateway.route_stats(self),
-                self._left_s(now),
-                tuple(self._tried),
-            ),
-            now,
+        query = server_choice.Query(
+            self.route,
+            self.service,
+            self.key,
+            gateway.route_stats(self),
+            self._left_s(now),
+            tuple(self._tried),
+            self._caller_deadline - now,
         )
+        decision = server_choice.choose(gateway, query, now)
         if isinstance(decision, server_choice.NoServer):
             self._handle_no_server(decision, now)
         elif isinstance(decision, server_choice.NoOwner):
@@ -477,7 +470,7 @@
                 self._send(decision.backend, now)
             else:
                 self._refuse_overloaded(
-                    decision.reason, decision.wait_s, decision.detail
+                    decision.reason, decision.retry_after_s, decision.detail
                 )
 
     def _handle_no_server(self, decision, now):
@@ -495,7 +488,7 @@
         elif decision.permit_wait_s:
             self._refuse_overloaded(
                 results.Reason.RATE_LIMITED,
-                decision.permit_wait_s,
+                admission.retry_after_s(decision.permit_wait_s),
                 f'The servers of {self.service} have a limit.',
             )
         else:
@@ -520,12 +513,15 @@
             self.key,
             self._used_connections,
         )
+        attempt.expect(
+            now + self._left_s(now), gateway.route_stats(self).service_s
+        )
         self._attempt = attempt
         if not backend.send(attempt, self.is_idempotent):
             self._attempt = None
             self._refuse_overloaded(
                 results.Reason.OVERLOADED,
-                0.3,
+                admission.retry_after_s(0.3),
                 f'All connections to {server.server_id} are in use.',
             )
             return
@@ -549,9 +545,7 @@
             and name != 'content-length'
         ]
         lines = headers.forwarded_headers(
-            kept,
-            max(0.001, self._left_s(now) - RESPONSE_MARGIN_S),
-            server_id,
+            kept, max(0.001, self._left_s(now) - RESPONSE_MARGIN_S), server_id
         )
         if origin is not None:
             lines.append(
@@ -699,11 +693,11 @@
             results.Refusal(502, results.Reason.BAD_ANSWER, detail)
         )
 
-    def _refuse_overloaded(self, reason, expected_s, detail):
+    def _refuse_overloaded(self, reason, retry_after_s, detail):
         if self._may_have_run and not self.is_idempotent:
             self._give_up(self._last_result)
             return
-        self._refuse(503, reason, detail, admission.retry_after_s(expected_s))
+        self._refuse(503, reason, detail, retry_after_s)
 
     def _refuse(self, status, reason, detail, retry_after_s=None):
         self._end()
