Bound the memory that callers make a host hold

An account of bytes divides what the process may use into budgets. A body is held once, in blocks that return to the system; what does not fit waits unread for up to 2 s or is refused with 503, and callers that make no progress are ended when others need their memory or their connections to servers.

--- a/features/steps/direct_callers_steps.py
+++ b/features/steps/direct_callers_steps.py
@@ -11,6 +11,7 @@
 from radishferry.direct import configuration
 from radishferryd import http_message
 from radishferryd.router import callers
+from radishferryd.router import memory_account
 from radishferryd.router import results
 
 _HEAD = b'POST /p HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n'
@@ -23,6 +24,7 @@
 
     is_open = True
     has_lingered = False
+    queued_bytes = 0
     #: Called in place of the second write, None if it succeeds.
     on_second_write = None
 
@@ -84,11 +86,14 @@
     def __init__(self):
         self.scheduler = load_fixtures.Scheduler()
         self.now = self.scheduler.now
+        self.memory = memory_account.unlimited(self.now)
         self.connections = set()
         self.begun = []
 
     def begin(self, slot):
         self.begun.append(slot)
+        # As a request does, which needs it for its attempts.
+        slot.body.hold()
         slot.request = _Request(slot)
         return slot.request
 
@@ -280,7 +285,7 @@
 @behave.then('a request with a body of {size:d} bytes has begun')
 def has_begun(context, size):
     (slot,) = context.gateway.begun
-    assert len(b''.join(slot.body)) == size
+    assert len(b''.join(slot.body.parts())) == size
     assert not context.socket.written
 
 
--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -26,6 +26,7 @@
 from radishferryd import http_message
 from radishferryd.platform import headers
 from radishferryd.router import backends
+from radishferryd.router import bodies
 from radishferryd.router import requests
 
 #: The users' rule: in each span of 4 s a server gets at most one and a half
@@ -94,7 +95,7 @@
 class _Slot:
     """Record the response to the caller."""
 
-    body = ()
+    body = bodies.EMPTY
 
     def __init__(self, now, number):
         self.arrived_at = now
--- a/features/steps/direct_memory_steps.py
+++ b/features/steps/direct_memory_steps.py
@@ -249,19 +249,24 @@
 
 @behave.then('an ordinary request is answered')
 def ordinary(context):
-    status, _, _ = direct_host_fixtures.request(context, 1, 'POST', '/p/x')
-    assert status == 200, status
+    status, _, body = direct_host_fixtures.request(context, 1, 'POST', '/p/x')
+    assert status == 200, (status, body)
 
 
 def _held(context):
     port = context.processes.port('host1', 'metrics')
     _, _, text = direct_host_fixtures.call(port, 'GET', '/metrics')
-    return re.findall(rb'radishferry_held_bytes\{.*?\} (\S+)', text)
+    found = re.findall(rb'radishferry_held_bytes\{kind="(.*?)"\} (\S+)', text)
+    assert found, text
+    return {kind.decode(): float(size) for kind, size in found if size != b'0'}
 
 
 @behave.then('the host holds nothing of callers')
 def holds_nothing(context):
-    process_fixtures.wait_until(lambda: set(_held(context)) == {b'0'})
+    try:
+        process_fixtures.wait_until(lambda: not any(_held(context).values()))
+    finally:
+        print('held at the end:', _held(context))
 
 
 @behave.when('a body of {size:d} bytes is sent alone')
--- a/features/steps/direct_requests_steps.py
+++ b/features/steps/direct_requests_steps.py
@@ -21,6 +21,7 @@
 from radishferry.direct import selection
 from radishferryd import http_message
 from radishferryd.platform import headers
+from radishferryd.router import bodies
 from radishferryd.router import requests
 from radishferryd.router import results
 
@@ -128,7 +129,7 @@
 class _Slot:
     """Record the response to the caller."""
 
-    body = ()
+    body = bodies.EMPTY
 
     def __init__(self, now, remaining_ms):
         self.arrived_at = now
--- a/packages/radishferryd/src/radishferryd/http_message.py
+++ b/packages/radishferryd/src/radishferryd/http_message.py
@@ -112,6 +112,16 @@
         """Return whether no message is partly received."""
         return not self._is_in_message
 
+    @property
+    def head_bytes(self) -> int:
+        """Return the bytes received of the current or last head."""
+        return self._head_bytes
+
+    @property
+    def header_count(self) -> int:
+        """Return the headers held of an incomplete head."""
+        return len(self._headers)
+
     def feed(self, data: bytes):
         """Parse bytes and call the handler.
 
@@ -187,12 +197,13 @@
         if self._is_interim:
             return
         self._overhead_bytes = 0
+        found, self._headers = tuple(self._headers), []
         self._handler.on_head(
             Head(
                 parser.get_method().decode() if self._is_request else '',
                 self._target.decode('latin-1'),
                 0 if self._is_request else parser.get_status_code(),
-                tuple(self._headers),
+                found,
                 parser.should_keep_alive(),
                 self._reason.decode('latin-1'),
             )
--- a/packages/radishferryd/src/radishferryd/net.py
+++ b/packages/radishferryd/src/radishferryd/net.py
@@ -321,7 +321,14 @@
 class Listener:
     """Accept TCP connections."""
 
-    def __init__(self, poller, address, handler_factory, reports_end=False):
+    def __init__(
+        self,
+        poller,
+        address,
+        handler_factory,
+        reports_end=False,
+        receive_bytes=None,
+    ):
         """Bind and listen.
 
         :param poller: The poller of the loop.
@@ -329,6 +336,9 @@
         :param handler_factory: Called without arguments for the
             :class:`Handler` of each accepted connection.
         :param reports_end: See :meth:`Connection.start`.
+        :param receive_bytes: Receive buffer that is asked for each
+            connection, None for one that the system adapts. It would hold up
+            to 6 MB of a connection that is not read.
         :raises OSError: The address cannot be bound.
         """
         self._poller = poller
@@ -336,6 +346,11 @@
         self._reports_end = reports_end
         self._sock = socket.create_server(address, backlog=BACKLOG)
         self._sock.setblocking(False)
+        if receive_bytes is not None:
+            # Accepted sockets inherit it.
+            self._sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes
+            )
         poller.add(self._sock.fileno(), self._on_ready)
 
     @property
--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -7,6 +7,8 @@
 
 import gc
 import logging
+import math
+import resource
 import signal
 import time
 
@@ -23,6 +25,7 @@
 from radishferryd.router import hub as hub_module
 from radishferryd.router import knowledge as knowledge_module
 from radishferryd.router import links
+from radishferryd.router import memory_account
 from radishferryd.router import metrics as metrics_module
 from radishferryd.router import ownership as ownership_module
 from radishferryd.router import relay_directory
@@ -82,6 +85,11 @@
         self._reader = store_reader.StoreReader(
             self._store, self._scheduler, self._routing_state
         )
+        self._memory = memory_account.MemoryAccount(
+            settings.host_memory_mb,
+            memory_account.caller_limit(_descriptors(settings)),
+            self._scheduler.now,
+        )
         self._gateway = gateway_module.Gateway(
             self._poller,
             self._scheduler,
@@ -89,6 +97,7 @@
             self._crashes,
             settings,
             self._metrics,
+            self._memory,
         )
         self._term = term_module.LeaderElector(
             self._store,
@@ -335,6 +344,7 @@
         now = self._scheduler.now()
         self._gateway.backends.close_old()
         self._gateway.relays.close_old()
+        self._memory.check()
         for connection in list(self._gateway.connections):
             connection.check_time(now)
         self._flush_log()
@@ -431,6 +441,8 @@
             self._crashes.count_poison(self._scheduler.now())
         )
         metrics.open_requests.set(self._gateway.open_requests)
+        for kind in memory_account.Kind:
+            metrics.held_bytes.set(self._memory.held(kind), kind.value)
         if self._log_stream is not None:
             metrics.dropped_lines.set(self._log_stream.dropped)
 
@@ -460,6 +472,14 @@
             self._hub.announce_stop()
 
 
+def _descriptors(settings):
+    """Return how many descriptors the process may use."""
+    if settings.host_max_fds:
+        return settings.host_max_fds
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return math.inf if limit == resource.RLIM_INFINITY else limit
+
+
 def run(settings, log_stream=None) -> int:
     """Run the process until a planned stop ends it.
 
--- a/packages/radishferryd/src/radishferryd/router/backends.py
+++ b/packages/radishferryd/src/radishferryd/router/backends.py
@@ -12,6 +12,7 @@
 from radishferry.direct import selection
 from radishferryd.platform import headers
 from radishferryd.router import connections
+from radishferryd.router import memory_account
 from radishferryd.router import results
 
 LOG = logging.getLogger(__name__)
@@ -58,6 +59,7 @@
         listener=None,
         hosts=1,
         links=None,
+        memory=None,
     ):
         """Create the backend without a connection.
 
@@ -73,7 +75,11 @@
         :param links: The
             :class:`~radishferryd.router.link_monitor.LinkMonitor` of this
             host, or None.
+        :param memory: The
+            :class:`~radishferryd.router.memory_account.MemoryAccount` of the
+            process, or None for no limit.
         """
+        self.memory = memory or memory_account.unlimited(scheduler.now)
         self._listener = listener
         self._links = links
         self._idle_limits = idle_limits
@@ -309,7 +315,13 @@
         listener=None,
         links=None,
         backend_class=Backend,
+        memory=None,
     ):
+        """Create the backends of this host, none at first.
+
+        :param memory: See :class:`Backend`.
+        """
+        self._memory = memory
         self._backend_class = backend_class
         self._host_name = host_name
         self._listener = listener
@@ -353,6 +365,7 @@
                     self._listener,
                     self._hosts,
                     self._links,
+                    self._memory,
                 )
             )
         found.server = server
--- a/packages/radishferryd/src/radishferryd/router/connections.py
+++ b/packages/radishferryd/src/radishferryd/router/connections.py
@@ -9,6 +9,8 @@
 from radishferryd import http_message
 from radishferryd import net
 from radishferryd.platform import headers
+from radishferryd.router import bodies
+from radishferryd.router import memory_account
 from radishferryd.router import results
 
 #: Connect timeout in seconds. Data centres are about 1 ms apart, so only an
@@ -56,13 +58,18 @@
         data,
         key=None,
         used_connections=(),
+        body=bodies.EMPTY,
     ):
         """Create the attempt.
 
         :param sink: A :class:`Sink`.
-        :param data: Bytes of the request.
+        :param data: Bytes of the head of the request.
         :param used_connections: Connections of the request's earlier attempts.
+        :param body: The :class:`~radishferryd.router.bodies.Body` of the
+            request, which is held until it has been written or the attempt
+            ends.
         """
+        self._body = body.hold()
         self.backend = backend
         self.used_connections = used_connections
         self.key = key
@@ -84,6 +91,7 @@
         if self._is_done:
             return
         self._is_done = True
+        self.release_body()
         self.backend.ended(self, result)
         self.sink.on_result(self, result)
 
@@ -92,10 +100,29 @@
         if self._is_done:
             return
         self._is_done = True
+        self.release_body()
         self.backend.ended(self, None)
         if self.connection is not None:
             self.connection.abort()
 
+    def take_parts(self):
+        """Return the bytes of the request in parts to write."""
+        if self._body is bodies.EMPTY:
+            return [self.data]
+        if self._body.is_small:
+            # One packet in place of two.
+            return [b''.join((self.data, *self._body.parts()))]
+        return [self.data, *self._body.parts()]
+
+    def release_body(self):
+        """End the use of the body, which has been written or is not needed.
+
+        Parts of it that a connection is still writing stay in memory until
+        they have been written.
+        """
+        body, self._body = self._body, bodies.EMPTY
+        body.release()
+
     def pause(self):
         """Pause reading the response."""
         if self.connection is not None:
@@ -125,7 +152,11 @@
         self._is_streaming = False
         self._is_close_delimited = False
         self._keep_alive = True
-        self._pending_data = b''
+        self._pending_parts = []
+        #: Bytes of a response that is buffered.
+        self._lease = backend.memory.lease(
+            memory_account.Budget.RESPONSES, memory_account.Kind.RESPONSE
+        )
         #: Idle time before the current attempt, None on a new connection.
         self._idle_s = None
         #: Id of the last request; a late duplicate response to it may follow.
@@ -158,9 +189,13 @@
         self._unusable_bytes = 0
         self.last_request_id = attempt.request_id
         if self.is_connected:
-            self._connection.write(attempt.data)
+            self._write(attempt.take_parts())
         else:
-            self._pending_data = attempt.data
+            self._pending_parts = attempt.take_parts()
+
+    def _write(self, parts):
+        for part in parts:
+            self._connection.write(part)
 
     def abort(self):
         self._attempt = None
@@ -181,7 +216,7 @@
         self.is_connected = True
         self._timer.cancel()
         self._backend.note_connected()
-        if self._pending_data:
+        if self._pending_parts:
             self._timer = self._scheduler.call_later(
                 SETTLE_S, self._send_pending
             )
@@ -191,7 +226,7 @@
             # These bytes belong to no request, such as a duplicate response.
             self._connection.abort()
             return
-        if self._pending_data:
+        if self._pending_parts:
             self._fail(results.NotRun('the server sent bytes unasked'))
             self._connection.abort()
             return
@@ -226,10 +261,13 @@
         """Ignore a slow reader, since the whole request is already queued."""
 
     def resume_producing(self):
-        """See :meth:`pause_producing`."""
+        """Free a large body that has almost been written."""
+        if self._attempt is not None:
+            self._attempt.release_body()
 
     def closed(self, error):
         self._timer.cancel()
+        self._lease.release()
         if (
             error is None
             and self._is_close_delimited
@@ -241,7 +279,7 @@
             self._finish_completed(False)
         elif self._attempt is not None:
             detail = str(error) if error else 'connection closed'
-            if self.is_connected and self._pending_data:
+            if self.is_connected and self._pending_parts:
                 self._fail(results.NotRun(f'nothing was sent: {detail}'))
             elif self.is_connected:
                 if self._idle_s is not None and self._head is None:
@@ -279,9 +317,9 @@
             self._connection.abort()
 
     def _send_pending(self):
-        data, self._pending_data = self._pending_data, b''
+        parts, self._pending_parts = self._pending_parts, []
         if self._attempt is not None and self._connection.is_open:
-            self._connection.write(data)
+            self._write(parts)
 
     # Callbacks of the parser.
 
@@ -340,8 +378,9 @@
         self._size += len(data)
         if self._size > MAX_UNUSABLE_BYTES and not self._may_stream():
             self._abort_with(self._oversized_result())
-        elif self._size > BUFFER_BYTES:
+        elif not self._has_room(len(data)) or self._size > BUFFER_BYTES:
             self._is_streaming = True
+            self._lease.release()
             self._attempt.sink.on_stream_head(self._attempt, self._head)
             if self._attempt is not None:
                 self._attempt.sink.on_stream_body(
@@ -355,6 +394,18 @@
         if self._attempt is not None and not self._is_close_delimited:
             self._complete()
 
+    def _has_room(self, size):
+        """Take the bytes that were received, and return whether they fit.
+
+        A small response and one that must not be streamed are buffered in any
+        case; what others hold is ended for them.
+        """
+        is_whole = self._size <= memory_account.SMALL_BYTES
+        if self._lease.grow(size):
+            return True
+        self._lease.force(size)
+        return is_whole or not self._may_stream()
+
     def _may_stream(self):
         """Return whether the response may be passed on while incomplete."""
         head = self._head
@@ -408,6 +459,7 @@
         """
         attempt, self._attempt = self._attempt, None
         head, body = self._head, b''.join(self._parts)
+        self._lease.release()
         result = self._result(head, body)
         self._head, self._parts = None, []
         self.idle_limit_s = _idle_limit(head)
@@ -441,6 +493,7 @@
         """Report a result before the response is complete, and reset."""
         self._fail(result)
         self._parts = []
+        self._lease.release()
         self._connection.abort()
 
     def _fail(self, result):
--- a/packages/radishferryd/src/radishferryd/router/crashes.py
+++ b/packages/radishferryd/src/radishferryd/router/crashes.py
@@ -32,18 +32,20 @@
 MAX_FINGERPRINTS = 512
 
 
-def fingerprint(head, key, body) -> int:
+def fingerprint(head, key, body_parts) -> int:
     """Return a hash that is the same for identical requests.
 
     :param head: Head of the request, a
         :class:`~radishferryd.http_message.Head`.
     :param key: Key of a request to a keyed service, else None.
+    :param body_parts: The body in parts, wherever it is divided.
     """
     parts = (head.method, head.header('host'), head.target)
     if key is not None:
         parts += (str(key),)
     digest = xxhash.xxh64(' '.join(parts).encode())
-    digest.update(body)
+    for part in body_parts:
+        digest.update(part)
     # Drop one bit, since messages between hosts carry signed integers.
     return digest.intdigest() >> 1
 
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -10,11 +10,13 @@
 from radishferry.direct import admission
 from radishferry.direct import announcements
 from radishferry.direct import budget as budget_module
+from radishferryd import net
 from radishferryd.platform import headers
 from radishferryd.router import backends as backends_module
 from radishferryd.router import crash_detector
 from radishferryd.router import crashes as crashes_module
 from radishferryd.router import link_monitor
+from radishferryd.router import memory_account
 from radishferryd.router import relays as relays_module
 from radishferryd.router import requests
 from radishferryd.router import results
@@ -48,7 +50,14 @@
     """Start the requests of callers and provide their shared state."""
 
     def __init__(
-        self, poller, scheduler, routing_state, crashes, settings, metrics
+        self,
+        poller,
+        scheduler,
+        routing_state,
+        crashes,
+        settings,
+        metrics,
+        memory=None,
     ):
         """Create the gateway without connections.
 
@@ -57,7 +66,11 @@
         :param crashes: A :class:`~radishferryd.router.crashes.CrashCounts`.
         :param settings: A :class:`~radishferryd.router.settings.Settings`.
         :param metrics: A :class:`~radishferryd.router.metrics.Metrics`.
+        :param memory: The
+            :class:`~radishferryd.router.memory_account.MemoryAccount` of the
+            process, or None for no limit.
         """
+        self.memory = memory or memory_account.unlimited(scheduler.now)
         self.scheduler = scheduler
         self.connections = set()
         #: Whether connections close after their next response.
@@ -72,7 +85,12 @@
             poller, scheduler, routing_state.registry
         )
         self.backends = backends_module.Backends(
-            poller, scheduler, settings.host_name, self, self.links
+            poller,
+            scheduler,
+            settings.host_name,
+            self,
+            self.links,
+            memory=self.memory,
         )
         self.links.on_restored.append(self.backends.forget_failures)
         self.relays = relays_module.Relays(
@@ -82,6 +100,7 @@
             settings.host_data_centre,
             self.links,
             routing_state,
+            self.memory,
         )
         self.announcements = announcements.Announcements()
         self.budget = budget_module.RetryBudget(
@@ -266,6 +285,15 @@
 
     # Called by requests.
 
+    def end_stalled_callers(self) -> int:
+        """End callers that hold connections to servers by reading nothing.
+
+        :returns: Their number.
+        """
+        return self.memory.end_stalled(
+            memory_account.Budget.RESPONSES, net.HIGH_WATER_BYTES
+        )
+
     def note_key(self, service, key):
         """Record a request for a key, for the next load report."""
         self._keys[service].append(key)
--- a/packages/radishferryd/src/radishferryd/router/metrics.py
+++ b/packages/radishferryd/src/radishferryd/router/metrics.py
@@ -4,6 +4,7 @@
 
 from radishferryd import metric_table
 from radishferryd import metrics as recorders
+from radishferryd.router import memory_account
 
 _MAX_SERIES = 2048
 _METRIC = metric_table.Metric
@@ -124,6 +125,17 @@
         'gauge',
         'Requests without an answer.',
     ),
+    _METRIC(
+        'held_bytes',
+        'radishferry_held_bytes',
+        'gauge',
+        'Bytes of memory that callers make this host hold, by what they are: '
+        'connections, heads of requests, bodies being received, bodies kept '
+        'until their response, bodies relayed by other hosts, responses that '
+        'callers or servers have not completed, and bytes that the system '
+        'may hold for connections that are not read.',
+        {'kind': tuple(kind.value for kind in memory_account.Kind)},
+    ),
     _METRIC(
         'dropped_lines',
         'radishferry_dropped_log_lines_total',
--- a/packages/radishferryd/src/radishferryd/router/relay_gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/relay_gateway.py
@@ -33,6 +33,7 @@
         """
         self._gateway = gateway
         self.scheduler = gateway.scheduler
+        self.memory = gateway.memory
         self.connections = gateway.connections
         self.now = gateway.now
         self.refused = gateway.refused
--- a/packages/radishferryd/src/radishferryd/router/relays.py
+++ b/packages/radishferryd/src/radishferryd/router/relays.py
@@ -66,7 +66,14 @@
     """Hold the hosts that take relayed requests, and choose among them."""
 
     def __init__(
-        self, poller, scheduler, host_name, data_centre, links, routing_state
+        self,
+        poller,
+        scheduler,
+        host_name,
+        data_centre,
+        links,
+        routing_state,
+        memory=None,
     ):
         """Start without hosts.
 
@@ -76,6 +83,7 @@
         :param routing_state: The
             :class:`~radishferryd.router.knowledge.RoutingState`, which learns
             the versions of the configuration at other hosts.
+        :param memory: See :class:`~radishferryd.router.backends.Backends`.
         """
         self._routing_state = routing_state
         self._scheduler = scheduler
@@ -89,6 +97,7 @@
             host_name,
             listener=routing_state,
             backend_class=RelayBackend,
+            memory=memory,
         )
         self._unreachable_until = {}
 
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -8,12 +8,12 @@
 
 from radishferry.direct import admission
 from radishferry.direct import key_map
-from radishferryd import http_message
 from radishferryd.platform import headers
 from radishferryd.router import connections
 from radishferryd.router import crashes
 from radishferryd.router import relay_headers
 from radishferryd.router import relays
+from radishferryd.router import request_format
 from radishferryd.router import results
 from radishferryd.router import server_choice
 
@@ -58,7 +58,7 @@
         self.service = service
         self._head = slot.head
         self.request_id = slot.head.header(headers.REQUEST_ID)
-        self.body = b''.join(slot.body)
+        self.body = slot.body.hold()
         self.arrived_at = slot.arrived_at
         now = gateway.now()
         remaining = headers.parse_remaining_s(
@@ -127,7 +127,7 @@
     def fingerprint(self):
         """Return a hash that is the same for identical requests."""
         key = self.key if self.is_keyed else None
-        return crashes.fingerprint(self._head, key, self.body)
+        return crashes.fingerprint(self._head, key, self.body.parts())
 
     def start(self):
         """Send the request to a server, or refuse it."""
@@ -150,12 +150,19 @@
         """
         if self._is_done:
             return
+        if not self.is_idempotent:
+            # The attempt goes on, and the body of the fingerprint is freed.
+            _ = self.fingerprint
         self._end()
         attempt, self._attempt = self._attempt, None
         # A request that may run only once is left to complete: its effect
-        # matters without a caller too, and cancelling would not undo it.
-        if attempt is not None and self.is_idempotent:
-            attempt.cancel()
+        # matters without a caller too, and cancelling would not undo it. It
+        # has run when its response is streamed.
+        if attempt is not None:
+            if self.is_idempotent or self._has_response_started:
+                attempt.cancel()
+            else:
+                attempt.resume()
         self._gateway.finished(self, 0, 'cancelled', detail)
 
     def stop(self):
@@ -283,13 +290,15 @@
             self.request_id,
             self._head.method,
             self,
-            self._format_request(now, origin=origin),
+            self._format_head(now, origin=origin),
             None,
             self._used_connections,
+            self.body,
         )
         self._attempt = attempt
         if not backend.send(attempt, self.is_idempotent):
             self._attempt = None
+            attempt.release_body()
             return False
         if not origin.attempts:
             gateway.budget.forget_request(self.service)
@@ -516,13 +525,18 @@
             self.request_id,
             self._head.method,
             self,
-            self._format_request(now, server.server_id),
+            self._format_head(now, server.server_id),
             self.key,
             self._used_connections,
+            self.body,
         )
         self._attempt = attempt
         if not backend.send(attempt, self.is_idempotent):
             self._attempt = None
+            attempt.release_body()
+            if gateway.end_stalled_callers():
+                self._schedule_retry(RETRY_BACKOFF_S)
+                return
             self._refuse_overloaded(
                 results.Reason.OVERLOADED,
                 0.3,
@@ -534,35 +548,12 @@
         if server.incarnation not in self._tried:
             self._tried.append(server.incarnation)
 
-    def _format_request(self, now, server_id=None, origin=None):
-        """Return the bytes of the request to a server or another host."""
-        connection_options = {
-            name.strip().lower()
-            for name in self._head.header('connection').split(',')
-        }
-        kept = [
-            (name, value)
-            for name, value in self._head.headers
-            if name not in http_message.HOP_BY_HOP_HEADERS
-            and name not in connection_options
-            and name not in relay_headers.OWN_NAMES
-            and name != 'content-length'
-        ]
-        lines = headers.forwarded_headers(
-            kept,
-            max(0.001, self._left_s(now) - RESPONSE_MARGIN_S),
-            server_id,
-        )
-        if origin is not None:
-            lines.append(
-                (relay_headers.RELAY, relay_headers.format_origin(origin))
-            )
-        if self.body or self._head.method not in ('GET', 'HEAD', 'DELETE'):
-            lines.append(('Content-Length', str(len(self.body))))
-        head = http_message.format_request(
-            self._head.method, self._head.target, lines
+    def _format_head(self, now, server_id=None, origin=None):
+        """Return the head of the request to a server or another host."""
+        left_s = self._left_s(now) - RESPONSE_MARGIN_S
+        return request_format.format_head(
+            self._head, self.body.size, left_s, server_id, origin
         )
-        return head + self.body
 
     def _wait_for_owner(self, reason, detail, retry_after_s=None):
         """Wait while the key is being moved, or refuse the request.
@@ -716,6 +707,8 @@
         self._slot.refuse(refusal)
 
     def _end(self):
+        if not self._is_done:
+            self.body.release()
         self._is_done = True
         self._timer.cancel()
         self._stop_waiting()
--- a/packages/radishferryd/src/radishferryd/router/results.py
+++ b/packages/radishferryd/src/radishferryd/router/results.py
@@ -107,6 +107,7 @@
     BAD_ANSWER = 'bad-answer'
     TIMEOUT = 'timeout'
     STOPPING = 'stopping'
+    MEMORY = 'memory'
     #: A reason that another host gave and this version does not know.
     OTHER = 'other'
 
--- a/packages/radishferryd/src/radishferryd/router/settings.py
+++ b/packages/radishferryd/src/radishferryd/router/settings.py
@@ -30,6 +30,8 @@
     stop_grace_s: float
     host_is_first_start: bool = False
     host_link_mbps: float = 1000.0
+    host_memory_mb: int = 160
+    host_max_fds: float = 0.0
     retry_hosts: int = 16
     log_level: str = 'info'
     log_format: str = 'json'
@@ -74,6 +76,24 @@
         'link grants keys only if no other host does.',
         '1000',
     ),
+    _option(
+        'host',
+        'memory_mb',
+        'integer',
+        setting_readers.read_count,
+        'Memory that this process may use, in megabytes. Callers that would '
+        'make it hold more are refused.',
+        '160',
+    ),
+    _option(
+        'host',
+        'max_fds',
+        'number',
+        setting_readers.read_number,
+        'Descriptors that this process may use; 0 for the limit that the '
+        'system sets. Connections of callers take up to 60% of them.',
+        '0',
+    ),
     _option(
         'listen',
         'callers',
--- a/packages/radishferryd/src/radishferryd/router/slots.py
+++ b/packages/radishferryd/src/radishferryd/router/slots.py
@@ -6,11 +6,14 @@
 
 from radishferryd import http_message
 from radishferryd.platform import headers
+from radishferryd.router import bodies
 from radishferryd.router import relay_headers
 
 #: Bytes of a response that are buffered while earlier responses of the
 #: connection are pending; above it reading from the server is paused.
 MAX_BUFFERED_RESPONSE_BYTES = 1048576
+#: Largest body of a response that is copied, to be sent with its head.
+MAX_JOINED_BYTES = 65536
 #: Seconds for receiving the body of a request without a deadline header.
 BODY_TIMEOUT_S = 60.0
 
@@ -44,8 +47,11 @@
         self._names_refusals = names_refusals
         self.request = None
         self.arrived_at = connection.now()
-        self.body = []
-        self.body_size = 0
+        #: The :class:`~radishferryd.router.bodies.Body` until it is complete.
+        self.body = bodies.EMPTY
+        #: The :class:`~radishferryd.router.memory_account.Lease` that pays for
+        #: the head, None if there is none.
+        self.lease = None
         self.is_received = False
         self._connection = connection
         self._output = []
@@ -60,6 +66,19 @@
         """Return the id that the caller gave its request."""
         return self.head.header(headers.REQUEST_ID)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the bytes of the response that the connection lacks."""
+        return self._buffered_bytes
+
+    @property
+    def receive_limit_s(self) -> float:
+        """Return the seconds in which the request has to be received."""
+        limit_s = headers.parse_remaining_s(
+            self.head.header(headers.REMAINING_MS)
+        )
+        return BODY_TIMEOUT_S if limit_s is None else limit_s
+
     @property
     def is_done(self) -> bool:
         """Return whether the response is complete."""
@@ -170,12 +189,15 @@
 
     def is_overdue(self, now) -> bool:
         """Return whether the request deadline passed while receiving."""
-        limit_s = headers.parse_remaining_s(
-            self.head.header(headers.REMAINING_MS)
-        )
-        if limit_s is None:
-            limit_s = BODY_TIMEOUT_S
-        return now - self.arrived_at > limit_s
+        return now - self.arrived_at > self.receive_limit_s
+
+    def release(self):
+        """Give back what is held for the request, when it has ended."""
+        # The request refers to the slot; without this the head of the request
+        # would stay in memory until the next garbage collection.
+        self.request = None
+        if self.lease is not None:
+            self.lease.release()
 
     def _write(self, status, lines, body):
         if self._names_refusals:
@@ -185,15 +207,21 @@
             self._ends_connection = True
             lines = [*lines, ('Connection', 'close')]
         data = http_message.format_response(status, lines)
-        self._emit(data if self.head.method == 'HEAD' else data + body)
+        if self.head.method == 'HEAD':
+            self._emit(data)
+        elif len(body) <= MAX_JOINED_BYTES:
+            self._emit(data + body)
+        else:
+            self._emit(data)
+            self._emit(body)
 
     def _emit(self, data):
         self._output.append(data)
         self._buffered_bytes += len(data)
         self._connection.flush()
-        if (
+        if self.request is not None and (
             self._buffered_bytes > MAX_BUFFERED_RESPONSE_BYTES
-            and self.request is not None
+            or self._connection.is_short_of_memory()
         ):
             self.request.pause()
 
