--- a/features/steps/direct_requests_steps.py
+++ b/features/steps/direct_requests_steps.py
@@ -24,6 +24,7 @@
 from radishferry.direct import server_loads
 from radishferryd import http_message
 from radishferryd.platform import headers
+from radishferryd.router import bodies
 from radishferryd.router import requests
 from radishferryd.router import results
 
@@ -143,7 +144,7 @@
 class _Slot:
     """Record the response to the caller."""
 
-    body = ()
+    body = bodies.EMPTY
 
     def __init__(self, now, remaining_ms):
         self.arrived_at = now
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -15,12 +15,14 @@
 from radishferry.direct import outstanding as outstanding_module
 from radishferry.direct import refusal_periods
 from radishferry.direct import server_loads
+from radishferryd import net
 from radishferryd.platform import headers
 from radishferryd.router import backends as backends_module
 from radishferryd.router import crash_detector
 from radishferryd.router import crashes as crashes_module
 from radishferryd.router import hang_monitor
 from radishferryd.router import link_monitor
+from radishferryd.router import memory_account
 from radishferryd.router import relays as relays_module
 from radishferryd.router import requests
 from radishferryd.router import results
@@ -71,7 +73,14 @@
     """Start the requests of callers and provide their shared state."""
 
     def __init__(
-        self, poller, scheduler, routing_state, crashes, settings, metrics
+        self,
+        poller,
+        scheduler,
+        routing_state,
+        crashes,
+        settings,
+        metrics,
+        memory=None,
     ):
         """Create the gateway without connections.
 
@@ -80,7 +89,11 @@
         :param crashes: A :class:`~radishferryd.router.crashes.CrashCounts`.
         :param settings: A :class:`~radishferryd.router.settings.Settings`.
         :param metrics: A :class:`~radishferryd.router.metrics.Metrics`.
+        :param memory: The
+            :class:`~radishferryd.router.memory_account.MemoryAccount` of the
+            process, or None for no limit.
         """
+        self.memory = memory or memory_account.unlimited(scheduler.now)
         self.scheduler = scheduler
         self.connections = set()
         #: Whether connections close after their next response.
@@ -104,6 +117,7 @@
             self,
             self.links,
             shared_loads=self.shared_loads,
+            memory=self.memory,
         )
         self.cost_choice = cost_choice.CostChoice(
             self.shared_loads, self.backends.stats, self.data_centre
@@ -116,6 +130,7 @@
             settings.host_data_centre,
             self.links,
             routing_state,
+            self.memory,
         )
         self.announcements = announcements.Announcements()
         self.admission = admission.Admission()
@@ -322,6 +337,15 @@
 
     # Called by requests.
 
+    def end_stalled_callers(self) -> int:
+        """End callers that hold connections to servers by reading nothing.
+
+        :returns: Their number.
+        """
+        return self.memory.end_stalled(
+            memory_account.Budget.RESPONSES, net.HIGH_WATER_BYTES
+        )
+
     def note_key(self, service, key):
         """Record a request for a key, for the next load report."""
         self._keys[service].append(key)
