Reject responses whose status line is no HTTP

The parser library takes any three digits as a status. Those below 100 counted as interim responses and were skipped, so the caller waited until its deadline; those above 599 were passed on. Versions 0.9 and 2.0, status lines of RTSP and interim responses with a body passed as well.

--- a/features/direct_hostile.feature
+++ b/features/direct_hostile.feature
@@ -21,7 +21,21 @@
     And the memory of host 1 has grown by less than 30 MB
     And lookups at host 1 are answered as before
 
-  # Guards against the same in the answers to orders: a granting host kept up
+  # Guards against callers that wait until their deadline for a response with
+  # status 000, or get a malformed response as it is.
+  Scenario: A malformed response is reported at once
+    Given two direct hosts before a store, 2 keyed and 2 plain servers
+    And a plain server that sends endless data
+    When the other plain servers accept requests
+    Then a guide that receives one response with status 000 is answered by another server within a second
+    When the other plain servers reject requests
+    And payments receive each of these from that server
+      | bytes                        |
+      | one response with status 000 |
+      | one response with status 600 |
+    Then each of these payments is answered 502 within a second
+
+  # Guards against endless data in the answers to orders: a granting host kept up
   # to 16 MB of each, from three connections to each faulty server.
   Scenario Outline: Endless answers to orders take little memory
     Given two direct hosts before a store, 2 keyed and 2 plain servers
--- a/features/steps/direct_hostile_steps.py
+++ b/features/steps/direct_hostile_steps.py
@@ -23,9 +23,19 @@
 
 
 def _patterns(request_id):
-    """Return the start and the repeated part of each pattern."""
+    """Return the start and the repeated part of each pattern.
+
+    The part is empty for a single response.
+    """
     own, other = _HEAD.format(200, request_id), _HEAD.format(200, 'other')
-    return {
+    single = {
+        f'one response with status {status}': (
+            f'{_HEAD.format(status, request_id)}Content-Length: 0\r\n\r\n',
+            '',
+        )
+        for status in ('000', '600')
+    }
+    return single | {
         'a head': (own, 'A: b\r\n'),
         'interim responses': ('', 'HTTP/1.1 102 Processing\r\n\r\n'),
         'a chunk extension': (own + _SIGNED + _CHUNKED + '5;', 'x'),
@@ -76,11 +86,13 @@
                 return
             request_id = found[1].decode() if found else ''
             start, part = _patterns(request_id)[self.pattern]
-            data = (part * max(1, _WRITE_BYTES // len(part))).encode()
+            data = part.encode() * (_WRITE_BYTES // max(1, len(part)))
             sent = len(start)
             try:
                 sock.sendall(start.encode())
-                while sent < _MAX_SENT_BYTES:
+                if not data:
+                    sock.recv(1)
+                while data and sent < _MAX_SENT_BYTES:
                     sent += sock.send(data)
             except OSError:
                 pass
@@ -102,6 +114,26 @@
     return int(re.search(rf'{field}:\s+(\d+) kB', status)[1]) / 1024
 
 
+def _set_failure(context, failure):
+    for number in (0, 1):
+        direct_host_fixtures.control_platform(
+            context,
+            'server',
+            server_id=f'i-plain-{number}',
+            failure=failure,
+        )
+
+
+@behave.when('the other plain servers accept requests')
+def others_accept(context):
+    _set_failure(context, '')
+
+
+@behave.when('the other plain servers reject requests')
+def others_reject(context):
+    _set_failure(context, 'shed')
+
+
 @behave.given('a plain server that sends endless data')
 def given_endless(context):
     context.endless = behave.use_fixture(endless_server, context)
@@ -117,13 +149,7 @@
         )
     )
     # The other servers reject all requests, so that this one gets them.
-    for number in (0, 1):
-        direct_host_fixtures.control_platform(
-            context,
-            'server',
-            server_id=f'i-plain-{number}',
-            failure='shed',
-        )
+    _set_failure(context, 'shed')
     context.memory_mb = _memory_mb(context)
 
 
@@ -154,6 +180,24 @@
         assert took_s < 1.0, (pattern, took_s)
 
 
+@behave.then(
+    'a guide that receives {pattern} is answered by another server within a '
+    'second'
+)
+def guide_is_repeated(context, pattern):
+    """Send guides until one of them has come to the malformed server."""
+    context.endless.pattern = pattern
+    count = len(context.endless.sent)
+    for _ in range(200):
+        began = time.monotonic()
+        status, _, _ = direct_host_fixtures.request(context, 1, 'GET', '/g/x')
+        assert status == 200, status
+        assert time.monotonic() - began < 1.0
+        if len(context.endless.sent) > count:
+            return
+    raise AssertionError('no guide came to the server')
+
+
 @behave.then('the server could send at most {size:d} MB each time')
 def sent_little(context, size):
     # The buffers of both sockets hold what the host has not read.
--- a/features/steps/truncated_responses_steps.py
+++ b/features/steps/truncated_responses_steps.py
@@ -1,4 +1,4 @@
-"""Steps for responses that are cut short or repeated, without a network."""
+"""Steps for truncated, repeated or malformed responses, without a network."""
 
 from __future__ import annotations
 
@@ -46,10 +46,25 @@
 
 
 class _Sink:
-    """Record the result of an attempt."""
+    """Record the results of an attempt."""
+
+    def __init__(self):
+        self.results = []
+
+    @property
+    def result(self):
+        return self.results[-1]
+
+    @property
+    def failures(self):
+        return [r for r in self.results if isinstance(r, results.Unknown)]
+
+    @property
+    def is_complete(self):
+        return any(isinstance(r, results.Answered) for r in self.results)
 
     def on_result(self, attempt, result):
-        self.result = result
+        self.results.append(result)
 
 
 class _Exchange:
@@ -59,6 +74,7 @@
         self.heads = []
         self.body = b''
         self.is_complete = False
+        self.failures = []
 
     def on_head(self, head):
         self.heads.append(head)
@@ -72,21 +88,35 @@
 
     def on_failed(self, detail, was_sent):
         assert was_sent
+        self.failures.append(detail)
+
+
+def _send_direct(sockets):
+    """Send a request of a direct host and return its sink."""
+    scheduler = load_fixtures.Scheduler()
+    backend = backends.Backend(
+        None, scheduler, _SERVER, 8, idle_limit.IdleLimit()
+    )
+    sink = _Sink()
+    backend.send(connections.Attempt(backend, 'r1', 'GET', sink, b'r1'), True)
+    sockets[0].handler.connected(sockets[0])
+    scheduler.advance(0.01)
+    return sink
+
+
+def _send_coordinator(sockets):
+    """Send a request of a coordinator and return its exchange."""
+    pool = http_client.ConnectionPool(None, ('127.0.0.1', 1), 8)
+    exchange = _Exchange()
+    pool.acquire().request('GET', '/', (), exchange)
+    sockets[0].handler.connected(sockets[0])
+    return exchange
 
 
 def _receive_direct(data, packet_bytes, end):
     """Return the body of the response at a direct host, None if incomplete."""
     with socket_fixtures.replace_connections() as sockets:
-        scheduler = load_fixtures.Scheduler()
-        backend = backends.Backend(
-            None, scheduler, _SERVER, 8, idle_limit.IdleLimit()
-        )
-        sink = _Sink()
-        backend.send(
-            connections.Attempt(backend, 'r1', 'GET', sink, b'r1'), True
-        )
-        sockets[0].handler.connected(sockets[0])
-        scheduler.advance(0.01)
+        sink = _send_direct(sockets)
         _deliver(sockets[0], data, packet_bytes)
         end(sockets[0])
     if isinstance(sink.result, results.Answered):
@@ -98,10 +128,7 @@
 def _receive_coordinator(data, packet_bytes, end):
     """Return the body of the response at a coordinator, None if incomplete."""
     with socket_fixtures.replace_connections() as sockets:
-        pool = http_client.ConnectionPool(None, ('127.0.0.1', 1), 8)
-        exchange = _Exchange()
-        pool.acquire().request('GET', '/', (), exchange)
-        sockets[0].handler.connected(sockets[0])
+        exchange = _send_coordinator(sockets)
         _deliver(sockets[0], data, packet_bytes)
         end(sockets[0])
     return exchange.body if exchange.is_complete else None
@@ -239,3 +266,50 @@
     context.pool.acquire()
     assert len(context.sockets) == 2, 'the connection was reused'
     assert not context.sockets[0].is_open
+
+
+_SENDERS = {'a direct host': _send_direct, 'a coordinator': _send_coordinator}
+
+
+def _response_with(part):
+    """Return a response whose first line or length is replaced."""
+    response = _RESPONSES['a length']
+    kind, _, value = part.partition(' ')
+    if part == 'two lengths':
+        return response.replace(b'\r\n\r\n', b'\r\nContent-Length: 4\r\n\r\n')
+    if part.endswith(' after an interim one'):
+        return _INTERIM + _response_with(
+            part.removesuffix(' after an interim one')
+        )
+    old = {'status': b'200', 'version': b'HTTP/1.1'}[kind]
+    return response.replace(old, value.encode(), 1)
+
+
+@behave.when('{client} receives a response with {part}')
+def receives_malformed(context, client, part):
+    """Deliver a response in one packet and byte by byte."""
+    context.received = []
+    for packet_bytes in (65536, 1):
+        with socket_fixtures.replace_connections() as sockets:
+            request = _SENDERS[client](sockets)
+            _deliver(sockets[0], _response_with(part), packet_bytes)
+            context.received.append((request, sockets[0].is_open))
+
+
+@behave.then('one failure and no response is reported at once')
+def one_failure(context):
+    for request, _ in context.received:
+        assert len(request.failures) == 1, request.failures
+        assert not request.is_complete
+
+
+@behave.then('the connection is closed')
+def connection_closed(context):
+    assert not any(is_open for _, is_open in context.received)
+
+
+@behave.then('it has a complete response')
+def complete_response(context):
+    for request, _ in context.received:
+        assert request.is_complete
+        assert not request.failures
--- a/packages/radishferryd/src/radishferryd/http_message.py
+++ b/packages/radishferryd/src/radishferryd/http_message.py
@@ -30,6 +30,15 @@
 
 _STATUS_LINE = re.compile(r'HTTP/1\.[01] [1-5]\d\d( |$)')
 
+#: Versions of responses. The parser also takes 0.9 and 2.0, whose messages
+#: have another form.
+_VERSIONS = frozenset(('1.0', '1.1'))
+#: First and last status code of the grammar of HTTP. The parser takes any
+#: three digits.
+_MIN_STATUS, _MAX_STATUS = 100, 599
+#: First status code of a final response; those below are interim.
+_MIN_FINAL_STATUS = 200
+
 
 class HeadTooLargeError(Exception):
     """Report a head, trailer or chunk extension that exceeds the limit."""
@@ -119,6 +128,8 @@
         :raises BadMessageError: The bytes are not valid HTTP.
         """
         self._overhead_bytes += len(data)
+        if not (self._is_request or self._is_in_message):
+            _check_protocol(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as exc:
@@ -181,9 +192,10 @@
         if self._is_request and parser.should_upgrade():
             # The parser would report the end of the message without its body.
             raise BadMessageError('protocol upgrade')
-        self._is_interim = (
-            not self._is_request and parser.get_status_code() < 200
-        )
+        if not self._is_request:
+            status = parser.get_status_code()
+            _check_status_line(status, parser.get_http_version())
+            self._is_interim = status < _MIN_FINAL_STATUS
         if self._is_interim:
             return
         self._overhead_bytes = 0
@@ -200,6 +212,8 @@
 
     def on_body(self, data):
         """Pass a part of the body to the handler."""
+        if self._is_interim:
+            raise BadMessageError('an interim response with a body')
         self._overhead_bytes = 0
         self._handler.on_body(data)
 
@@ -213,6 +227,30 @@
         self._handler.on_end()
 
 
+def _check_protocol(data):
+    """Fail if the first bytes of a response belong to another protocol.
+
+    The parser also takes status lines of RTSP.
+    """
+    if data.lstrip(b'\r\n')[:1] not in (b'H', b''):
+        raise BadMessageError('no status line of HTTP')
+
+
+def _check_status_line(status, version):
+    """Fail if a status line does not match the grammar of HTTP.
+
+    :param int status: Status code.
+    :param str version: Version without the name of the protocol.
+    """
+    if version not in _VERSIONS:
+        raise BadMessageError(f'HTTP version {version}')
+    if not _MIN_STATUS <= status <= _MAX_STATUS:
+        raise BadMessageError(f'status {status:03d}')
+    if status == http.HTTPStatus.SWITCHING_PROTOCOLS:
+        # No request of this process asks for an upgrade.
+        raise BadMessageError('protocol upgrade')
+
+
 def format_request(method, target, headers) -> bytes:
     """Return the bytes of a request head."""
     return _format(f'{method} {target} HTTP/1.1', headers)
