Order the versions of the store by its era

The platform's store may return from an older copy and give versions out again. Versions, conditions and fencing tokens now count only together with the era that the header Store-Era names; leadership is claimed again after a restore, and rows that may be lost are waited for.

--- a/features/steps/direct_long_holds_steps.py
+++ b/features/steps/direct_long_holds_steps.py
@@ -294,7 +294,11 @@
         services={'s': service}
     )
     context.term = types.SimpleNamespace(
-        holds=True, silent_s=silent_s, version=7
+        holds=True,
+        silent_s=silent_s,
+        version=7,
+        era=None,
+        may_lack_rows=False,
     )
     context.ownership = ownership_module.Ownership(
         None,
--- a/features/steps/store_fixtures.py
+++ b/features/steps/store_fixtures.py
@@ -40,7 +40,7 @@
 
         self._time.call_later(self._delay_s, answer)
 
-    def watch(self, table, version, wait_s, done):
+    def watch(self, table, version, wait_s, done, era=None):
         if self.is_feed_silent:
             failure = store_module.Unavailable('no response in time', True)
             self._time.call_later(
@@ -93,6 +93,9 @@
     def owners_read(self, rows):
         self.owners.extend(store_reader.key_rows_of(rows))
 
+    def rows_restored(self, rows):
+        """Ignore the rows; this host grants nothing."""
+
     def note_store_answer(self, answer):
         return True
 
--- a/packages/radishferry/src/radishferry/direct/granting.py
+++ b/packages/radishferry/src/radishferry/direct/granting.py
@@ -29,6 +29,8 @@
 #: the owner of these keys again: it may still execute the release late, after
 #: a newer grant. Servers may execute an order up to 12 s late.
 LATE_RELEASE_S = 13.0
+#: Stands for the servers that hold keys by rows which the store has lost.
+UNKNOWN_HOLDER = ('', 0)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -72,6 +74,7 @@
         self._ranges = []
         self._starts = []
         self._late_releases = []
+        self._unknown_until = 0.0
         self.version = 0
         #: Incremented by each change that other hosts have to learn.
         self.revision = 0
@@ -145,9 +148,27 @@
             )
         ]
         self._starts = [managed.start for managed in self._ranges]
+        self._unknown_until = 0.0
         self.version = version
         self.revision += 1
 
+    def note_lost_rows(self, now):
+        """Record that the store has lost rows of the previous host.
+
+        Any server may hold any range until the leases of that host have
+        ended. Higher fencing tokens than the known ones may have been used,
+        so no range is granted before it has a new one.
+
+        :param now: Seconds; the previous host sent no order later.
+        """
+        self._unknown_until = now + managed_range.ARRIVAL_S + self._max_held_s
+        for managed in self._ranges:
+            self._add_unknown_holder(managed)
+
+    def _add_unknown_holder(self, managed):
+        managed.held_until[UNKNOWN_HOLDER] = self._unknown_until
+        managed.is_rejected = True
+
     @property
     def _max_held_s(self):
         return (
@@ -221,8 +242,13 @@
 
     def _split_for(self, layout):
         if not self._ranges:
+            held_until = (
+                {UNKNOWN_HOLDER: self._unknown_until}
+                if self._unknown_until
+                else {}
+            )
             return [
-                managed_range.ManagedRange(start, end, owner, 0)
+                managed_range.ManagedRange(start, end, owner, 0, held_until)
                 for start, end, owner in layout
             ]
         pieces = []
@@ -284,6 +310,8 @@
     def _orders(self, managed, now, hold_s):
         others = managed.previous
         for incarnation in others:
+            if incarnation == UNKNOWN_HOLDER:
+                continue
             if managed.next_release_at.get(incarnation, 0.0) <= now:
                 managed.next_release_at[incarnation] = now + RETRY_S
                 yield Release(self.service, managed.segment(), incarnation)
@@ -523,6 +551,15 @@
         """
         return [managed for managed in self._ranges if managed.is_rejected]
 
+    @property
+    def holders(self) -> set[tuple[str, int]]:
+        """Return the incarnations that may hold a range."""
+        return set(
+            itertools.chain.from_iterable(
+                managed.held_until for managed in self._ranges
+            )
+        )
+
     def _find(self, segment):
         overlapping = self._overlapping(segment)
         if len(overlapping) != 1:
--- a/packages/radishferry/src/radishferry/direct/key_rows.py
+++ b/packages/radishferry/src/radishferry/direct/key_rows.py
@@ -9,6 +9,7 @@
 import orjson
 
 from radishferry import field_checks
+from radishferry.direct import eras
 from radishferry.direct import key_map
 
 #: Longest value of a row in bytes; the store accepts up to 64 KiB.
@@ -30,11 +31,17 @@
     :ivar held_until_s: For each segment, until when its former holders may
         hold keys at the latest, in seconds on the store's clock; has fewer
         items where that is not known.
+    :ivar era: Era of the store for which the row was written, None if the
+        store names none or the host runs an older version.
+    :ivar stamp: Number that orders the rows of all eras, which is the fencing
+        token of the segments that the row changed; 0 before it is written.
     """
 
     segments: tuple[key_map.Segment, ...]
     write_id: str
     held_until_s: tuple[tuple[float, ...], ...] = ()
+    era: int | None = None
+    stamp: int = 0
 
 
 def encode(row: KeyRow) -> bytes:
@@ -49,6 +56,7 @@
     value = orjson.dumps(
         {
             'write_id': row.write_id,
+            **({} if row.era is None else {'era': row.era}),
             # 'lives' is the stored name of the incarnations.
             'lives': list(incarnations),
             'segments': [
@@ -75,12 +83,15 @@
 def decode(value: bytes, version: int) -> KeyRow:
     """Return the key map in a row.
 
-    :param version: Version of the row, which is the fencing token of the
-        segments that it changed.
+    :param version: Version that the store gave to the row.
     :raises RowError: The value is not a key map.
     """
     try:
         document = orjson.loads(value)
+        era = document.get('era')
+        if era is not None:
+            era = _integer(era, 0, eras.MAX_ERA)
+        row_stamp = eras.stamp(era, version)
         incarnations = {
             index: (str(name), _integer(born, 0, MAX_NUMBER))
             for index, (name, born) in enumerate(document['lives'])
@@ -91,7 +102,7 @@
                     _integer(start, 0, key_map.KEY_COUNT - 1),
                     _integer(end, start, key_map.KEY_COUNT - 1),
                     incarnations[owner],
-                    _integer(fence, 0, MAX_NUMBER) or version,
+                    _integer(fence, 0, MAX_NUMBER) or row_stamp,
                     tuple(incarnations[index] for index in previous),
                 )
                 for start, end, owner, fence, previous, *_ in document[
@@ -104,6 +115,8 @@
                 tuple(map(float, itertools.chain.from_iterable(ends)))
                 for _, _, _, _, _, *ends in document['segments']
             ),
+            era,
+            row_stamp,
         )
         _check_order(row.segments)
         return row
--- a/packages/radishferry/src/radishferry/direct/leadership.py
+++ b/packages/radishferry/src/radishferry/direct/leadership.py
@@ -13,6 +13,7 @@
 import orjson
 
 from radishferry import field_checks
+from radishferry.direct import eras
 
 #: Duration of a term in seconds. Short, since no host can move keys until the
 #: term of a host that the store rejects has ended; long enough to renew at a
@@ -37,6 +38,8 @@
     :ivar nonce: Distinguishes the writes of one host.
     :ivar has_usual_holds: Whether a host that has resigned has granted no
         leases of keys that are longer than usual.
+    :ivar era: Era of the store for which the row was written, None if the
+        store names none or the host runs an older version.
     """
 
     host: str
@@ -45,6 +48,7 @@
     until_store_s: float
     nonce: int
     has_usual_holds: bool = False
+    era: int | None = None
 
     def encode(self) -> bytes:
         """Return the value of the row."""
@@ -71,11 +75,16 @@
             float(fields['until_store_s']),
             int(fields['nonce']),
             fields.get('has_usual_holds') is True,
+            fields.get('era') if _is_era(fields.get('era')) else None,
         )
     except (AttributeError, KeyError, OverflowError, TypeError, ValueError):
         return None
 
 
+def _is_era(value):
+    return field_checks.is_integer(value) and 0 <= value <= eras.MAX_ERA
+
+
 class StoreClock:
     """Bound the time on the store's clock by the times in its answers."""
 
--- a/packages/radishferry/src/radishferry/direct/registry.py
+++ b/packages/radishferry/src/radishferry/direct/registry.py
@@ -14,6 +14,12 @@
 #: Highest number of incarnations that are remembered as leaving because they
 #: announced it; the oldest are dropped.
 MAX_ANNOUNCED_LEAVING = 1024
+#: Seconds for which a server whose entry was removed counts as gone although a
+#: restored store names it again. Copies of the store are some seconds old.
+RESTORED_GONE_S = 30.0
+#: Seconds after a restore for which it does. The store removes an entry that
+#: is not written again after three heartbeat intervals.
+DOUBTFUL_S = 10.0
 
 
 #: Highest number of slots that is accepted. Servers have a few; one with a
@@ -128,6 +134,11 @@
         # Incarnations that have announced that they leave. A dict, since it
         # keeps the order of insertion.
         self._announced_leaving = {}
+        #: When the list ceased to name incarnations, in seconds.
+        self._gone_at = {}
+        #: Incarnations that count as leaving if a restored store names them
+        #: again, and until when, in seconds.
+        self._doubtful_until = {}
         self._read_at = None
         self._keep_missing_until = 0.0
         #: Incremented by each change of the servers.
@@ -188,6 +199,23 @@
         """Record that the store did not answer."""
         self._keep_missing_until = now + OUTAGE_GRACE_S
 
+    def note_restored(self, now: float):
+        """Record that the store was restored from an older copy.
+
+        The list may lack servers that run, like after an outage. It may also
+        name servers again, or as ready, that have left in the lost seconds.
+        Those known to have left get no further requests.
+        """
+        self.note_outage(now)
+        for server in list(self._servers.values()):
+            if server.is_leaving:
+                self.note_leaving(server.incarnation)
+        self._doubtful_until = {
+            incarnation: now + DOUBTFUL_S
+            for incarnation, gone_at in self._gone_at.items()
+            if now - gone_at <= RESTORED_GONE_S
+        }
+
     def note_answer(self, now: float):
         """Record that the store answers.
 
@@ -235,7 +263,7 @@
             taken the outages that it saw into account.
         """
         updated = {
-            server.server_id: self._with_announcement(server)
+            server.server_id: self._with_announcement(server, read_at)
             for server in servers
         }
         keeps_missing = is_own and read_at < self._keep_missing_until
@@ -262,16 +290,23 @@
                 s for s in self._servers.values() if s.server_id not in updated
             ),
         )
+        for server in change.added:
+            self._gone_at.pop(server.incarnation, None)
+        for server in change.gone:
+            self._gone_at.pop(server.incarnation, None)
+            self._gone_at[server.incarnation] = read_at
+            if len(self._gone_at) > MAX_ANNOUNCED_LEAVING:
+                del self._gone_at[next(iter(self._gone_at))]
         self._servers = updated
         self._read_at = read_at
         self._index(updated.values())
         return change
 
-    def _with_announcement(self, server):
-        if (
-            server.is_leaving
-            or server.incarnation not in self._announced_leaving
-        ):
+    def _with_announcement(self, server, read_at):
+        has_left = server.incarnation in self._announced_leaving or (
+            read_at < self._doubtful_until.get(server.incarnation, 0.0)
+        )
+        if server.is_leaving or not has_left:
             return server
         return dataclasses.replace(server, is_leaving=True)
 
--- a/packages/radishferryd/src/radishferryd/platform/store.py
+++ b/packages/radishferryd/src/radishferryd/platform/store.py
@@ -11,6 +11,7 @@
 import typing
 import urllib.parse
 
+from radishferry.direct import eras
 from radishferryd import http_client
 
 LOG = logging.getLogger(__name__)
@@ -32,6 +33,10 @@
 #: are read again about every second.
 MAX_REPORTED_ROWS = 256
 
+#: Header of all answers that names the era of the store: it rises by one each
+#: time the store is restored from an older copy. Older stores send none.
+ERA = 'store-era'
+
 _reported_rows = set()
 
 
@@ -58,12 +63,14 @@
     :ivar version: Newest version of the whole store.
     :ivar store_clock_s: Monotonic clock of the store in seconds.
     :ivar sent_at: When the call was sent, in seconds of the local clock.
+    :ivar era: Era of all versions, None if the store names none.
     """
 
     rows: tuple[Row, ...]
     version: int
     store_clock_s: float
     sent_at: float
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -71,10 +78,12 @@
     """Represent the result of a transaction that was applied.
 
     :ivar version: Version of the rows that the transaction wrote.
+    :ivar era: Era of that version, None if the store names none.
     """
 
     version: int
     store_clock_s: float
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -82,10 +91,12 @@
     """Represent a transaction whose preconditions did not hold.
 
     :ivar rows: Current rows of the preconditions.
+    :ivar era: Era of their versions, None if the store names none.
     """
 
     rows: tuple[Row, ...]
     store_clock_s: float
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -107,11 +118,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Condition:
-    """Require a version of a row; 0 requires that it does not exist."""
+    """Require a version of a row; 0 requires that it does not exist.
+
+    :ivar era: Era in which the version was read. None if the store names
+        none, or if the condition holds for any era.
+    """
 
     table: str
     key: str
     version: int
+    era: int | None = None
 
 
 Answer = typing.Union[Rows, Written, Conflict, HistoryLost, Unavailable]
@@ -128,6 +144,11 @@
         self._scheduler = scheduler
         self._client = http_client.JsonClient(poller, scheduler, address)
         self.calls = 0
+        #: The era of the store as this host sees it.
+        self.eras = eras.Eras()
+        #: Called without arguments when the store has been restored, before
+        #: the callback of the answer that tells so.
+        self.on_restored = []
 
     def read(self, table, done, start='', limit=PAGE_ROWS):
         """Read all rows of a table, page by page.
@@ -143,6 +164,9 @@
                 done(rows)
                 return
             pages.append(rows)
+            if rows.era != pages[0].era:
+                done(Unavailable('restored between two pages', False))
+                return
             if response.body.get('has_more') and rows.rows:
                 # The next page starts after the last key of this one.
                 request_page(rows.rows[-1].key + '\0')
@@ -162,13 +186,14 @@
 
         request_page(start)
 
-    def watch(self, table, after, wait_s, done):
+    def watch(self, table, after, wait_s, done, era=None):
         """Wait for changes to a table.
 
         :param after: Version after which changes are wanted.
         :param wait_s: Longest time that the store waits, in seconds.
         :param done: Called with :class:`Rows`, :class:`HistoryLost` or
             :class:`Unavailable`.
+        :param era: Era of that version, None if the store names none.
         """
         sent_at = self._scheduler.now()
 
@@ -176,7 +201,12 @@
             if getattr(response, 'status', 0) == 410:
                 done(HistoryLost())
                 return
-            done(self._decode_read(response, sent_at))
+            answer = self._decode_read(response, sent_at)
+            if isinstance(answer, Rows) and answer.era not in (None, era):
+                # The restored store has given the version out again, and
+                # changes up to it would be skipped.
+                answer = HistoryLost()
+            done(answer)
 
         query = {
             'table': table,
@@ -196,6 +226,20 @@
             :class:`Unavailable`.
         :param timeout_s: Seconds after which the write has failed.
         """
+        sent_era = self.eras.current
+        if any(c.era not in (None, sent_era) for c in conditions):
+            failure = Unavailable('a condition of an earlier era', False)
+            self._scheduler.call_later(0.0, lambda: done(failure))
+            return
+
+        def on_response(response):
+            answer = _decode_transaction(response)
+            if getattr(answer, 'era', None) not in (None, sent_era):
+                # The conditions were compared with versions of another era,
+                # and may have held by chance.
+                answer = Unavailable('the store was restored', True)
+            done(answer)
+
         body = {
             'precondition': [
                 {
@@ -222,7 +266,7 @@
             '/api/rows-tx',
             body,
             timeout_s,
-            lambda response: done(_decode_transaction(response)),
+            on_response,
         )
 
     def _read(self, name, query, timeout_s, silence_s, done):
@@ -234,6 +278,16 @@
             if isinstance(response, http_client.JsonFailure):
                 # The idle connections may be dead for the same reason.
                 self._client.close()
+                done(response)
+                return
+            era = _decode_era(response)
+            if self.eras.is_past(era):
+                # What it reports may have been lost since then.
+                done(http_client.JsonFailure('of an earlier era', True))
+                return
+            if self.eras.note(era, self._scheduler.now()):
+                for callback in self.on_restored:
+                    callback()
             done(response)
 
         self.calls += 1
@@ -251,6 +305,7 @@
                 int(response.body['api_version']),
                 float(response.body['now_s']),
                 sent_at,
+                _decode_era(response),
             )
         except (KeyError, TypeError, ValueError, AttributeError) as exc:
             return Unavailable(f'malformed response: {exc!r}', True)
@@ -275,13 +330,27 @@
         store_clock_s = float(response.body.get('now_s') or 0.0)
         if response.status == 412:
             return Conflict(
-                _decode_rows(response.body.get('rows') or ()), store_clock_s
+                _decode_rows(response.body.get('rows') or ()),
+                store_clock_s,
+                _decode_era(response),
             )
-        return Written(int(response.body['api_version']), store_clock_s)
+        return Written(
+            int(response.body['api_version']),
+            store_clock_s,
+            _decode_era(response),
+        )
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         return Unavailable(f'malformed response: {exc!r}', True)
 
 
+def _decode_era(response):
+    """Return the era that an answer names, None if it names none."""
+    text = response.header(ERA).strip()
+    if not (text.isascii() and text.isdigit() and len(text) <= 9):
+        return None
+    return min(int(text), eras.MAX_ERA)
+
+
 def _decode_rows(rows):
     return tuple(
         Row(
--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -98,7 +98,10 @@
             '{}:{}'.format(*settings.listen_links),
             time.time_ns(),
             settings.host_link_mbps,
+            self._store.eras,
+            settings.host_is_first_start,
         )
+        self._store.on_restored.append(self._reader.note_restored)
         self._ownership = ownership_module.Ownership(
             self._poller,
             self._scheduler,
@@ -215,6 +218,10 @@
         """Use the key owners that were read with the leadership row."""
         self._reader.apply_owners(rows)
 
+    def rows_restored(self, rows):
+        """Write the key owners again after a restore of the store."""
+        self._ownership.rows_restored(rows)
+
     def granter_found(self, term):
         """Connect to the granting host."""
         self._spoke.connect(term.address)
@@ -372,6 +379,7 @@
             'configuration_age_s': routing_state.configuration_age_s,
             'open_requests': self._gateway.open_requests,
             'store_calls': self._store.calls,
+            'store_era': self._store.eras.current,
             'registry': [
                 {
                     'server_id': server.server_id,
@@ -415,6 +423,8 @@
         configuration = self._routing_state.configuration
         age = self._routing_state.registry.age(self._scheduler.now())
         metrics.store_calls.set(self._store.calls)
+        metrics.store_era.set(self._store.eras.current or 0)
+        metrics.store_restores.set(self._store.eras.changes)
         for order, count in self._ownership.order_sender.counts.items():
             metrics.orders.set(count, order)
         metrics.registry_age.set(min(age, 1e9))
--- a/packages/radishferryd/src/radishferryd/router/metrics.py
+++ b/packages/radishferryd/src/radishferryd/router/metrics.py
@@ -56,6 +56,19 @@
         'gauge',
         "Calls to the platform's store.",
     ),
+    _METRIC(
+        'store_era',
+        'radishferry_store_era',
+        'gauge',
+        'Era that the store names in its answers, 0 without one. It rises '
+        'with each restore from an older copy.',
+    ),
+    _METRIC(
+        'store_restores',
+        'radishferry_store_restores_total',
+        'gauge',
+        'Restores of the store that this process has noticed.',
+    ),
     _METRIC(
         'orders',
         'radishferry_orders_total',
--- a/packages/radishferryd/src/radishferryd/router/ownership.py
+++ b/packages/radishferryd/src/radishferryd/router/ownership.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import itertools
 import logging
 
 from radishferry.direct import capacities
+from radishferry.direct import eras
 from radishferry.direct import granting
 from radishferry.direct import key_rates
 from radishferry.direct import key_rows
@@ -16,6 +16,8 @@
 from radishferry.direct import placement
 from radishferryd.platform import store as store_module
 from radishferryd.router import orders
+from radishferryd.router import owned_service
+from radishferryd.router import restored_rows
 from radishferryd.router import store_reader
 
 LOG = logging.getLogger(__name__)
@@ -49,28 +51,6 @@
 MAX_LOGGED_OWNERS = 8
 
 
-class _ServiceState:
-    """Hold the granter of one service and the state for planning."""
-
-    def __init__(self, name, hold_max_s):
-        self.granter = granting.KeyGranter(name, hold_max_s)
-        self.rates = key_rates.KeyRates()
-        self.row_version = 0
-        self.revision = 0
-        self.published = {}
-        self.planned_at = 0.0
-        self.pending = None
-
-
-@dataclasses.dataclass(frozen=True)
-class _PendingWrite:
-    """Hold a write of a new layout whose result is not known yet."""
-
-    layout: tuple
-    value: bytes
-    write_id: str
-
-
 class Ownership:
     """Plan which server owns which keys, store it and order it."""
 
@@ -106,6 +86,8 @@
         self._capacities = capacities.Capacities()
         self._is_active = False
         self._active_at = 0.0
+        #: Whether the store may have lost the rows of services without one.
+        self._may_lack_rows = False
         self._known_servers = {}
         self._write_ids = itertools.count(1)
         self._ended_checked_at = {}
@@ -175,19 +157,31 @@
         self._is_active = True
         self._active_at = self._scheduler.now()
         self._services = {}
+        self._may_lack_rows = self._term.may_lack_rows
         for service, row, version in store_reader.key_rows_of(rows):
             found = self._service(service)
-            passed_at = self._term.clock.passed_at
-            found.granter.load(
-                row.segments,
-                version,
-                self._active_at,
-                ordered_until=self._term.previous_ended_at,
-                ends=tuple(
-                    tuple(map(passed_at, ends)) for ends in row.held_until_s
-                ),
-                has_usual_holds=has_usual_holds,
-            )
+            if self._term.is_lost(row.era):
+                found.granter.load(
+                    restored_rows.newest_segments(
+                        row, self._routing_state.key_maps.get(service)
+                    ),
+                    row.stamp,
+                    self._active_at,
+                )
+                found.granter.note_lost_rows(self._active_at)
+            else:
+                passed_at = self._term.clock.passed_at
+                found.granter.load(
+                    row.segments,
+                    row.stamp,
+                    self._active_at,
+                    ordered_until=self._term.previous_ended_at,
+                    ends=tuple(
+                        tuple(map(passed_at, ends))
+                        for ends in row.held_until_s
+                    ),
+                    has_usual_holds=has_usual_holds,
+                )
             found.row_version = version
             self._publish(found)
             LOG.info(
@@ -197,6 +191,16 @@
                 extra={'row_version': version, 'usual_holds': has_usual_holds},
             )
 
+    def rows_restored(self, rows):
+        """Write the owners again after a restore during the own term.
+
+        :param rows: Rows of the table :data:`store_reader.OWN_TABLE`.
+        """
+        versions = {row.key: row.version for row in rows}
+        for name, service in self._services.items():
+            key = f'{store_reader.KEYS_PREFIX}{name}'
+            service.note_restored(versions.get(key, 0))
+
     def extend_grants(self) -> bool:
         """Grant long holds before a stop, if the store does not answer.
 
@@ -351,9 +355,11 @@
     def _service(self, name):
         found = self._services.get(name)
         if found is None:
-            found = self._services[name] = _ServiceState(
+            found = self._services[name] = owned_service.OwnedService(
                 name, self._hold_max_s
             )
+            if self._may_lack_rows:
+                found.granter.note_lost_rows(self._active_at)
         return found
 
     def _tick_service(self, service, now):
@@ -366,7 +372,10 @@
         if service.pending is not None:
             self._write(service)
             return
-        layout = self._plan(service, now)
+        if service.is_row_lost:
+            layout = placement.layout_of(granter.ranges)
+        else:
+            layout = self._plan(service, now)
         if layout is not None:
             self._propose(service, layout)
 
@@ -375,12 +384,7 @@
         if registry.read_at == self._ended_checked_at.get(granter.service):
             return
         self._ended_checked_at[granter.service] = registry.read_at
-        incarnations = set(
-            itertools.chain.from_iterable(
-                found.held_until for found in granter.ranges
-            )
-        )
-        for incarnation in incarnations:
+        for incarnation in granter.holders:
             known = self._known_servers.get(incarnation)
             if registry.has_ended(incarnation, known and known.address):
                 successor = registry.successor(incarnation)
@@ -536,12 +540,16 @@
         held_until_s = tuple(tuple(map(latest, found)) for found in ends)
         try:
             value = key_rows.encode(
-                key_rows.KeyRow(segments, write_id, held_until_s)
+                key_rows.KeyRow(
+                    segments, write_id, held_until_s, self._term.era
+                )
             )
         except key_rows.RowError as exc:
             LOG.error('ownership: Cannot encode the new owners: %s.', exc)
             return
-        service.pending = _PendingWrite(tuple(layout), value, write_id)
+        service.pending = owned_service.PendingWrite(
+            tuple(layout), value, write_id
+        )
         self._write(service)
 
     def _write(self, service):
@@ -553,14 +561,18 @@
             if service.pending is not pending or not self._is_active:
                 return
             if isinstance(answer, store_module.Written):
-                self._commit(service, answer.version)
+                stamp = eras.stamp(answer.era, answer.version)
+                self._commit(service, stamp, answer.version)
             elif isinstance(answer, store_module.Conflict):
                 self._resolve(service, answer.rows, key)
 
         self._term.write_rows(
             (
                 store_module.Condition(
-                    store_reader.OWN_TABLE, key, service.row_version
+                    store_reader.OWN_TABLE,
+                    key,
+                    service.row_version,
+                    self._term.era,
                 ),
             ),
             ((store_reader.OWN_TABLE, key, pending.value),),
@@ -573,20 +585,20 @@
         if row is None or row.version == service.row_version:
             return
         try:
-            found = key_rows.decode(row.value, row.version)
+            stamp = service.resolve(row)
         except key_rows.RowError as exc:
             LOG.error('ownership: Row %s cannot be used: %s.', key, exc)
             return
-        if found.write_id == service.pending.write_id:
-            self._commit(service, row.version)
+        if stamp is not None:
+            self._commit(service, stamp, row.version)
 
-    def _commit(self, service, version):
+    def _commit(self, service, stamp, version):
         pending, service.pending = service.pending, None
         granter = service.granter
         now = self._scheduler.now()
         before = {found.segment() for found in granter.ranges}
-        granter.commit(pending.layout, version, now)
-        service.row_version = version
+        granter.commit(pending.layout, stamp, now)
+        service.row_version, service.is_row_lost = version, False
         moved = [s for s in granter.segments if s not in before]
         LOG.info(
             'ownership: Wrote version %d of the owners of %s.',
@@ -610,21 +622,7 @@
         if service.revision == service.granter.revision:
             return
         service.revision = service.granter.revision
-        current = {}
-        for found in service.granter.ranges:
-            segment = found.segment()
-            # Until the owner has confirmed its lease, the range is published
-            # as unsettled, so that no host sends it requests.
-            if not segment.previous and not found.confirmed_until:
-                segment = dataclasses.replace(
-                    segment, previous=(segment.owner,)
-                )
-            current[segment.start] = segment
-        changed = tuple(
-            segment
-            for start, segment in current.items()
-            if service.published.get(start) != segment
-        )
+        changed, current = service.changed_segments()
         if not changed:
             return
         service.published = current
--- a/packages/radishferryd/src/radishferryd/router/store_reader.py
+++ b/packages/radishferryd/src/radishferryd/router/store_reader.py
@@ -97,6 +97,7 @@
         self._polling = _Polling('servers and the configuration', scheduler)
         self._interval_s = STANDALONE_INTERVAL_S
         self._feed_version = None
+        self._feed_era = None
         self._is_available = True
 
     def set_polling(self, is_polling, interval_s=STANDALONE_INTERVAL_S):
@@ -136,6 +137,19 @@
                 )
         return is_usable
 
+    def note_restored(self):
+        """Handle that the store was restored from an older copy.
+
+        Servers write their entries again. Until then the list may lack
+        servers that run, and name some that have left.
+        """
+        LOG.warning(
+            'store: The store was restored from an older copy; what it does '
+            'not have any more is written again.',
+            extra={'era': self._store.eras.current},
+        )
+        self._routing_state.registry.note_restored(self._scheduler.now())
+
     def _read_servers(self):
         def handle(answer):
             delay_s = RETRY_S
@@ -182,6 +196,7 @@
             self._feed_version,
             FEED_WAIT_S,
             self._polling.guard(handle),
+            self._feed_era,
         )
 
     def _log_failure(self, answer):
@@ -194,7 +209,7 @@
         )
 
     def _apply(self, answer):
-        self._feed_version = answer.version
+        self._feed_version, self._feed_era = answer.version, answer.era
         self._routing_state.note_configuration_read(self._scheduler.now())
         for row in answer.rows:
             if row.key == documents.CONFIGURATION_KEY and not row.is_deleted:
@@ -207,9 +222,9 @@
         the row is not updated when the previous owner releases it, and a
         server refuses a request for a key that it does not hold yet.
         """
-        for service, row, version in key_rows_of(rows):
+        for service, row, _ in key_rows_of(rows):
             self._routing_state.apply_row(
-                service, tuple(_settled(s) for s in row.segments), version
+                service, tuple(_settled(s) for s in row.segments), row.stamp
             )
 
 
