--- a/features/direct_restored_store.feature
+++ b/features/direct_restored_store.feature
@@ -21,6 +21,16 @@
     When the store is restored from a copy that has configuration 5
     Then the reader has configuration 7 after 3 seconds
 
+  # Guards against an evacuation that ends because its row is lost.
+  Scenario: An evacuation is kept until operators can write it again
+    Given a reader of a store with configuration 5
+    And the evacuation of data centre "x" is written and read
+    When the store is restored from a copy that has configuration 5
+    And 1 second passes at the reader
+    Then the reader knows an evacuation of "x"
+    When 4 seconds pass at the reader
+    Then the reader knows no evacuation
+
   # Guards against a granting host that gives up its term, or keeps moves that
   # the store has lost in memory only, so that its successor undoes them.
   Scenario: The granting host claims its term and writes lost moves again
--- a/features/steps/direct_restored_store_steps.py
+++ b/features/steps/direct_restored_store_steps.py
@@ -116,6 +116,31 @@
     _check_version(context, version)
 
 
+@behave.given('the evacuation of data centre "{name}" is written and read')
+def evacuation(context, name):
+    key = f'{documents.EVACUATION_PREFIX}{name}'
+    context.store.put(documents.OPERATOR_TABLE, key, b'{}')
+    context.time.advance(1.0)
+    knows_evacuation(context, name)
+
+
+@behave.when('{seconds:d} second passes at the reader')
+@behave.when('{seconds:d} seconds pass at the reader')
+def reader_waits(context, seconds):
+    context.time.advance(seconds)
+
+
+@behave.then('the reader knows an evacuation of "{name}"')
+def knows_evacuation(context, name):
+    found = context.routing_state.availability.evacuated
+    assert sorted(found) == [name], found
+
+
+@behave.then('the reader knows no evacuation')
+def knows_no_evacuation(context):
+    assert not context.routing_state.availability.evacuated
+
+
 # Leadership and owners.
 
 
--- a/packages/radishferryd/src/radishferryd/router/store_reader.py
+++ b/packages/radishferryd/src/radishferryd/router/store_reader.py
@@ -38,6 +38,9 @@
 FEED_PAUSE_S = 0.2
 #: Delay in seconds before a failed call is repeated.
 RETRY_S = 0.4
+#: Seconds for which evacuations are kept that the store does not name any more
+#: after it was restored from an older copy. Operators write them again.
+RESTORED_KEEP_S = 3.0
 
 
 class _Polling:
@@ -98,6 +101,10 @@
         self._interval_s = STANDALONE_INTERVAL_S
         self._feed_version = None
         self._feed_era = None
+        #: Data centres that are evacuated by the rows read so far.
+        self._evacuations = frozenset()
+        self._kept_evacuations = frozenset()
+        self._keep_evacuations_until = 0.0
         self._is_available = True
 
     def set_polling(self, is_polling, interval_s=STANDALONE_INTERVAL_S):
@@ -141,14 +148,18 @@
         """Handle that the store was restored from an older copy.
 
         Servers write their entries again. Until then the list may lack
-        servers that run, and name some that have left.
+        servers that run, and name some that have left. Operators write their
+        rows again.
         """
         LOG.warning(
             'store: The store was restored from an older copy; what it does '
             'not have any more is written again.',
             extra={'era': self._store.eras.current},
         )
-        self._routing_state.registry.note_restored(self._scheduler.now())
+        now = self._scheduler.now()
+        self._kept_evacuations = self._evacuations
+        self._keep_evacuations_until = now + RESTORED_KEEP_S
+        self._routing_state.registry.note_restored(now)
 
     def _read_servers(self):
         def handle(answer):
@@ -173,6 +184,7 @@
                 self._log_failure(answer)
                 self._polling.call_later(RETRY_S, self._read_configuration)
                 return
+            self._evacuations = frozenset()
             self._apply(answer)
             self._watch()
 
@@ -214,6 +226,15 @@
         for row in answer.rows:
             if row.key == documents.CONFIGURATION_KEY and not row.is_deleted:
                 self._routing_state.apply_document(row.value, 'store')
+        self._evacuations = documents.apply_evacuations(
+            self._evacuations, answer.rows
+        )
+        now = self._scheduler.now()
+        if now >= self._keep_evacuations_until:
+            self._kept_evacuations = frozenset()
+        self._routing_state.apply_evacuations(
+            self._evacuations | self._kept_evacuations, now
+        )
 
     def apply_owners(self, rows):
         """Use the owners in rows of the store.
