Let the simulated store return from an older copy

It keeps copies of its rows, names its era in all answers, answers 410 to a feed from a version that it does not have, and writes the operator's rows again after half a second. Two hosts serve keys all the while when it is away for up to 0.6 s.

--- a/features/direct_restored_store.feature
+++ b/features/direct_restored_store.feature
@@ -64,6 +64,23 @@
     When the store is restored and its list names servers "a, c" as ready
     Then the host uses servers "a, b, c"
 
+  # Guards against keys without a holder and versions that are mixed up, with
+  # processes and a store that is away for a moment.
+  Scenario Outline: Keys are served while the store returns from an older copy
+    Given two direct hosts before a store, 2 keyed and 2 plain servers
+    When keyed server 1 announces to the store that it is leaving
+    And the store is away for <away_s> seconds and returns from a copy 2 seconds old
+    Then keys are served at both hosts for the next 6 seconds
+    And both hosts know era 1 and one of them grants
+    And no key was granted to two servers at a time
+    When configuration 9 is published
+    Then both hosts have configuration 9 within 3 seconds
+
+    Examples:
+      | away_s |
+      | 0.0    |
+      | 0.6    |
+
   # Guards against hosts that act otherwise where the store names no era.
   Scenario: Without an era, versions and rows are as before
     Then version 7 without an era orders as 7
--- a/features/steps/direct_restored_store_steps.py
+++ b/features/steps/direct_restored_store_steps.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import random
+import time
 
 import behave
+import direct_host_fixtures
 import load_fixtures
 import ownership_sequences
+import process_fixtures
 import restored_store_fixtures
 import restored_store_world
 
@@ -20,6 +24,7 @@
 from radishferryd.platform import store as store_module
 from radishferryd.router import knowledge
 from radishferryd.router import store_reader
+from radishferry_testing.soak import checks
 
 _TERM_ROW = store_reader.OWN_TABLE, store_reader.TERM_KEY
 _KEYS_ROW = store_reader.OWN_TABLE, f'{store_reader.KEYS_PREFIX}s'
@@ -291,6 +296,72 @@
     assert found == names.split(', '), found
 
 
+# Processes.
+
+
+@behave.when(
+    'the store is away for {away_s:g} seconds and returns from a copy '
+    '{age_s:g} seconds old'
+)
+def returns_from_copy(context, away_s, age_s):
+    # The keys of the leaving server have been moved by then.
+    time.sleep(1.5)
+    direct_host_fixtures.control_platform(
+        context, 'restore', age_s=age_s, away_s=away_s
+    )
+
+
+@behave.then('keys are served at both hosts for the next {seconds:d} seconds')
+def served_for(context, seconds):
+    end = time.monotonic() + seconds
+    failed = []
+    while time.monotonic() < end:
+        for host, key in itertools.product((1, 2), direct_host_fixtures.KEYS):
+            status, _, _ = direct_host_fixtures.lookup(context, host, key)
+            if status != 200:
+                failed.append((host, key, status, end - time.monotonic()))
+    assert not failed, failed
+
+
+@behave.then('both hosts know era {era:d} and one of them grants')
+def know_era(context, era):
+    states = [
+        direct_host_fixtures.state(context, name)
+        for name in direct_host_fixtures.NAMES
+    ]
+    granters = [state for state in states if state['is_granter']]
+    assert len(granters) == 1, granters
+    assert granters[0]['store_era'] == era, granters[0]['store_era']
+
+
+@behave.then('no key was granted to two servers at a time')
+def one_holder(context):
+    events = direct_host_fixtures.control_platform(context, 'events')
+    findings = list(checks.check_owners(events, ()))
+    assert not findings, findings
+
+
+@behave.when('configuration {version:d} is published')
+def publish(context, version):
+    direct_host_fixtures.control_platform(
+        context, 'configure', version=version
+    )
+
+
+@behave.then('both hosts have configuration {version:d} within 3 seconds')
+def both_have(context, version):
+    published_at = time.monotonic()
+    process_fixtures.wait_until(
+        lambda: all(
+            direct_host_fixtures.state(context, name)['configuration']
+            == version
+            for name in direct_host_fixtures.NAMES
+        )
+    )
+    took_s = time.monotonic() - published_at
+    assert took_s <= 3.0, took_s
+
+
 # Stores without an era.
 
 
--- a/packages/radishferry-testing/src/radishferry_testing/soak/checks.py
+++ b/packages/radishferry-testing/src/radishferry_testing/soak/checks.py
@@ -104,7 +104,7 @@
         elif kind == 'run-end':
             run_ends[detail['id']].append((detail['is_broken_off'], at))
     yield from _check_requests(calls, runs)
-    yield from _check_owners(events, cluster.fault_log)
+    yield from check_owners(events, cluster.fault_log)
     yield from _check_leaving(calls, runs, cluster.fault_log)
     yield from _check_limits(runs, cluster.fault_log)
     yield from _check_stops(cluster.stops)
@@ -134,7 +134,7 @@
             yield Finding('valid requests', f'{call}')
 
 
-def _check_owners(events, fault_log):
+def check_owners(events, fault_log):
     """Check that no two servers hold the same key at the same time."""
     resumes = [
         at
--- a/packages/radishferry-testing/src/radishferry_testing/users/platform/__main__.py
+++ b/packages/radishferry-testing/src/radishferry_testing/users/platform/__main__.py
@@ -27,6 +27,7 @@
 
     def __init__(self, keyed_ports, plain_ports, work_s, advertised_ports=()):
         self.store = store_module.Store()
+        self._tasks = set()
         self.events = []
         numbered = (
             (number, service, port)
@@ -125,6 +126,14 @@
     def _test_store(self, is_down):
         self.store.is_down = is_down
 
+    def _test_restore(self, age_s, away_s=0.0):
+        """Restore the store from an older copy, after it was away."""
+        task = asyncio.get_running_loop().create_task(
+            self.store.restore(age_s, away_s)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def _test_restart(self, server_id):
         next(s for s in self.servers if s.server_id == server_id).restart()
 
--- a/packages/radishferry-testing/src/radishferry_testing/users/platform/store.py
+++ b/packages/radishferry-testing/src/radishferry_testing/users/platform/store.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import binascii
+import collections
 import json
 import time
 
@@ -12,6 +13,14 @@
 MAX_WAIT_S = 30.0
 #: Headers of an answer with a JSON body.
 JSON_HEADERS = (('Content-Type', 'application/json'),)
+#: Shortest time in seconds between two copies from which the store can be
+#: restored, and the longest age of a copy.
+COPY_INTERVAL_S = 0.2
+MAX_COPY_AGE_S = 10.0
+#: Table of the operator, who writes lost rows again after a restore, and the
+#: seconds after which this is done. Servers write their entries periodically.
+OPERATOR_TABLE = 'op'
+REWRITE_S = 0.5
 
 
 class Store:
@@ -21,11 +30,15 @@
         self._rows = {}
         self._version = 0
         self._changed = asyncio.Event()
+        self._copies = collections.deque()
+        #: Number of restores, which all answers name.
+        self.era = 0
         self.is_down = False
         self.calls = 0
 
     def put(self, table, key, value):
         """Write a row; an object is encoded as JSON."""
+        self._keep_copy()
         self._version += 1
         data = (
             value if isinstance(value, bytes) else json.dumps(value).encode()
@@ -35,10 +48,45 @@
 
     def delete(self, table, key):
         """Delete a row."""
+        self._keep_copy()
         self._version += 1
         self._rows.pop((table, key), None)
         self._notify_feeds()
 
+    def _keep_copy(self):
+        """Copy the rows before they change, unless that was done just now."""
+        now = time.monotonic()
+        if self._copies and now - self._copies[-1][0] < COPY_INTERVAL_S:
+            return
+        self._copies.append((now, dict(self._rows), self._version))
+        while self._copies[0][0] < now - MAX_COPY_AGE_S:
+            self._copies.popleft()
+
+    async def restore(self, age_s, away_s):
+        """Answer 503 for a moment, and return with the rows of a copy.
+
+        :param age_s: Age of the copy in seconds, at the time of the call.
+        :param away_s: Seconds for which the store is away.
+        """
+        limit = time.monotonic() - age_s
+        self.is_down = True
+        await asyncio.sleep(away_s)
+        copies = [copy for copy in self._copies if copy[0] <= limit]
+        _, rows, self._version = copies[-1] if copies else self._copies[0]
+        lost = {
+            row: value
+            for row, (value, _) in self._rows.items()
+            if row[0] == OPERATOR_TABLE and self._rows[row] != rows.get(row)
+        }
+        self._rows = dict(rows)
+        self._copies.clear()
+        self.era += 1
+        self.is_down = False
+        self._notify_feeds()
+        await asyncio.sleep(REWRITE_S)
+        for (table, key), value in lost.items():
+            self.put(table, key, value)
+
     def _notify_feeds(self):
         self._changed.set()
         self._changed = asyncio.Event()
@@ -47,7 +95,7 @@
         """Answer one store call."""
         self.calls += 1
         if self.is_down:
-            await request.respond(503)
+            await request.respond(503, headers=self._headers())
             return
         name = request.path.rpartition('/')[2]
         if name == 'rows-get':
@@ -59,9 +107,14 @@
         else:
             await request.respond(404)
 
+    def _headers(self):
+        return (*JSON_HEADERS, ('Store-Era', str(self.era)))
+
     async def _answer(self, request, status, body):
         body |= {'api_version': self._version, 'now_s': time.monotonic()}
-        await request.respond(status, json.dumps(body).encode(), JSON_HEADERS)
+        await request.respond(
+            status, json.dumps(body).encode(), self._headers()
+        )
 
     def _list_rows(self, table, after=0, start=''):
         return [
@@ -98,6 +151,9 @@
             MAX_WAIT_S, int(request.query['wait_ms']) / 1000
         )
         while True:
+            if after > self._version:
+                await self._answer(request, 410, {})
+                return
             rows = self._list_rows(table, after)
             remaining_s = end - time.monotonic()
             if rows or remaining_s <= 0:
@@ -118,6 +174,7 @@
         ):
             await self._answer(request, 412, {'rows': current})
             return
+        self._keep_copy()
         self._version += 1
         for entry in body['writes']:
             try:
