Resume granting with the own memory after a long outage

A host whose term ended while the store was away renews the leases that have not ended: a server that another host has asked to release them has seen a higher fencing token and rejects the renewal. Before, keys were without a holder from the end of their leases until all leases of lost rows had ended.

--- a/packages/radishferry/src/radishferry/direct/granting.py
+++ b/packages/radishferry/src/radishferry/direct/granting.py
@@ -165,6 +165,34 @@
         for managed in self._ranges:
             self._add_unknown_holder(managed)
 
+    def resume(self, now):
+        """Continue after another host may have granted by rows now lost.
+
+        An owner whose lease has not ended still holds its keys, unless that
+        host asked it to release them. It has then seen a higher fencing
+        token and rejects the next grant, so the lease may be renewed. All
+        other ranges wait for the unknown holders.
+
+        :param now: Seconds; another host sent no order later.
+        """
+        confirmed_until = now + managed_range.ARRIVAL_S
+        for managed in self._ranges:
+            managed.hold_limit = math.inf
+            managed.next_release_at = {}
+            managed.next_grant_at = now
+        held = [
+            managed
+            for managed in self._ranges
+            if managed.confirmed_until > confirmed_until
+            and not managed.previous
+            and not managed.is_rejected
+        ]
+        self.note_lost_rows(now)
+        for managed in held:
+            del managed.held_until[UNKNOWN_HOLDER]
+            managed.is_rejected = False
+        self.revision += 1
+
     def _add_unknown_holder(self, managed):
         managed.held_until[UNKNOWN_HOLDER] = self._unknown_until
         managed.is_rejected = True
@@ -425,6 +453,8 @@
                     managed.next_grant_at, now + RETRY_S
                 )
                 managed.is_rejected = is_stale
+                if is_stale and now < self._unknown_until:
+                    self._add_unknown_holder(managed)
 
     @staticmethod
     def _undo_sent(managed, order):
--- a/packages/radishferryd/src/radishferryd/router/ownership.py
+++ b/packages/radishferryd/src/radishferryd/router/ownership.py
@@ -82,7 +82,7 @@
         self._term = term
         self._hold_max_s = hold_max_s
         self._name = name
-        self._services = {}
+        self._services = self._former = {}
         self._capacities = capacities.Capacities()
         self._is_active = False
         self._active_at = 0.0
@@ -161,14 +161,13 @@
         for service, row, version in store_reader.key_rows_of(rows):
             found = self._service(service)
             if self._term.is_lost(row.era):
-                found.granter.load(
-                    restored_rows.newest_segments(
-                        row, self._routing_state.key_maps.get(service)
-                    ),
-                    row.stamp,
+                found = self._services[service] = restored_rows.take_over(
+                    found,
+                    self._former.get(service),
+                    row,
+                    self._routing_state.key_maps.get(service),
                     self._active_at,
                 )
-                found.granter.note_lost_rows(self._active_at)
             else:
                 passed_at = self._term.clock.passed_at
                 found.granter.load(
@@ -220,7 +219,7 @@
         """Stop granting keys and discard orders that were not sent."""
         self._is_active = False
         self._grants_long_holds = self._wants_long_holds = False
-        self._services = {}
+        self._former, self._services = self._services or self._former, {}
         self._ended_checked_at = {}
         self.order_sender.close()
 
--- a/packages/radishferryd/src/radishferryd/router/restored_rows.py
+++ b/packages/radishferryd/src/radishferryd/router/restored_rows.py
@@ -7,7 +7,28 @@
 from radishferry.direct import key_map
 
 
-def newest_segments(row, known) -> tuple[key_map.Segment, ...]:
+def take_over(service, former, row, known, now):
+    """Return the state of a service whose newest rows are lost.
+
+    :param service: An empty
+        :class:`~radishferryd.router.owned_service.OwnedService`.
+    :param former: The state from the last term of this host, or None.
+    :param row: A :class:`~radishferry.direct.key_rows.KeyRow`.
+    :param known: The :class:`~radishferry.direct.key_map.KeyMap` of this host,
+        or None.
+    :param now: Seconds.
+    """
+    newest = max(row.stamp, known.version if known is not None else 0)
+    if former is not None and former.granter.version >= newest:
+        former.granter.resume(now)
+        former.note_restored(former.row_version)
+        return former
+    service.granter.load(_newest_segments(row, known), row.stamp, now)
+    service.granter.note_lost_rows(now)
+    return service
+
+
+def _newest_segments(row, known) -> tuple[key_map.Segment, ...]:
     """Return the newest owners that this host knows.
 
     The other hosts got the owners from the granting host, and the store may
--- a/packages/radishferryd/src/radishferryd/router/term.py
+++ b/packages/radishferryd/src/radishferryd/router/term.py
@@ -44,6 +44,13 @@
 #: Seconds after the expected end of another host's term at which the row is
 #: read again.
 END_MARGIN_S = 0.15
+#: Additional delay in seconds before a host takes over after a restore if it
+#: has not granted lately: the one that has knows who holds keys. Longer than
+#: two random delays.
+RESTORED_WAIT_S = 0.6
+#: Seconds after the last renewal of a host for which it has granted lately;
+#: the longest leases have ended by then.
+RECENT_TERM_S = 12.0
 #: Start of the keys of rows that exist once leadership was written in the era
 #: whose number follows. A write of an earlier era requires that its successor
 #: has no such row, since a version may be given out again in a later era.
@@ -314,6 +321,8 @@
             delay_s = self._slow_link_wait_s + random.uniform(0, MAX_JITTER_S)
             if not self._owner.reaches_servers():
                 delay_s += ISOLATED_WAIT_S
+            if self._is_observed_restored and self.silent_s > RECENT_TERM_S:
+                delay_s += RESTORED_WAIT_S
             observed = self._era, self._version
             self._scheduler.call_later(
                 delay_s, lambda: self._acquire(observed)
