--- a/packages/radishferryd/src/radishferryd/router/store_reader.py
+++ b/packages/radishferryd/src/radishferryd/router/store_reader.py
@@ -38,6 +38,9 @@
 FEED_PAUSE_S = 0.2
 #: Delay in seconds before a failed call is repeated.
 RETRY_S = 0.4
+#: Seconds for which evacuations are kept that the store does not name any more
+#: after it was restored from an older copy. Operators write them again.
+RESTORED_KEEP_S = 3.0
 
 
 class _Polling:
@@ -97,8 +100,11 @@
         self._polling = _Polling('servers and the configuration', scheduler)
         self._interval_s = STANDALONE_INTERVAL_S
         self._feed_version = None
+        self._feed_era = None
         #: Data centres that are evacuated by the rows read so far.
         self._evacuations = frozenset()
+        self._kept_evacuations = frozenset()
+        self._keep_evacuations_until = 0.0
         self._is_available = True
 
     def set_polling(self, is_polling, interval_s=STANDALONE_INTERVAL_S):
@@ -138,6 +144,23 @@
                 )
         return is_usable
 
+    def note_restored(self):
+        """Handle that the store was restored from an older copy.
+
+        Servers write their entries again. Until then the list may lack
+        servers that run, and name some that have left. Operators write their
+        rows again.
+        """
+        LOG.warning(
+            'store: The store was restored from an older copy; what it does '
+            'not have any more is written again.',
+            extra={'era': self._store.eras.current},
+        )
+        now = self._scheduler.now()
+        self._kept_evacuations = self._evacuations
+        self._keep_evacuations_until = now + RESTORED_KEEP_S
+        self._routing_state.registry.note_restored(now)
+
     def _read_servers(self):
         def handle(answer):
             delay_s = RETRY_S
@@ -185,6 +208,7 @@
             self._feed_version,
             FEED_WAIT_S,
             self._polling.guard(handle),
+            self._feed_era,
         )
 
     def _log_failure(self, answer):
@@ -197,7 +221,7 @@
         )
 
     def _apply(self, answer):
-        self._feed_version = answer.version
+        self._feed_version, self._feed_era = answer.version, answer.era
         self._routing_state.note_configuration_read(self._scheduler.now())
         for row in answer.rows:
             if row.key == documents.CONFIGURATION_KEY and not row.is_deleted:
@@ -205,8 +229,11 @@
         self._evacuations = documents.apply_evacuations(
             self._evacuations, answer.rows
         )
+        now = self._scheduler.now()
+        if now >= self._keep_evacuations_until:
+            self._kept_evacuations = frozenset()
         self._routing_state.apply_evacuations(
-            self._evacuations, self._scheduler.now()
+            self._evacuations | self._kept_evacuations, now
         )
 
     def apply_owners(self, rows):
@@ -216,9 +243,9 @@
         the row is not updated when the previous owner releases it, and a
         server refuses a request for a key that it does not hold yet.
         """
-        for service, row, version in key_rows_of(rows):
+        for service, row, _ in key_rows_of(rows):
             self._routing_state.apply_row(
-                service, tuple(_settled(s) for s in row.segments), version
+                service, tuple(_settled(s) for s in row.segments), row.stamp
             )
 
 
