Relieve only saturated servers of a few slots, and renew fewer ranges

Services with few slots are no longer leveled below saturation, since the rates of their servers are too noisy for it.

Keep the sums of rates until the rates change. A stopping host breaks off no request as hung.

--- a/packages/radishferry/src/radishferry/direct/hot_groups.py
+++ b/packages/radishferry/src/radishferry/direct/hot_groups.py
@@ -33,12 +33,16 @@
 #: Smallest load that is worth a move, as a share of the capacity of the
 #: server that gets it.
 MIN_GAIN = 0.04
-#: Share of the mean rate of the requested keys of a range below which leading
-#: keys stay with their owner.
+#: Share of the mean rate of the requested keys of a range below which the keys
+#: at its begin and end stay with their owner.
 BUSY_SHARE = 0.5
 #: Share of the use of its server that a key must at most cause at another one
 #: to be moved there, if it exceeds the room of every server.
 ALONE_GAIN = 0.8
+#: Seconds after a move during which a range stays at a server that can do its
+#: work: a group is busy for about that long, and its rates are uncertain at
+#: first.
+COOLDOWN_S = 5.0
 #: Highest number of moves in one plan: two orders for each, and a row in the
 #: message to all hosts.
 MAX_MOVES = 200
@@ -47,7 +51,9 @@
 MAX_RANGES = 1400
 
 
-def spread(pieces, server_loads, loads, may_assign, now, cooldown_s) -> int:
+def spread(
+    pieces, server_loads, loads, may_assign, now, least_cooldown_s
+) -> int:
     """Move busy narrow ranges away from servers that are saturated.
 
     The busiest servers are relieved first, of the ranges with the most
@@ -59,7 +65,8 @@
     :param loads: A :class:`~radishferry.direct.key_rates.LoadMap`.
     :param may_assign: Function of an incarnation, a start and an end that
         returns whether it may own this range.
-    :param cooldown_s: Seconds after a move during which a range stays.
+    :param least_cooldown_s: Seconds after a move during which a range stays
+        even at a server that cannot do its work.
     :returns: Number of ranges that change their owner.
     """
     sources = sorted(
@@ -84,6 +91,9 @@
     for source in sources:
         own = by_owner[source]
         own.sort(key=lambda piece: -_density(piece, loads))
+        cooldown_s = (
+            least_cooldown_s if server_loads.use(source) > 1 else COOLDOWN_S
+        )
         for piece in own:
             if (
                 now - piece[3] < cooldown_s
@@ -119,7 +129,12 @@
     """Return the parts of a range, with their owners."""
     start, end, source, moved_at = piece
     parts = []
-    while start <= end:
+    # The quiet keys between busy ones move as well, since each part of a range
+    # is renewed by an order of its own.
+    busy_first, busy_last = loads.busy_bounds(
+        start, end, BUSY_SHARE * loads.mean_rate(start, end)
+    )
+    while start <= busy_last:
         excess = server_loads.load(source) - level * server_loads.capacity(
             source
         )
@@ -128,13 +143,11 @@
             break
         room, target = found
         least = MIN_GAIN * server_loads.capacity(target)
-        rate = BUSY_SHARE * loads.mean_rate(start, end)
-        first = loads.first_busy(start, end, rate)
-        if room < least or first is None:
+        if room < least:
             break
-        last = loads.split(first, end, max(least, min(room, excess)))
-        if last < first:
-            last = first
+        first = max(start, busy_first)
+        last = loads.split(first, busy_last, max(least, min(room, excess)))
+        last = max(first, last)
         load = loads.load(first, last)
         use = (server_loads.load(target) + load) / server_loads.capacity(
             target
@@ -145,8 +158,9 @@
             # A single key that is more than the room of any server.
             or (load > room and use > ALONE_GAIN * server_loads.use(source))
         ):
-            if last == end:
-                break
+            # Joined with the part before it, if that stays as well.
+            if parts and parts[-1][2] == source:
+                start = parts.pop()[0]
             parts.append([start, last, source, moved_at])
             start = last + 1
             continue
@@ -158,6 +172,8 @@
         rooms.update(target)
         start = last + 1
     if start <= end:
+        if parts and parts[-1][2] == source:
+            start = parts.pop()[0]
         parts.append([start, end, source, moved_at])
     return parts
 
--- a/packages/radishferry/src/radishferry/direct/key_rates.py
+++ b/packages/radishferry/src/radishferry/direct/key_rates.py
@@ -47,6 +47,7 @@
         self._started_at = None
         self._advanced_at = None
         self._changed_at = {}
+        self._load_map = None
         #: When the last update showed a sudden rise, in seconds.
         self.risen_at = -math.inf
         #: Whether the last update was the first to show a rise. The rise may
@@ -96,6 +97,7 @@
         if is_fast:
             self._follow_changes(rates, elapsed, now)
         self._rates = rates
+        self._load_map = None
         self._counts.clear()
 
     def _follow_changes(self, rates, elapsed, now):
@@ -138,6 +140,13 @@
         """Return requests a second by key."""
         return self._rates
 
+    @property
+    def load_map(self) -> LoadMap:
+        """Return the :class:`LoadMap` of the rates."""
+        if self._load_map is None:
+            self._load_map = LoadMap(self._rates)
+        return self._load_map
+
     def total(self) -> float:
         """Return requests a second over all keys."""
         return sum(self._rates.values())
@@ -219,16 +228,17 @@
         count = self._index(end + 1) - self._index(start)
         return self.load(start, end) / count if count else 0.0
 
-    def first_busy(self, start, end, rate) -> int | None:
-        """Return the first key of a range with at least a given rate."""
-        return next(
-            (
-                self._keys[i]
-                for i in range(self._index(start), self._index(end + 1))
-                if self._sums[i + 1] - self._sums[i] >= rate
-            ),
-            None,
-        )
+    def busy_bounds(self, start, end, rate):
+        """Return the first and the last key with at least a given rate.
+
+        :returns: ``start`` and ``end`` if no key of the range has it.
+        """
+        busy = [
+            self._keys[i]
+            for i in range(self._index(start), self._index(end + 1))
+            if self._sums[i + 1] - self._sums[i] >= rate
+        ]
+        return (busy[0], busy[-1]) if busy else (start, end)
 
     def hottest(self, count):
         """Return the keys with the highest rates, and their rates.
--- a/packages/radishferry/src/radishferry/direct/outstanding.py
+++ b/packages/radishferry/src/radishferry/direct/outstanding.py
@@ -45,10 +45,6 @@
 GROWTH_PER_S = 0.1
 #: Most by which the assumed queue exceeds the longest one seen.
 MAX_OVER_SEEN = 1.25
-#: Lowest freshness of a report that says something about the load at a
-#: moment: an age of a second, in which a full queue of a dozen requests is
-#: worked off.
-MIN_FRESHNESS = 0.7
 #: Times its even part of the bound that a host may use at a server of which
 #: it has no fresh report. Callers are spread unevenly over hosts.
 OWN_SHARE_FACTOR = 4.0
@@ -190,7 +186,7 @@
             return availability.Available()
         limit = self.limit(server.service, stats.slots, now)
         over = stats.load(now) + 1 - limit
-        if stats.freshness(now) < MIN_FRESHNESS:
+        if not stats.is_load_known(now):
             own = max(
                 MIN_OWN, math.ceil(OWN_SHARE_FACTOR * limit / self.hosts)
             )
--- a/packages/radishferry/src/radishferry/direct/placement.py
+++ b/packages/radishferry/src/radishferry/direct/placement.py
@@ -41,25 +41,6 @@
 MOVE_COOLDOWN_S = 2.5
 
 
-@dataclasses.dataclass(frozen=True)
-class _Limits:
-    """Hold the limits of the moves of whole ranges.
-
-    :ivar ratio: See :data:`OVERLOAD_RATIO`.
-    """
-
-    idle_use: float
-    ratio: float
-    max_urgent_moves: int
-
-
-_LARGE_SERVERS = _Limits(IDLE_USE, OVERLOAD_RATIO, MAX_URGENT_MOVES)
-#: Servers with few slots get few requests, so that the use of the busiest of a
-#: hundred is measured a third above the mean by chance, and none has a queue
-#: below a use of about one half. Groups of busy keys are spread before.
-_SMALL_SERVERS = _Limits(SATURATED_USE, 1.35, MAX_MOVES)
-
-
 @dataclasses.dataclass(frozen=True)
 class Capacity:
     """Describe the capacity of one server.
@@ -152,8 +133,9 @@
 ):
     """Return a layout that relieves the busiest servers.
 
-    :param spreads_groups: Whether groups of busy keys are cut into narrow
-        ranges, see :mod:`radishferry.direct.hot_groups`.
+    :param spreads_groups: Whether only saturated servers are relieved, and
+        groups of busy keys are cut into narrow ranges, see
+        :mod:`radishferry.direct.hot_groups`.
     :returns: A :class:`Plan`.
     """
     server_loads = _ServerLoads(ranges, capacities, loads)
@@ -168,12 +150,24 @@
         moves += hot_groups.spread(
             pieces, server_loads, loads, may_assign, now, MOVE_COOLDOWN_S
         )
+    else:
+        moves += _level(pieces, server_loads, loads, may_assign, now, moves)
+    layout = tuple(tuple(piece[:3]) for piece in pieces)
+    return Plan(layout, moves, busiest_use, mean_use)
+
+
+def _level(pieces, server_loads, loads, may_assign, now, earlier_moves):
+    """Move ranges from the busiest servers to the least used ones.
+
+    :param earlier_moves: Moves of the plan so far, which count as well.
+    :returns: Number of moves.
+    """
+    moves = earlier_moves
     excluded = set()
-    limits = _SMALL_SERVERS if spreads_groups else _LARGE_SERVERS
     while moves < (
-        limits.max_urgent_moves if server_loads.is_saturated else MAX_MOVES
+        MAX_URGENT_MOVES if server_loads.is_saturated else MAX_MOVES
     ):
-        busiest = server_loads.busiest(excluded, limits)
+        busiest = server_loads.busiest(excluded)
         if busiest is None:
             break
         target = server_loads.least_used()
@@ -192,8 +186,7 @@
             excluded.add(busiest)
             continue
         moves += 1
-    layout = tuple(tuple(piece[:3]) for piece in pieces)
-    return Plan(layout, moves, busiest_use, mean_use)
+    return moves - earlier_moves
 
 
 def _fill_empty_servers(pieces, server_loads, loads, may_assign, now):
@@ -401,7 +394,7 @@
     def use(self, incarnation):
         return self._load[incarnation] / self._capacity[incarnation]
 
-    def busiest(self, excluded, limits):
+    def busiest(self, excluded):
         candidate = max(
             (
                 incarnation
@@ -414,7 +407,7 @@
         if candidate is None:
             return None
         use = self.use(candidate)
-        if use < limits.idle_use or use < self.mean_use * limits.ratio:
+        if use < IDLE_USE or use < self.mean_use * OVERLOAD_RATIO:
             return None
         return candidate
 
--- a/packages/radishferry/src/radishferry/direct/selection.py
+++ b/packages/radishferry/src/radishferry/direct/selection.py
@@ -23,6 +23,10 @@
 BASELINE_HALF_LIFE_S = 1.0
 #: Seconds without a report after which the baseline load counts half.
 BASELINE_DECAY_HALF_LIFE_S = 2.0
+#: Lowest freshness of a report that says something about the load at a
+#: moment: an age of a second, in which a queue of a dozen requests is worked
+#: off.
+KNOWN_FRESHNESS = 0.7
 #: Total freshness of the reports from a data centre below which they are not
 #: used to estimate the load of its other servers.
 MIN_FRESHNESS = 0.1
@@ -255,6 +259,10 @@
         age = max(0.0, now - self._reported_at)
         return 0.5 ** (age / BASELINE_DECAY_HALF_LIFE_S)
 
+    def is_load_known(self, now) -> bool:
+        """Return whether a report says something about the load now."""
+        return self.freshness(now) >= KNOWN_FRESHNESS
+
     def expected_s(self, usual_s, now, prior_use=0.0) -> float:
         """Return the expected time of one more request in seconds.
 
--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -317,7 +317,9 @@
     def _on_tick(self):
         self._spoke.tick()
         self._isolation_hand_over.check()
-        self._gateway.hang_monitor.check()
+        if not self._gateway.is_stopping:
+            # A stopping host breaks off no request before its end.
+            self._gateway.hang_monitor.check()
         self._report_load()
         self._ticks += 1
         if not self._ticks % SWEEP_TICKS:
--- a/packages/radishferryd/src/radishferryd/router/backends.py
+++ b/packages/radishferryd/src/radishferryd/router/backends.py
@@ -10,7 +10,6 @@
 
 from radishferry.direct import hangs
 from radishferry.direct import idle_limit
-from radishferry.direct import outstanding
 from radishferry.direct import selection
 from radishferryd.platform import headers
 from radishferryd.router import connections
@@ -121,7 +120,7 @@
             return False
         now = self._scheduler.now()
         attempt.is_idempotent = is_idempotent
-        if self.stats.freshness(now) >= outstanding.MIN_FRESHNESS:
+        if self.stats.is_load_known(now):
             attempt.load_at_send = self.stats.load(now)
         self.stats.note_sent(now)
         self.watch.note_sent(attempt)
--- a/packages/radishferryd/src/radishferryd/router/ownership.py
+++ b/packages/radishferryd/src/radishferryd/router/ownership.py
@@ -461,7 +461,7 @@
         is_small = all(s.slots <= hot_groups.MAX_SLOTS for s in servers)
         service.rates.advance(now, is_fast=is_small)
         to_evacuate = self._owners_to_evacuate(service, now)
-        loads = key_rates.LoadMap(service.rates.rates)
+        loads = service.rates.load_map
         server_capacities = self._capacities.estimate(
             servers, self._count_hosts(), now
         )
