--- a/packages/radishferryd/src/radishferryd/router/owned_service.py
+++ b/packages/radishferryd/src/radishferryd/router/owned_service.py
@@ -7,6 +7,7 @@
 from radishferry.direct import granting
 from radishferry.direct import key_rates
 from radishferry.direct import key_rows
+from radishferry.direct import plan_pacing
 
 
 @dataclasses.dataclass(frozen=True)
@@ -34,7 +35,7 @@
         self.is_row_lost = False
         self.revision = 0
         self.published = {}
-        self.planned_at = 0.0
+        self.plan_pacing = plan_pacing.PlanPacing()
         self.pending = None
 
     def note_restored(self, row_version):
