--- a/features/direct_admission.feature
+++ b/features/direct_admission.feature
@@ -60,3 +60,20 @@
       | route  | rank | target | deadline | per_s | rate | work | spread | tail | repeats |
       | lookup | 1    | 0.4    | 2.5      | 246   | wave | 0.12 | 0.3    | 0.03 | 0       |
     Then at most 1 in 100 lookup requests are refused
+
+  # Guards against new callers that are taken for returning ones.
+  Scenario: The time that a caller has spent is known from its deadline
+    When callers wait 2.5, 2.3, 1.6 seconds from their attempts
+    Then a caller that waits 2.5 seconds has spent 0
+    And a caller that waits 2.0 seconds has spent 0.5
+
+  # Guards against callers with short deadlines of their own that are refused
+  # as if they had been waiting for long.
+  Scenario: Callers choose their own deadlines
+    When callers wait 9, 2, 1, 5, 4, 3, 2.5 seconds from their attempts
+    Then a caller that waits 2 seconds has spent 0
+
+  # Guards against a line of the log for each refusal.
+  Scenario: Refusals of a service at its limit are one period
+    When requests are refused at these seconds, others not: 1 4 4.5 5 7 8 9.5
+    Then refusals begin at second 5 and end at second 13
--- a/features/steps/direct_admission_steps.py
+++ b/features/steps/direct_admission_steps.py
@@ -14,6 +14,7 @@
 from radishferry.direct import admission
 from radishferry.direct import configuration
 from radishferry.direct import key_map
+from radishferry.direct import refusal_periods
 from radishferry.direct import registry
 from radishferry.direct import selection
 from radishferryd.router import server_choice
@@ -276,10 +277,29 @@
     assert max(shares) - min(shares) <= count, shares
 
 
-@behave.then('callers that repeat at once are served no more often')
-def repeating(context):
-    repeating, others = (
-        context.world.share('in time', lambda kind, *_, f=f: kind[1] == f)
-        for f in (True, False)
-    )
-    assert repeating <= others + 1, (repeating, others)
+@behave.when('callers wait {lengths} seconds from their attempts')
+def callers_wait(context, lengths):
+    context.stats = admission.RouteStats(configuration.Kind.SAFE)
+    for second in range(100):
+        for length in lengths.split(', '):
+            context.stats.note_arrival(float(length), 100.0 + second)
+
+
+@behave.then('a caller that waits {left_s:g} seconds has spent {spent_s:g}')
+def has_spent(context, left_s, spent_s):
+    found_s = context.stats.spent_s(left_s)
+    assert math.isclose(found_s, spent_s, abs_tol=1e-9), found_s
+
+
+@behave.when('requests are refused at these seconds, others not: {times}')
+def refused_at(context, times):
+    periods = refusal_periods.RefusalPeriods()
+    refused = {float(time) for time in times.split()}
+    seconds = [count / 2 for count in range(40)]
+    changes = [(s, periods.note('s', 1, s in refused, s)) for s in seconds]
+    context.changes = {s: c.has_begun for s, c in changes if c}
+
+
+@behave.then('refusals begin at second {begin:g} and end at second {end:g}')
+def begin_and_end(context, begin, end):
+    assert context.changes == {begin: True, end: False}, context.changes
