--- a/features/direct_admission.feature
+++ b/features/direct_admission.feature
@@ -77,3 +77,8 @@
   Scenario: Refusals of a service at its limit are one period
     When requests are refused at these seconds, others not: 1 4 4.5 5 7 8 9.5
     Then refusals begin at second 5 and end at second 13
+
+  # Guards against a less urgent route that takes the room of a more urgent one
+  # at a hot key, since its own target allows more requests there.
+  Scenario: A hot key of routes of two ranks
+    Then a less urgent route may have no more requests for a hot key
--- a/features/steps/direct_admission_steps.py
+++ b/features/steps/direct_admission_steps.py
@@ -303,3 +303,17 @@
 @behave.then('refusals begin at second {begin:g} and end at second {end:g}')
 def begin_and_end(context, begin, end):
     assert context.changes == {begin: True, end: False}, context.changes
+
+
+@behave.then('a less urgent route may have no more requests for a hot key')
+def hot_key(context):
+    rule = admission.Admission()
+    limits = []
+    for rank, target in (('1', '0.62'), ('2', '1.52')):
+        row = {'route': rank, 'rank': rank, 'target': target, 'deadline': '6'}
+        route, stats = _route(row)[0], admission.RouteStats(None)
+        rule.note_arrival('s', route, stats, 100.0)
+        server = selection.ServerStats(3, service_s=0.3)
+        asked = 's', route, stats, server, 'a', 0.3, 6.0, 6.0
+        limits.append(rule.key_limit(admission.Asked(*asked), 1, 100.0))
+    assert limits[1] <= limits[0], limits
--- a/packages/radishferry/src/radishferry/direct/admission.py
+++ b/packages/radishferry/src/radishferry/direct/admission.py
@@ -287,6 +287,29 @@
             ),
         )
 
+    def key_limit(self, asked: Asked, hosts, now) -> int:
+        """Return how many requests for one key a host may have at a server.
+
+        A less urgent route may have no more of them than the more urgent ones.
+
+        :param hosts: Number of hosts that send to the server.
+        """
+        service_s = asked.stats.service_s or asked.route_stats.service_s
+        target_s = min(
+            other.target_latency_s
+            for other, _ in [(asked.route, None), *self._rivals(asked, now)]
+        )
+        in_time = HOT_KEY_SHARE * target_s / service_s
+        return max(1, math.ceil(asked.stats.slots * in_time / hosts))
+
+    def retry_after_s(self, asked: Asked, now) -> float:
+        """Return after how many seconds a refused caller may return."""
+        usual_s = asked.route_stats.service_s
+        spent_s = asked.route_stats.spent_s(asked.remaining_s)
+        slack_s = _target_s(asked.route, usual_s) - spent_s - usual_s
+        ranks_before = self._competition(asked, now).ranks_before
+        return retry_delay_s(slack_s, asked.remaining_s, ranks_before)
+
     def _unseen_wait_s(self, asked, now):
         """Return the wait to add for the age of a server's last report.
 
@@ -304,12 +327,7 @@
     def _competition(self, asked, now):
         """Return what the recent requests of other routes need."""
         route = asked.route
-        rivals = [
-            (other, stats)
-            for other, stats, seen_at in self._arrivals[asked.service].values()
-            if other.priority <= route.priority
-            and now - seen_at < COMPETES_FOR_S
-        ]
+        rivals = self._rivals(asked, now)
         return _Competition(
             min(
                 _slack_s(other, stats)
@@ -318,6 +336,18 @@
             len({other.priority for other, _ in rivals} - {route.priority}),
         )
 
+    def _rivals(self, asked, now):
+        """Return the routes with recent requests that come first, or equal.
+
+        :returns: List of routes and their :class:`RouteStats`.
+        """
+        return [
+            (other, stats)
+            for other, stats, seen_at in self._arrivals[asked.service].values()
+            if other.priority <= asked.route.priority
+            and now - seen_at < COMPETES_FOR_S
+        ]
+
 
 @dataclasses.dataclass(frozen=True)
 class _Competition:
@@ -412,18 +442,6 @@
     return max(SHORTEST_RETRY_S, min(delay_s, longest_s))
 
 
-def key_limit(route, stats, usual_s, hosts) -> int:
-    """Return how many requests for one key a host may have at a server.
-
-    :param usual_s: Typical service time of the route in seconds, used while
-        that of the server is not known.
-    :param hosts: Number of hosts that send to the server.
-    """
-    service_s = stats.service_s or usual_s
-    in_time = HOT_KEY_SHARE * route.target_latency_s / service_s
-    return max(1, math.ceil(stats.slots * in_time / hosts))
-
-
 def retry_after_pause_s(pause_s) -> float:
     """Return a retry delay that ends at a random time after a server's pause.
 
--- a/packages/radishferryd/src/radishferryd/router/server_choice.py
+++ b/packages/radishferryd/src/radishferryd/router/server_choice.py
@@ -132,16 +132,17 @@
     if gateway.availability.cold_s(server):
         expected *= selection.WARMUP_FACTOR
     facts = _facts(query, server, stats, expected, now, segment.fence)
+    asked = _asked(query, backend, expected)
     if stats.load(now) >= stats.slots and backend.in_flight_by_key[
         query.key
-    ] >= admission.key_limit(query.route, stats, usual, gateway.host_count):
+    ] >= gateway.admission.key_limit(asked, gateway.host_count, now):
         return Overloaded(
             results.Reason.HOT_KEY,
-            admission.retry_after_s(expected),
+            gateway.admission.retry_after_s(asked, now),
             'The key is overloaded.',
             facts,
         )
-    return _admit(gateway, query, backend, expected, facts, now)
+    return _admit(gateway, asked, backend, facts, now)
 
 
 def _state(gateway, server, stats, now):
@@ -200,29 +201,31 @@
     facts = _facts(
         query, choice.server, backend.stats, choice.expected_s, now, None
     )
-    return _admit(gateway, query, backend, choice.expected_s, facts, now)
+    asked = _asked(query, backend, choice.expected_s)
+    return _admit(gateway, asked, backend, facts, now)
+
+
+def _asked(query, backend, expected_s):
+    return admission.Asked(
+        query.service,
+        query.route,
+        query.route_stats,
+        backend.stats,
+        backend.server.data_centre,
+        expected_s,
+        query.left_s,
+        query.left_s if query.remaining_s is None else query.remaining_s,
+        bool(query.tried),
+    )
 
 
-def _admit(gateway, query, backend, expected_s, facts, now):
+def _admit(gateway, asked, backend, facts, now):
     """Send a request to a server, or refuse it for want of room there."""
-    verdict = gateway.admission.decide(
-        admission.Asked(
-            query.service,
-            query.route,
-            query.route_stats,
-            backend.stats,
-            backend.server.data_centre,
-            expected_s,
-            query.left_s,
-            query.left_s if query.remaining_s is None else query.remaining_s,
-            bool(query.tried),
-        ),
-        now,
-    )
+    verdict = gateway.admission.decide(asked, now)
     if isinstance(verdict, admission.Admitted):
         return Send(backend, facts)
     reason, why = _REFUSALS[verdict.cause]
-    detail = f'{backend.server.server_id} of {query.service} {why}.'
+    detail = f'{backend.server.server_id} of {asked.service} {why}.'
     return Overloaded(reason, verdict.retry_after_s, detail, facts)
 
 
