--- a/packages/radishferry/src/radishferry/direct/admission.py
+++ b/packages/radishferry/src/radishferry/direct/admission.py
@@ -19,6 +19,7 @@
 
 from radishferry.direct import configuration
 from radishferry.direct import selection
+from radishferry.direct import work
 
 #: Lowest target that is applied, as a factor of the usual time of the route:
 #: with a lower one nothing would ever be in time.
@@ -102,6 +103,8 @@
         self._full_s = self._next_full_s = 0.0
         self._window_ends_at = -math.inf
         self._arrivals = self._first_attempts = 0.0
+        #: Work of the requests, for services whose loads are shared.
+        self.work = work.WorkEstimate()
 
     def note(self, size, elapsed_s, waiting):
         """Record one answer.
@@ -255,9 +258,8 @@
     def decide(self, asked: Asked, now) -> Admitted | Refused:
         """Return whether a request is sent to a server."""
         stats = asked.stats
-        usual_s = asked.route_stats.service_s
-        target_s = _target_s(asked.route, usual_s)
-        idle_s = min(_service_s(stats, usual_s), asked.expected_s)
+        target_s = _target_s(asked.route, _usual_s(asked.route_stats))
+        idle_s = min(_idle_s(asked, now), asked.expected_s)
         spent_s = asked.route_stats.spent_s(asked.remaining_s)
         competition = self._competition(asked, now)
         figures = _Figures(
@@ -304,7 +306,7 @@
 
     def retry_after_s(self, asked: Asked, now) -> float:
         """Return after how many seconds a refused caller may return."""
-        usual_s = asked.route_stats.service_s
+        usual_s = _usual_s(asked.route_stats)
         spent_s = asked.route_stats.spent_s(asked.remaining_s)
         slack_s = _target_s(asked.route, usual_s) - spent_s - usual_s
         ranks_before = self._competition(asked, now).ranks_before
@@ -314,8 +316,10 @@
         """Return the wait to add for the age of a server's last report.
 
         Without a recent report its queue is expected to be as long as that of
-        the others of its data centre.
+        the others of its data centre, unless the granting host tells its load.
         """
+        if asked.stats.has_shared_load(now):
+            return 0.0
         mean_wait_s = self._waits[asked.service, asked.data_centre].value_s(
             now
         )
@@ -410,13 +414,28 @@
     return stats.service_s if is_known else usual_s
 
 
+def _usual_s(route_stats):
+    """Return the time of a request of a route without a queue, in seconds."""
+    if route_stats.work.is_known:
+        return route_stats.work.mean_s
+    return route_stats.service_s
+
+
+def _idle_s(asked, now):
+    """Return the time of a request at a server without its queue."""
+    stats, usual_s = asked.stats, _usual_s(asked.route_stats)
+    if stats.has_shared_load(now):
+        return usual_s * stats.shared.relative_time * stats.slowdown(now)
+    return _service_s(stats, asked.route_stats.service_s)
+
+
 def _target_s(route, usual_s):
     return max(route.target_latency_s, MIN_TARGET_FACTOR * usual_s)
 
 
 def _slack_s(route, route_stats):
     """Return how long a new request can wait and be in time, in seconds."""
-    usual_s = route_stats.service_s
+    usual_s = _usual_s(route_stats)
     return _target_s(route, usual_s) - usual_s
 
 
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -11,11 +11,15 @@
 from radishferry.direct import announcements
 from radishferry.direct import availability
 from radishferry.direct import budget as budget_module
+from radishferry.direct import cost_choice
+from radishferry.direct import outstanding as outstanding_module
 from radishferry.direct import refusal_periods
+from radishferry.direct import server_loads
 from radishferryd.platform import headers
 from radishferryd.router import backends as backends_module
 from radishferryd.router import crash_detector
 from radishferryd.router import crashes as crashes_module
+from radishferryd.router import hang_monitor
 from radishferryd.router import link_monitor
 from radishferryd.router import relays as relays_module
 from radishferryd.router import requests
@@ -25,6 +29,9 @@
 
 #: Seconds after which callers may retry at a host without configuration.
 STARTING_RETRY_S = 0.5
+#: Times its expected duration after which a request is reported to run long.
+#: One to three requests in a hundred take that long at a healthy server.
+OVERDUE_FACTOR = 4.0
 
 #: Outcomes of requests that were refused for want of room.
 _OVERLOAD_OUTCOMES = frozenset(
@@ -34,6 +41,7 @@
         results.Reason.OUTRANKED,
         results.Reason.TOO_LATE,
         results.Reason.HOT_KEY,
+        results.Reason.FULL,
     )
 )
 
@@ -49,12 +57,15 @@
         :class:`~radishferryd.router.crashes.News`.
     :ivar notices: A :class:`~radishferry.direct.announcements.Notice` for
         each server that has announced something.
+    :ivar loads: :class:`~radishferry.direct.server_loads.Loads` of servers
+        with few slots.
     """
 
     keys: dict
     speeds: list
     crashes: crashes_module.News
     notices: list
+    loads: server_loads.Loads
 
 
 class Gateway:
@@ -84,8 +95,19 @@
         self.links = link_monitor.LinkMonitor(
             poller, scheduler, routing_state.registry
         )
+        #: Loads and speeds of servers with few slots.
+        self.shared_loads = server_loads.SharedLoads()
+        self._has_stale_loads = True
         self.backends = backends_module.Backends(
-            poller, scheduler, settings.host_name, self, self.links
+            poller,
+            scheduler,
+            settings.host_name,
+            self,
+            self.links,
+            shared_loads=self.shared_loads,
+        )
+        self.cost_choice = cost_choice.CostChoice(
+            self.shared_loads, self.backends.stats, self.data_centre
         )
         self.links.on_restored.append(self.backends.forget_failures)
         self.relays = relays_module.Relays(
@@ -107,6 +129,10 @@
         self.crash_detector = crash_detector.CrashDetector(
             poller, scheduler, self.links, crashes
         )
+        self.outstanding = outstanding_module.Outstanding()
+        self.hang_monitor = hang_monitor.HangMonitor(
+            scheduler, self.backends, self.links, self.outstanding, metrics
+        )
         self._metrics = metrics
         self._stats = {}
         self._keys = collections.defaultdict(list)
@@ -163,6 +189,7 @@
         """Divide connection limits and retry budgets among the hosts."""
         self.host_count = max(1, count)
         self.budget.set_hosts(self.host_count)
+        self.outstanding.hosts = self.host_count
         self._update_connection_limits()
 
     # Planned stop.
@@ -305,6 +332,7 @@
 
         :returns: :class:`Observations`.
         """
+        self._check_shared_loads()
         keys, self._keys = dict(self._keys), collections.defaultdict(list)
         speeds = []
         for backend in self.backends:
@@ -317,13 +345,61 @@
                     )
                 )
                 backend.service_time_s, backend.service_time_count = 0.0, 0
+            self._note_overdue(backend)
         return Observations(
             keys,
             speeds,
             self._crashes.take_new(self.now()),
             self.announcements.take_new(self.now()),
+            self.shared_loads.take_new(),
         )
 
+    def _note_overdue(self, backend):
+        """Record requests of a server that run much longer than expected.
+
+        A server that has become slow answers, and reports its load, late.
+        """
+        shared = backend.stats.shared
+        if shared is None:
+            return
+        now = self.now()
+        for attempt in backend.stats.outstanding:
+            estimate = self.route_stats(attempt.sink).work
+            expected_s = estimate.mean_s * shared.relative_time
+            ran_s = now - attempt.sent_at
+            if not attempt.is_overdue and ran_s > OVERDUE_FACTOR * expected_s:
+                attempt.is_overdue = True
+                shared.note_sample(ran_s / estimate.mean_s)
+
+    def _check_shared_loads(self):
+        """Log when shared loads come into use, and when they are stale."""
+        is_stale = self.shared_loads.is_stale(self.now())
+        if is_stale == self._has_stale_loads:
+            return
+        self._has_stale_loads = is_stale
+        if is_stale:
+            LOG.warning(
+                'gateway: The loads of servers that hosts share are stale; '
+                'this host relies on its own view.'
+            )
+        else:
+            LOG.info('gateway: Uses the loads of servers that hosts share.')
+
+    def apply_loads(self, loads):
+        """Apply the loads that the granting host has told.
+
+        :param loads: A :class:`~radishferry.direct.server_loads.Loads`.
+        """
+        self.shared_loads.apply(loads, self.now())
+
+    def note_answer(self, request, attempt, result):
+        """Record what an answer tells about the requests of a route."""
+        elapsed_s = self.now() - attempt.sent_at
+        backend = attempt.backend
+        stats = self.route_stats(request)
+        stats.note(len(result.body), elapsed_s, backend.last_queue_length)
+        backend.note_work(stats.work, attempt, elapsed_s)
+
     def route_stats(self, request):
         """Return the statistics of the route and service of a request."""
         name = request.route.name, request.service
@@ -470,6 +546,16 @@
             detail,
         )
 
+    def on_load(self, server, load) -> int:
+        """Record a load report, and return the requests left there."""
+        return self.outstanding.note_report(
+            server.service, load.running, load.waiting
+        )
+
+    def on_unanswered(self, server, attempt):
+        """Record that a server sent nothing in the time it was given."""
+        self.hang_monitor.note_unanswered(server, attempt)
+
     def paused_for_s(self, service) -> float:
         """Return the time until the first server of a service ends its pause.
 
@@ -574,6 +660,7 @@
 
     def _on_servers(self, change):
         self.backends.keep(self.registry.all())
+        self.shared_loads.keep(s.server_id for s in self.registry.all())
         self._limit_cold_servers(change.cold)
         for service in {s.service for s in change.added}:
             self._on_owners(service)
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -306,9 +306,7 @@
 
     def _relay_after(self, attempt, result):
         """Relay the request after its last attempt to connect failed."""
-        if not isinstance(result, results.NotRun) or (
-            not result.is_unreachable
-        ):
+        if not (isinstance(result, results.NotRun) and result.is_unreachable):
             return False
         target = attempt.server.incarnation if self.is_keyed else self.service
         return self._relay_around(target, self._gateway.now())
@@ -404,10 +402,7 @@
             self._gateway.attempt_lost(self, attempt, result)
             self._start_attempt()
             return
-        elapsed = self._gateway.now() - attempt.sent_at
-        self._gateway.route_stats(self).note(
-            len(result.body), elapsed, attempt.backend.last_queue_length
-        )
+        self._gateway.note_answer(self, attempt, result)
         self._finish_answer(result)
 
     def _finish_answer(self, result):
@@ -518,6 +513,9 @@
             self.key,
             self._used_connections,
         )
+        attempt.expect(
+            now + self._left_s(now), gateway.route_stats(self).service_s
+        )
         self._attempt = attempt
         if not backend.send(attempt, self.is_idempotent):
             self._attempt = None
@@ -547,9 +545,7 @@
             and name != 'content-length'
         ]
         lines = headers.forwarded_headers(
-            kept,
-            max(0.001, self._left_s(now) - RESPONSE_MARGIN_S),
-            server_id,
+            kept, max(0.001, self._left_s(now) - RESPONSE_MARGIN_S), server_id
         )
         if origin is not None:
             lines.append(
--- a/packages/radishferryd/src/radishferryd/router/results.py
+++ b/packages/radishferryd/src/radishferryd/router/results.py
@@ -103,6 +103,7 @@
     OVERLOADED = 'overloaded'
     OUTRANKED = 'outranked'
     TOO_LATE = 'too-late'
+    FULL = 'full'
     HOT_KEY = 'hot-key'
     POISON = 'poison'
     NOT_RUN = 'not-run'
--- a/packages/radishferryd/src/radishferryd/router/server_choice.py
+++ b/packages/radishferryd/src/radishferryd/router/server_choice.py
@@ -124,10 +124,10 @@
         return NoOwner(results.Reason.NO_OWNER, 'The key has no owner now.')
     backend = gateway.backends.get(server)
     stats = backend.stats
-    state = _state(gateway, server, stats, now)
+    state = _state(gateway, server, stats, query, now)
     if not state.is_available:
         return _owner_unavailable(server, stats, state, now)
-    usual = query.route_stats.service_s
+    usual = _usual_s(query, stats, now)
     expected = stats.expected_s(usual, now)
     if gateway.availability.cold_s(server):
         expected *= selection.WARMUP_FACTOR
@@ -145,7 +145,7 @@
     return _admit(gateway, asked, backend, facts, now)
 
 
-def _state(gateway, server, stats, now):
+def _state(gateway, server, stats, query, now):
     """Return whether the owner of a key may get a request from this host."""
     if stats.requested_pause_s(now):
         return availability.Unavailable(
@@ -157,7 +157,17 @@
         return availability.Unavailable(
             availability.Reason.RATE_LIMITED, now + permit_wait_s
         )
-    return availability.Available()
+    return _full_state(gateway, server, query, now)
+
+
+def _full_state(gateway, server, query, now):
+    """Return whether a server may get a request beyond those it has."""
+    return gateway.outstanding.check(
+        server,
+        gateway.backends.stats(server),
+        query.route_stats.service_s,
+        now,
+    )
 
 
 def _owner_unavailable(server, stats, state, now):
@@ -173,6 +183,12 @@
             f'{server.server_id} cannot be reached.',
             unreachable=server.incarnation,
         )
+    if state.reason is availability.Reason.FULL:
+        return Overloaded(
+            results.Reason.FULL,
+            admission.retry_after_s(state.until - now),
+            f'{server.server_id} is full.',
+        )
     return Overloaded(
         results.Reason.RATE_LIMITED,
         admission.retry_after_s(state.until - now),
@@ -182,16 +198,22 @@
 
 
 def _choose_any(gateway, query, now):
-    choice = selection.choose(
-        gateway.availability.candidates(query.service),
-        gateway.backends.stats,
-        usual_s=query.route_stats.service_s,
-        data_centre=gateway.data_centre,
-        answer_bytes=query.route_stats.answer_bytes,
-        now=now,
-        hosts=gateway.host_count,
-        skip=query.tried,
-    )
+    candidates = gateway.availability.candidates(query.service)
+    if candidates and gateway.outstanding.is_hanging(query.service):
+        states = [
+            (server, _full_state(gateway, server, query, now))
+            for server in candidates
+        ]
+        candidates = tuple(s for s, state in states if state.is_available)
+        if not candidates:
+            return Overloaded(
+                results.Reason.FULL,
+                admission.retry_after_s(
+                    min(state.until for _, state in states) - now
+                ),
+                f'All servers of {query.service} are full.',
+            )
+    choice = _cheapest(gateway, query, candidates, now)
     if choice is None:
         return NoServer(
             gateway.paused_for_s(query.service),
@@ -230,6 +252,7 @@
 
 
 def _facts(query, server, stats, expected_s, now, fence):
+    shared = stats.shared
     return {
         'server': server.server_id,
         'load': round(stats.load(now), 1),
@@ -237,4 +260,39 @@
         'expected_s': round(expected_s, 3),
         'left_s': round(query.left_s, 3),
         'fence': fence,
+        'relative_time': shared and round(shared.relative_time, 2),
+        'has_shared_load': stats.has_shared_load(now),
     }
+
+
+def _cheapest(gateway, query, servers, now):
+    if gateway.cost_choice.acts_on(servers, now):
+        choice = gateway.cost_choice.choose(
+            query.service,
+            servers,
+            work_s=query.route_stats.work.mean_s,
+            answer_bytes=query.route_stats.answer_bytes,
+            now=now,
+            hosts=gateway.host_count,
+            skip=query.tried,
+        )
+        if choice is not None:
+            return choice
+    return selection.choose(
+        servers,
+        gateway.backends.stats,
+        usual_s=query.route_stats.service_s,
+        data_centre=gateway.data_centre,
+        answer_bytes=query.route_stats.answer_bytes,
+        now=now,
+        hosts=gateway.host_count,
+        skip=query.tried,
+    )
+
+
+def _usual_s(query, stats, now):
+    """Return the time of a request of the route at a usual server."""
+    route_stats = query.route_stats
+    if stats.has_shared_load(now) and route_stats.work.is_known:
+        return route_stats.work.mean_s
+    return route_stats.service_s
