--- a/packages/radishferryd/src/radishferryd/router/backends.py
+++ b/packages/radishferryd/src/radishferryd/router/backends.py
@@ -15,6 +15,7 @@
 from radishferry.direct import server_loads
 from radishferryd.platform import headers
 from radishferryd.router import connections
+from radishferryd.router import memory_account
 from radishferryd.router import results
 
 LOG = logging.getLogger(__name__)
@@ -67,6 +68,7 @@
         listener=None,
         hosts=1,
         links=None,
+        memory=None,
     ):
         """Create the backend without a connection.
 
@@ -82,7 +84,11 @@
         :param links: The
             :class:`~radishferryd.router.link_monitor.LinkMonitor` of this
             host, or None.
+        :param memory: The
+            :class:`~radishferryd.router.memory_account.MemoryAccount` of the
+            process, or None for no limit.
         """
+        self.memory = memory or memory_account.unlimited(scheduler.now)
         self._listener = listener
         self._links = links
         self._idle_limits = idle_limits
@@ -364,7 +370,13 @@
         links=None,
         backend_class=Backend,
         shared_loads=None,
+        memory=None,
     ):
+        """Create the backends of this host, none at first.
+
+        :param memory: See :class:`Backend`.
+        """
+        self._memory = memory
         self._backend_class = backend_class
         self._shared_loads = shared_loads
         self._host_name = host_name
@@ -409,6 +421,7 @@
                     self._listener,
                     self._hosts,
                     self._links,
+                    self._memory,
                 )
             )
             if (
