--- a/packages/radishferry/src/radishferry/direct/placement.py
+++ b/packages/radishferry/src/radishferry/direct/placement.py
@@ -6,6 +6,7 @@
 import dataclasses
 import itertools
 
+from radishferry.direct import hot_groups
 from radishferry.direct import key_map
 
 #: Number of ranges in the initial layout. Busy keys lie close to one another,
@@ -66,6 +67,15 @@
     busiest_use: float
     mean_use: float
 
+    @property
+    def facts(self) -> dict:
+        """Return the log fields that describe the plan."""
+        return {
+            'moves': self.moves,
+            'busiest_use': round(self.busiest_use, 3),
+            'mean_use': round(self.mean_use, 3),
+        }
+
 
 def initial_layout(incarnations):
     """Return an initial layout that assigns narrow ranges round robin.
@@ -118,9 +128,14 @@
     return layout
 
 
-def rebalance(ranges, capacities, loads, may_assign, now):
+def rebalance(
+    ranges, capacities, loads, may_assign, now, *, spreads_groups=False
+):
     """Return a layout that relieves the busiest servers.
 
+    :param spreads_groups: Whether only saturated servers are relieved, and
+        groups of busy keys are cut into narrow ranges, see
+        :mod:`radishferry.direct.hot_groups`.
     :returns: A :class:`Plan`.
     """
     server_loads = _ServerLoads(ranges, capacities, loads)
@@ -131,6 +146,23 @@
     busiest_use, mean_use = server_loads.busiest_use, server_loads.mean_use
     moves = _fill_empty_servers(pieces, server_loads, loads, may_assign, now)
     moves += _move_hot_keys(pieces, server_loads, loads, may_assign, now)
+    if spreads_groups:
+        moves += hot_groups.spread(
+            pieces, server_loads, loads, may_assign, now, MOVE_COOLDOWN_S
+        )
+    else:
+        moves += _level(pieces, server_loads, loads, may_assign, now, moves)
+    layout = tuple(tuple(piece[:3]) for piece in pieces)
+    return Plan(layout, moves, busiest_use, mean_use)
+
+
+def _level(pieces, server_loads, loads, may_assign, now, earlier_moves):
+    """Move ranges from the busiest servers to the least used ones.
+
+    :param earlier_moves: Moves of the plan so far, which count as well.
+    :returns: Number of moves.
+    """
+    moves = earlier_moves
     excluded = set()
     while moves < (
         MAX_URGENT_MOVES if server_loads.is_saturated else MAX_MOVES
@@ -154,8 +186,7 @@
             excluded.add(busiest)
             continue
         moves += 1
-    layout = tuple(tuple(piece[:3]) for piece in pieces)
-    return Plan(layout, moves, busiest_use, mean_use)
+    return moves - earlier_moves
 
 
 def _fill_empty_servers(pieces, server_loads, loads, may_assign, now):
@@ -322,8 +353,7 @@
     def is_saturated(self):
         """Return whether any server is saturated."""
         return any(
-            self._use(incarnation) > SATURATED_USE
-            for incarnation in self._load
+            self.use(incarnation) > SATURATED_USE for incarnation in self._load
         )
 
     @property
@@ -332,7 +362,7 @@
 
     @property
     def busiest_use(self):
-        return max(map(self._use, self._load), default=0.0)
+        return max(map(self.use, self._load), default=0.0)
 
     @property
     def mean_use(self):
@@ -352,13 +382,16 @@
                 incarnation
                 for incarnation, capacity in self._capacity.items()
                 if capacity >= min_capacity
-                and self._use(incarnation) < SATURATED_USE
+                and self.use(incarnation) < SATURATED_USE
             ),
             key=lambda incarnation: self._capacity[incarnation],
             default=None,
         )
 
-    def _use(self, incarnation):
+    def load(self, incarnation):
+        return self._load[incarnation]
+
+    def use(self, incarnation):
         return self._load[incarnation] / self._capacity[incarnation]
 
     def busiest(self, excluded):
@@ -368,18 +401,18 @@
                 for incarnation in self._load
                 if incarnation not in excluded
             ),
-            key=self._use,
+            key=self.use,
             default=None,
         )
         if candidate is None:
             return None
-        use = self._use(candidate)
+        use = self.use(candidate)
         if use < IDLE_USE or use < self.mean_use * OVERLOAD_RATIO:
             return None
         return candidate
 
     def least_used(self):
-        return min(self._load, key=self._use)
+        return min(self._load, key=self.use)
 
     def least_used_with(self, start, end, may_assign):
         return min(
