--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -43,6 +43,7 @@
         results.Reason.OUTRANKED,
         results.Reason.TOO_LATE,
         results.Reason.HOT_KEY,
+        results.Reason.FULL,
     )
 )
 
