End callers that read nothing when others need their server connections

A waiter is served in place of a second holder that is ended, a lease that asks for bytes is not ended by itself, and a caller that takes no response gives up its connections to servers when they are all in use. The crowds of the tests now settle for 4 s in any case before the ordinary request: those that read nothing were not waited for, and a request among 400 unfinished large ones was refused with a 503 for want of server connections.

--- a/features/direct_memory.feature
+++ b/features/direct_memory.feature
@@ -32,3 +32,38 @@
     When a body of 67108864 bytes is sent alone
     Then it is answered 200 with the same body
     And the host runs with less than 160 MB and 400 descriptors
+
+  # Guards against stalled bodies that block others, against those with few
+  # bytes being ended in their place, and against a waiter that is served twice
+  # or never because another one is served in between.
+  Scenario: The stalled body with the most bytes is ended for those that wait
+    Given a connection of a caller
+    And that the host has 160 MB
+    And 2 bodies of 34000000 bytes that stop, the last one last
+    When two bodies of 17000000 bytes wait for memory
+    Then body 0 has been ended and the two have their memory
+    And a small request still fits
+    And a body of 60000000 bytes gets no memory and holds none
+
+  # Guards against heads that take many times their size in memory and are kept
+  # while they wait behind an earlier request, and against bytes that are never
+  # given back.
+  Scenario: Pipelined heads of many lines are refused when memory is short
+    Given a connection of a caller
+    And that the host has 160 MB
+    When the caller pipelines 200 requests with heads of many lines
+    Then fewer than 200 requests have begun
+    And a small request still fits
+    When the caller has left
+    Then the account holds nothing
+
+  # Guards against bodies that are changed where their blocks meet.
+  Scenario Outline: A body in pieces of <size> bytes is kept as it is
+    Given a connection of a caller
+    And that the host has 160 MB
+    Then a body that comes in pieces of <size> bytes stays the same
+
+    Examples:
+      | size  |
+      | 7     |
+      | 65536 |
--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -77,6 +77,9 @@
         self.told_at = None
         self._stats = admission.RouteStats(configuration.Kind.SAFE)
 
+    def end_stalled_callers(self):
+        return 0
+
     def owner(self, service, key):
         return key_map.Segment(0, 65535, _SERVER.incarnation, 1), _SERVER
 
--- a/features/steps/direct_memory_steps.py
+++ b/features/steps/direct_memory_steps.py
@@ -8,6 +8,7 @@
 import re
 import selectors
 import socket
+import struct
 import tempfile
 import time
 
@@ -17,6 +18,9 @@
 
 from radishferry_testing import process_specs
 from radishferry_testing import processes as processes_module
+from radishferryd.router import bodies
+from radishferryd.router import callers
+from radishferryd.router import memory_account
 
 #: Seconds without progress of any caller after which a crowd counts as stuck.
 _STUCK_S = 4.0
@@ -150,7 +154,7 @@
                 self._connect(selector)
             end = time.monotonic() + _CROWD_S
             stuck_at = time.monotonic() + _STUCK_S
-            while selector.get_map() and time.monotonic() < min(end, stuck_at):
+            while time.monotonic() < min(end, stuck_at):
                 for key, mask in selector.select(0.1):
                     self._step(selector, key.data, mask)
                     stuck_at = time.monotonic() + _STUCK_S
@@ -175,8 +179,13 @@
                 selector.unregister(caller.sock)
 
     def close(self):
-        """Reset all connections."""
-        for caller in self.callers:
+        """Close every other connection, and reset the rest."""
+        reset = struct.pack('ii', 1, 0)
+        for number, caller in enumerate(self.callers):
+            if number % 2 and caller.sock.fileno() >= 0:
+                caller.sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, reset
+                )
             caller.sock.close()
 
 
@@ -290,3 +299,126 @@
     status, _, body = context.answer
     assert status == 200, (status, body[:200])
     assert body.endswith(context.sent)
+
+
+# Without processes.
+
+
+@behave.given('that the host has 160 MB')
+def account_of_host(context):
+    now = context.gateway.now
+    context.account = memory_account.MemoryAccount(160, 240, now)
+    context.gateway.memory = context.account
+    context.connection = callers.CallerConnection(context.gateway)
+    context.connection.connected(context.socket)
+
+
+@behave.given(
+    '{count:d} bodies of {size:d} bytes that stop, the last one last'
+)
+def stopped_bodies(context, count, size):
+    context.ended = []
+    for number in range(count):
+        lease = context.account.lease(
+            memory_account.Budget.LARGE, memory_account.Kind.RECEIVING
+        )
+        lease._reclaim = lambda lease=lease, number=number: (
+            context.ended.append(number),
+            lease.release(),
+        )
+        assert lease.grow(size)
+        context.gateway.scheduler.advance(1.5)
+
+
+@behave.when('two bodies of {size:d} bytes wait for memory')
+def bodies_wait(context, size):
+    context.granted = []
+    context.leases = [
+        context.account.lease(
+            memory_account.Budget.LARGE, memory_account.Kind.RECEIVING
+        )
+        for _ in range(2)
+    ]
+    for lease in context.leases:
+        # What a granted body gives back serves the other one at once.
+        unread = context.account.lease(
+            memory_account.Budget.UNREAD, memory_account.Kind.UNREAD
+        )
+        assert unread.grow(1)
+        context.account.wait(
+            lease,
+            size,
+            lambda lease=lease, unread=unread: (
+                context.granted.append(lease),
+                unread.release(),
+            ),
+        )
+    context.account.check()
+
+
+@behave.then('body {number:d} has been ended and the two have their memory')
+def both_granted(context, number):
+    assert context.ended == [number], context.ended
+    assert context.granted == context.leases
+    assert len({lease.held for lease in context.leases}) == 1
+
+
+@behave.then('a small request still fits')
+def small_fits(context):
+    lease = context.account.lease(
+        memory_account.Budget.SMALL, memory_account.Kind.HEAD
+    )
+    assert lease.grow(5000)
+    lease.release()
+
+
+@behave.then('a body of {size:d} bytes gets no memory and holds none')
+def does_not_fit(context, size):
+    lease = context.account.lease(
+        memory_account.Budget.LARGE,
+        memory_account.Kind.RECEIVING,
+        lambda: lease.release(),
+    )
+    assert lease.grow(1)
+    context.gateway.scheduler.advance(1.5)
+    assert not lease.grow(size) and lease.held == 1
+    lease.release()
+
+
+@behave.when(
+    'the caller pipelines {count:d} requests with heads of many lines'
+)
+def pipelines_heads(context, count):
+    head = b'GET /p HTTP/1.1\r\nHost: h\r\n' + _LINES + b'\r\n'
+    for _ in range(count):
+        context.connection.received(head)
+
+
+@behave.then('fewer than {count:d} requests have begun')
+def fewer_begun(context, count):
+    assert 0 < len(context.gateway.begun) < count, len(context.gateway.begun)
+
+
+@behave.when('the caller has left')
+def has_left(context):
+    context.connection.closed(None)
+
+
+@behave.then('the account holds nothing')
+def account_is_empty(context):
+    held = {kind: context.account.held(kind) for kind in memory_account.Kind}
+    assert not any(held.values()), held
+
+
+@behave.then('a body that comes in pieces of {size:d} bytes stays the same')
+def pieces(context, size):
+    lease = context.account.lease(
+        memory_account.Budget.LARGE, memory_account.Kind.KEPT
+    )
+    body = bodies.Body(lease)
+    data = bytes(range(251)) * 3000
+    for start in range(0, len(data), size):
+        body.append(data[start : start + size])
+    parts = body.parts()
+    body.release()
+    assert b''.join(parts) == data and body.size == len(data)
--- a/packages/radishferryd/src/radishferryd/router/connections.py
+++ b/packages/radishferryd/src/radishferryd/router/connections.py
@@ -86,6 +86,11 @@
         """Return the server."""
         return self.backend.server
 
+    @property
+    def is_answered(self) -> bool:
+        """Return whether the response has begun."""
+        return self.connection is not None and self.connection.is_answering
+
     def finish(self, result):
         """Report the result, unless the attempt has already ended."""
         if self._is_done:
@@ -178,6 +183,11 @@
     def is_open(self):
         return self._connection.is_open
 
+    @property
+    def is_answering(self) -> bool:
+        """Return whether the response to the attempt has begun."""
+        return self._head is not None
+
     def send(self, attempt):
         """Send an attempt, once a new connection has proved to stay open."""
         self._attempt = attempt
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -26,6 +26,9 @@
 
 #: Seconds after which callers may retry at a host without configuration.
 STARTING_RETRY_S = 0.5
+#: Seconds for which the servers' responses to callers that were ended may
+#: still occupy connections: responses to requests that run once are read.
+FREEING_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -114,6 +117,7 @@
         )
         self._metrics = metrics
         self._stats = {}
+        self._callers_ended_at = -math.inf
         self._keys = collections.defaultdict(list)
         self._waiting = collections.defaultdict(dict)
         self.open_requests = 0
@@ -286,14 +290,18 @@
 
     # Called by requests.
 
-    def end_stalled_callers(self) -> int:
+    def end_stalled_callers(self) -> bool:
         """End callers that hold connections to servers by reading nothing.
 
-        :returns: Their number.
+        :returns: Whether some have been ended, now or a moment ago, so that
+            connections become free.
         """
-        return self.memory.end_stalled(
-            memory_account.Budget.RESPONSES, net.HIGH_WATER_BYTES
-        )
+        now = self.now()
+        if self.memory.end_stalled(
+            memory_account.Budget.RESPONSES, net.LOW_WATER_BYTES - 1
+        ):
+            self._callers_ended_at = now
+        return now - self._callers_ended_at < FREEING_S
 
     def note_key(self, service, key):
         """Record a request for a key, for the next load report."""
--- a/packages/radishferryd/src/radishferryd/router/memory_account.py
+++ b/packages/radishferryd/src/radishferryd/router/memory_account.py
@@ -291,7 +291,11 @@
         """
         if self._fits(budget, size):
             return True
-        self._reclaim(budget, size, asking)
+        if budget is Budget.CONNECTIONS:
+            spare = size + self._limits[budget] * SPARE_SHARE
+        else:
+            spare = size
+        self._reclaim(budget, lambda: self._fits(budget, spare), asking)
         return self._fits(budget, size)
 
     def wait(self, lease, size, granted):
@@ -323,18 +327,27 @@
     def check(self):
         """End stalled holders of budgets in which others need room."""
         for waiter in list(self._waiters):
-            self.has_room(waiter.lease.budget, waiter.size)
+            # It is served as soon as there is room, which is taken then.
+            self._reclaim(
+                waiter.lease.budget,
+                lambda waiter=waiter: waiter not in self._waiters,
+            )
         for budget in Budget:
-            if self.is_overdrawn(budget):
-                self._reclaim(budget, 0)
+            self._reclaim(budget, lambda b=budget: not self.is_overdrawn(b))
 
     def _fits(self, budget, size):
         return self._held[budget] + size <= self._limits[budget]
 
-    def _reclaim(self, budget, size, asking=None):
-        """End the stalled holders with the most bytes and least progress."""
+    def _reclaim(self, budget, is_enough, asking=None):
+        """End the stalled holders with the most bytes and least progress.
+
+        :param is_enough: Returns whether no further one has to be ended.
+        :param asking: A lease that is not ended.
+        """
         now = self.now()
-        if now - self._searched_at[budget] < SEARCH_INTERVAL_S:
+        if is_enough() or (
+            now - self._searched_at[budget] < SEARCH_INTERVAL_S
+        ):
             return
         stalled = sorted(
             (
@@ -345,10 +358,8 @@
             key=lambda lease: lease.held * lease.stalled_s(now),
             reverse=True,
         )
-        if budget is Budget.CONNECTIONS:
-            size += self._limits[budget] * SPARE_SHARE
         for lease in stalled:
-            if self._fits(budget, size):
+            if is_enough():
                 return
             lease.reclaim()
         self._searched_at[budget] = now
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -157,9 +157,9 @@
         attempt, self._attempt = self._attempt, None
         # A request that may run only once is left to complete: its effect
         # matters without a caller too, and cancelling would not undo it. It
-        # has run when its response is streamed.
+        # has run when its response has begun.
         if attempt is not None:
-            if self.is_idempotent or self._has_response_started:
+            if self.is_idempotent or attempt.is_answered:
                 attempt.cancel()
             else:
                 attempt.resume()
