Count what a caller takes of its responses exactly

A queue that was emptied and filled again between two counts looked like no progress. Callers give up connections to servers after 3 s without reading.

--- a/packages/radishferryd/src/radishferryd/router/callers.py
+++ b/packages/radishferryd/src/radishferryd/router/callers.py
@@ -43,6 +43,9 @@
         self._is_closing = False
         self._is_flushing = False
         self._is_write_paused = False
+        #: Bytes written, and those of them that have left the queue.
+        self._written_bytes = 0
+        self._taken_bytes = 0
         #: Whether what comes after a rejected request is not parsed.
         self._is_dropping = False
         #: When the first bytes of an incomplete head were received.
@@ -190,6 +193,7 @@
             slot = self._slots[0]
             for data in slot.take_output():
                 slot.begin_sending()
+                self._written_bytes += len(data)
                 self._connection.write(data)
             # A failed write closes the connection.
             if not slot.is_done or not self._slots:
@@ -383,9 +387,11 @@
 
     def _count_responses(self):
         """Take the memory of the responses that the caller has not taken."""
-        held = self._connection.queued_bytes + sum(
-            slot.buffered_bytes for slot in self._slots
-        )
+        queued = self._connection.queued_bytes
+        held = queued + sum(slot.buffered_bytes for slot in self._slots)
+        taken = self._written_bytes - queued
+        self._response_lease.note_progress(taken - self._taken_bytes)
+        self._taken_bytes = taken
         if held != self._response_lease.held and self._connection.is_open:
             self._response_lease.set(held)
 
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -26,6 +26,10 @@
 
 #: Seconds after which callers may retry at a host without configuration.
 STARTING_RETRY_S = 0.5
+#: Seconds for which a caller may take next to nothing of its responses when
+#: all connections to a server are in use: longer than a lost packet or a full
+#: link delays one that reads.
+UNREAD_RESPONSE_S = 3.0
 #: Seconds for which the servers' responses to callers that were ended may
 #: still occupy connections: responses to requests that run once are read.
 FREEING_S = 1.0
@@ -298,7 +302,9 @@
         """
         now = self.now()
         if self.memory.end_stalled(
-            memory_account.Budget.RESPONSES, net.LOW_WATER_BYTES - 1
+            memory_account.Budget.RESPONSES,
+            net.LOW_WATER_BYTES,
+            UNREAD_RESPONSE_S,
         ):
             self._callers_ended_at = now
         return now - self._callers_ended_at < FREEING_S
--- a/packages/radishferryd/src/radishferryd/router/memory_account.py
+++ b/packages/radishferryd/src/radishferryd/router/memory_account.py
@@ -179,10 +179,8 @@
         self._add(size)
 
     def set(self, size):
-        """Change the number of bytes held; less of them is progress."""
-        if size < self._held:
-            self.note_progress(self._held - size)
-        elif not self._held:
+        """Change the number of bytes held, which are in memory already."""
+        if not self._held:
             self.mark()
         self._add(size - self._held)
 
@@ -309,16 +307,17 @@
         """Take no bytes for a lease any more."""
         self._waiters = [w for w in self._waiters if w.lease is not lease]
 
-    def end_stalled(self, budget, min_held) -> int:
-        """End all stalled holders of more than some bytes.
+    def end_stalled(self, budget, min_held, stall_s) -> int:
+        """End all holders of at least some bytes without progress.
 
+        :param stall_s: Seconds without progress.
         :returns: Their number.
         """
         now = self.now()
         stalled = [
             lease
             for lease in self._leases[budget]
-            if lease.held > min_held and lease.stalled_s(now) >= STALL_S
+            if lease.held >= min_held and lease.stalled_s(now) >= stall_s
         ]
         for lease in stalled:
             lease.reclaim()
