--- a/features/steps/direct_requests_steps.py
+++ b/features/steps/direct_requests_steps.py
@@ -16,9 +16,12 @@
 from radishferry.direct import admission
 from radishferry.direct import budget
 from radishferry.direct import configuration
+from radishferry.direct import cost_choice
 from radishferry.direct import key_map
+from radishferry.direct import outstanding
 from radishferry.direct import registry
 from radishferry.direct import selection
+from radishferry.direct import server_loads
 from radishferryd import http_message
 from radishferryd.platform import headers
 from radishferryd.router import bodies
@@ -64,6 +67,7 @@
         self.relays = request_fixtures.relays(scheduler)
         self.budget = budget.RetryBudget(0.2, 10, 10.0)
         self._stats = admission.RouteStats(configuration.Kind.SAFE)
+        self.admission = admission.Admission()
         self._servers = {
             name: registry.Server(
                 name, 1, 'stock', ('127.0.0.1', 1), 'x', 4, False, 0.0
@@ -76,6 +80,10 @@
         }
         self.owner_name = 'a'
         self.availability = self
+        self.outstanding = outstanding.Outstanding()
+        self.cost_choice = cost_choice.CostChoice(
+            server_loads.SharedLoads(), self.stats, 'x'
+        )
         self.left_names = ['a']
 
     def candidates(self, service):
@@ -103,6 +111,13 @@
     def route_stats(self, request):
         return self._stats
 
+    def note_answer(self, request, attempt, result):
+        self._stats.note(
+            len(result.body),
+            self.now() - attempt.sent_at,
+            attempt.backend.last_queue_length,
+        )
+
     def wait_for_owner(self, request):
         self.waiting[request] = None
 
--- a/packages/radishferryd/src/radishferryd/router/backends.py
+++ b/packages/radishferryd/src/radishferryd/router/backends.py
@@ -8,8 +8,11 @@
 import typing
 import zlib
 
+from radishferry.direct import hangs
 from radishferry.direct import idle_limit
+from radishferry.direct import outstanding
 from radishferry.direct import selection
+from radishferry.direct import server_loads
 from radishferryd.platform import headers
 from radishferryd.router import connections
 from radishferryd.router import memory_account
@@ -41,6 +44,12 @@
     def on_malformed_announcement(self, server, detail) -> None:
         """Handle an announcement that cannot be parsed."""
 
+    def on_load(self, server, load) -> int:
+        """Handle a load report, and return the requests left there."""
+
+    def on_unanswered(self, server, attempt) -> None:
+        """Handle that a server sent nothing in the time it was given."""
+
 
 class Backend:
     """Hold the connection pool and the statistics of one server."""
@@ -99,6 +108,8 @@
         #: Requests that were queued at the server at its last response.
         self.last_queue_length = 0
         self._announced_limit_per_s = None
+        #: Finds requests that the server will never answer.
+        self.watch = hangs.Watch()
         self._idle = []
         self._open = set()
 
@@ -115,7 +126,14 @@
         connection = self._acquire_connection(is_idempotent, attempt)
         if connection is None:
             return False
-        self.stats.note_sent(self._scheduler.now())
+        now = self._scheduler.now()
+        attempt.is_idempotent = is_idempotent
+        if self.stats.freshness(now) >= outstanding.MIN_FRESHNESS:
+            attempt.load_at_send = self.stats.load(now)
+        self.stats.note_sent(now)
+        self.watch.note_sent(attempt)
+        if self.stats.shared is not None:
+            self.stats.outstanding.add(attempt)
         if attempt.key is not None:
             self.in_flight_by_key[attempt.key] += 1
         connection.send(attempt)
@@ -127,12 +145,15 @@
         :param result: None if it was cancelled.
         """
         self.stats.in_flight -= 1
+        self.stats.outstanding.discard(attempt)
         if attempt.key is not None:
             self.in_flight_by_key[attempt.key] -= 1
             if not self.in_flight_by_key[attempt.key]:
                 del self.in_flight_by_key[attempt.key]
         now = self._scheduler.now()
+        self.watch.note_ended(attempt)
         if isinstance(result, results.Answered):
+            self.watch.note_answered(attempt, now)
             elapsed = now - attempt.sent_at
             waiting = self.last_queue_length
             if self._was_delayed_by_loss(attempt):
@@ -155,7 +176,14 @@
                 self.stats.note_connection_failure(now)
             elif not (result.is_misdirected or result.is_host_exhausted):
                 self.stats.note_failure(now)
-        elif result is not None:
+        elif result is None:
+            if (
+                attempt.is_silent
+                and now > attempt.answer_by
+                and self._listener is not None
+            ):
+                self._listener.on_unanswered(self.server, attempt)
+        else:
             self.stats.note_failure(now)
             if result.is_unacknowledged and self._links is not None:
                 self._links.note_unacknowledged(self.server)
@@ -186,7 +214,33 @@
                 load.waiting,
                 load.slots,
                 self._scheduler.now(),
+                load.slowdown,
             )
+            if self._listener is not None:
+                left = self._listener.on_load(self.server, load)
+                self.watch.note_report(left, self._scheduler.now())
+            if self.stats.shared is not None:
+                self.stats.shared.note_seen(load.running + load.waiting)
+
+    def note_work(self, estimate, attempt, elapsed_s):
+        """Record the work of an answered request of a route.
+
+        :param estimate: The :class:`~radishferry.direct.work.WorkEstimate` of
+            the route.
+        :param elapsed_s: Seconds from the send to the answer. They say
+            nothing of the work if requests wait at the server.
+        """
+        shared = self.stats.shared
+        if (
+            shared is None
+            or self.last_queue_length
+            or self._was_delayed_by_loss(attempt)
+        ):
+            return
+        own_s = elapsed_s / self.stats.slowdown(self._scheduler.now())
+        if not attempt.is_overdue:
+            shared.note_sample(own_s / estimate.mean_s)
+        estimate.note(own_s / shared.relative_time)
 
     def note_announcements(self, head):
         """Handle what the server announces in a response."""
@@ -315,6 +369,7 @@
         listener=None,
         links=None,
         backend_class=Backend,
+        shared_loads=None,
         memory=None,
     ):
         """Create the backends of this host, none at first.
@@ -323,6 +378,7 @@
         """
         self._memory = memory
         self._backend_class = backend_class
+        self._shared_loads = shared_loads
         self._host_name = host_name
         self._listener = listener
         self._links = links
@@ -368,6 +424,11 @@
                     self._memory,
                 )
             )
+            if (
+                self._shared_loads is not None
+                and server.slots <= server_loads.MAX_SLOTS
+            ):
+                found.stats.shared = self._shared_loads.entry(server.server_id)
         found.server = server
         return found
 
