--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -83,6 +83,9 @@
         self._stats = admission.RouteStats(configuration.Kind.SAFE)
         self.admission = admission.Admission()
 
+    def end_stalled_callers(self):
+        return 0
+
     def owner(self, service, key):
         return key_map.Segment(0, 65535, _SERVER.incarnation, 1), _SERVER
 
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -31,6 +31,13 @@
 
 #: Seconds after which callers may retry at a host without configuration.
 STARTING_RETRY_S = 0.5
+#: Seconds for which a caller may take next to nothing of its responses when
+#: all connections to a server are in use: longer than a lost packet or a full
+#: link delays one that reads.
+UNREAD_RESPONSE_S = 3.0
+#: Seconds for which the servers' responses to callers that were ended may
+#: still occupy connections: responses to requests that run once are read.
+FREEING_S = 1.0
 #: Times its expected duration after which a request is reported to run long.
 #: One to three requests in a hundred take that long at a healthy server.
 OVERDUE_FACTOR = 4.0
@@ -150,6 +157,7 @@
         )
         self._metrics = metrics
         self._stats = {}
+        self._callers_ended_at = -math.inf
         self._keys = collections.defaultdict(list)
         self._waiting = collections.defaultdict(dict)
         self.open_requests = 0
@@ -338,14 +346,20 @@
 
     # Called by requests.
 
-    def end_stalled_callers(self) -> int:
+    def end_stalled_callers(self) -> bool:
         """End callers that hold connections to servers by reading nothing.
 
-        :returns: Their number.
+        :returns: Whether some have been ended, now or a moment ago, so that
+            connections become free.
         """
-        return self.memory.end_stalled(
-            memory_account.Budget.RESPONSES, net.HIGH_WATER_BYTES
-        )
+        now = self.now()
+        if self.memory.end_stalled(
+            memory_account.Budget.RESPONSES,
+            net.LOW_WATER_BYTES,
+            UNREAD_RESPONSE_S,
+        ):
+            self._callers_ended_at = now
+        return now - self._callers_ended_at < FREEING_S
 
     def note_key(self, service, key):
         """Record a request for a key, for the next load report."""
