Let the soak restore the store from older copies

--drills N adds restores to the faults of a seed, which stay the same. Guard the resumption of leases by three scenarios of the granter.

--- a/features/direct_granting.feature
+++ b/features/direct_granting.feature
@@ -139,6 +139,29 @@
     Then each lease granted in the next 20 seconds ends as proposed
     And at least 3 grants were given
 
+  # Guards against keys without a holder after the store has lost rows, although
+  # the granting host knows that its last leases have not ended.
+  Scenario: A lease that has not ended is renewed after rows were lost
+    Given keys 0 to 99 are owned by server A
+    When the granting host resumes after lost rows 2 seconds later
+    Then server A is granted keys 0 to 99 with its former token
+
+  # Guards against two holders of a key: another host may have moved it by a row
+  # that the store has lost.
+  Scenario: A server that saw a later token gets no new one before all leases end
+    Given keys 0 to 99 are owned by server A
+    When the granting host resumes after lost rows 2 seconds later
+    And server A rejects the next grant as stale
+    And keys 0 to 99 are written again for server A
+    Then no grant is due for 11.5 seconds
+
+  # Guards against the same where the lease may have ended already.
+  Scenario: A lease that may have ended is not renewed after rows were lost
+    Given keys 0 to 99 are owned by server A
+    When the granting host resumes after lost rows 3.1 seconds later
+    And keys 0 to 99 are written again for server A
+    Then no grant is due for 11.5 seconds
+
   # Guards against keys that are without an owner for longer: further grants to
   # a server that does not answer would postpone the lease end in the row.
   Scenario: An owner that does not answer is not renewed any more
--- a/features/steps/direct_granting_steps.py
+++ b/features/steps/direct_granting_steps.py
@@ -283,6 +283,38 @@
     assert not context.granted, context.granted
 
 
+@behave.when(
+    'the granting host resumes after lost rows {seconds:g} seconds later'
+)
+def resumed(context, seconds):
+    context.now += seconds
+    context.granter.resume(context.now)
+
+
+@behave.then(
+    'server A is granted keys {start:d} to {end:d} with its former token'
+)
+def granted_as_before(context, start, end):
+    (order,) = _grants(context)
+    assert order.segment == key_map.Segment(start, end, _INCARNATIONS['A'], 7)
+
+
+@behave.when('server A rejects the next grant as stale')
+def rejected(context):
+    (order,) = _grants(context)
+    context.granter.note_pending(order, context.now)
+    context.granter.note_sent(order, context.now)
+    context.granter.note_grant_failed(
+        order, context.now, was_sent=False, is_stale=True
+    )
+
+
+@behave.when('keys {start:d} to {end:d} are written again for server A')
+def written_again(context, start, end):
+    assert context.granter.rejected_ranges()
+    context.granter.commit([(start, end, _INCARNATIONS['A'])], 9, context.now)
+
+
 class _Client:
     """Record the calls to a server; the test answers them."""
 
--- a/packages/radishferry-testing/src/radishferry_testing/soak/__main__.py
+++ b/packages/radishferry-testing/src/radishferry_testing/soak/__main__.py
@@ -22,16 +22,17 @@
 SAMPLE_INTERVAL_S = 0.5
 
 
-def run(seed, seconds, plot_directory=None, keep_directory=None):
+def run(seed, seconds, plot_directory=None, keep_directory=None, *, drills=0):
     """Run one soak test.
 
     :param float seconds: Duration of the load, in seconds.
     :param plot_directory: Directory for the plot, None for no plot.
     :param keep_directory: Directory for the logs of a run with findings, None
         to discard them.
+    :param int drills: Number of restores of the store from an older copy.
     :returns: Tuple of :class:`checks.Finding`.
     """
-    faults = plan.generate(seed, seconds)
+    faults = plan.generate(seed, seconds, drills)
     with (
         tempfile.TemporaryDirectory() as directory,
         cluster_module.running(directory) as cluster,
@@ -126,6 +127,7 @@
     first: int = 1,
     count: int = 1,
     seconds: float = 50.0,
+    drills: int = 0,
     plots: pathlib.Path | None = None,
     keep: pathlib.Path | None = None,
 ) -> int:
@@ -137,11 +139,16 @@
     :param first: First seed of the range.
     :param count: Number of seeds in the range.
     :param seconds: Duration of the load of a run, in seconds.
+    :param drills: Restores of the store from an older copy in each run.
     :param plots: Directory for plots of answers and faults over time.
     :param keep: Directory for the logs of runs with findings.
     """
     chosen = seeds or range(first, first + count)
-    failed = [seed for seed in chosen if run(seed, seconds, plots, keep)]
+    failed = [
+        seed
+        for seed in chosen
+        if run(seed, seconds, plots, keep, drills=drills)
+    ]
     print(f'{len(chosen)} seeds, failed: {failed or "none"}')
     return 1 if failed else 0
 
--- a/packages/radishferry-testing/src/radishferry_testing/soak/cluster.py
+++ b/packages/radishferry-testing/src/radishferry_testing/soak/cluster.py
@@ -21,6 +21,8 @@
 GRACE_S = 6.0
 #: Timeout of the routes, in seconds; longer than any work of a request.
 ROUTE_TIMEOUT_S = 10.0
+#: Age in seconds of the copy from which a drill restores the store.
+RESTORE_AGE_S = 3.0
 #: Delay that a slow link adds, in milliseconds.
 DELAY_MS = 250
 
@@ -206,6 +208,12 @@
         time.sleep(fault.duration_s)
         self.call_platform('store', is_down=False)
 
+    def _store_restore(self, fault):
+        self.call_platform(
+            'restore', age_s=RESTORE_AGE_S, away_s=fault.duration_s
+        )
+        time.sleep(fault.duration_s)
+
     def _server_leave(self, fault):
         self.call_platform('server', server_id=fault.target, state='draining')
         # Longer than checks.LEAVE_NOTICE_S, so that the server is still
--- a/packages/radishferry-testing/src/radishferry_testing/soak/plan.py
+++ b/packages/radishferry-testing/src/radishferry_testing/soak/plan.py
@@ -64,13 +64,15 @@
         return self.at_s + self.duration_s
 
 
-def generate(seed: int, seconds: float) -> tuple[Fault, ...]:
+def generate(seed: int, seconds: float, drills: int = 0) -> tuple[Fault, ...]:
     """Return the faults of a run in the order of their start times.
 
     Planned stops of several hosts that overlap come first. The random faults
     after them often come in series of one kind, and often overlap.
 
     :param seconds: Duration of the load, in seconds.
+    :param drills: Number of restores of the store besides the other faults,
+        which are the same with and without them.
     """
     rng = random.Random(seed)
     faults = list(_stop_series(rng))
@@ -85,7 +87,18 @@
             at_s += rng.uniform(0.0, 2.5)
             if at_s >= seconds - FAULT_FREE_END_S:
                 break
-    return tuple(faults)
+    faults.extend(_drills(random.Random(f'drills {seed}'), seconds, drills))
+    return tuple(sorted(faults, key=lambda fault: fault.at_s))
+
+
+def _drills(rng, seconds, count):
+    """Yield restores of the store after it was away for a moment."""
+    first_s = FAULT_FREE_START_S + STOP_SERIES_S
+    for _ in range(count):
+        at_s = rng.uniform(first_s, seconds - FAULT_FREE_END_S)
+        yield Fault(
+            at_s, rng.choice((0.0, 0.5, 2.0)), 'store-restore', 'store'
+        )
 
 
 def _stop_series(rng):
--- a/packages/radishferry-testing/src/radishferry_testing/users/platform/store.py
+++ b/packages/radishferry-testing/src/radishferry_testing/users/platform/store.py
@@ -84,8 +84,9 @@
         self.is_down = False
         self._notify_feeds()
         await asyncio.sleep(REWRITE_S)
-        for (table, key), value in lost.items():
-            self.put(table, key, value)
+        for row, value in lost.items():
+            if self._rows.get(row) == rows.get(row):
+                self.put(*row, value)
 
     def _notify_feeds(self):
         self._changed.set()
