--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -28,6 +28,7 @@
 from radishferryd import http_message
 from radishferryd.platform import headers
 from radishferryd.router import backends
+from radishferryd.router import bodies
 from radishferryd.router import requests
 
 #: The users' rule: in each span of 4 s a server gets at most one and a half
@@ -80,6 +81,7 @@
         self.told_at = None
         self.outstanding = outstanding.Outstanding(hosts)
         self._stats = admission.RouteStats(configuration.Kind.SAFE)
+        self.admission = admission.Admission()
 
     def owner(self, service, key):
         return key_map.Segment(0, 65535, _SERVER.incarnation, 1), _SERVER
@@ -93,6 +95,13 @@
     def route_stats(self, request):
         return self._stats
 
+    def note_answer(self, request, attempt, result):
+        self._stats.note(
+            len(result.body),
+            self.now() - attempt.sent_at,
+            attempt.backend.last_queue_length,
+        )
+
     def wait_for_owner(self, request):
         """Ignore requests that wait."""
 
@@ -103,7 +112,7 @@
 class _Slot:
     """Record the response to the caller."""
 
-    body = ()
+    body = bodies.EMPTY
 
     def __init__(self, now, number):
         self.arrived_at = now
--- a/packages/radishferryd/src/radishferryd/router/backends.py
+++ b/packages/radishferryd/src/radishferryd/router/backends.py
@@ -11,8 +11,10 @@
 from radishferry.direct import hangs
 from radishferry.direct import idle_limit
 from radishferry.direct import selection
+from radishferry.direct import server_loads
 from radishferryd.platform import headers
 from radishferryd.router import connections
+from radishferryd.router import memory_account
 from radishferryd.router import results
 
 LOG = logging.getLogger(__name__)
@@ -65,6 +67,7 @@
         listener=None,
         hosts=1,
         links=None,
+        memory=None,
     ):
         """Create the backend without a connection.
 
@@ -80,7 +83,11 @@
         :param links: The
             :class:`~radishferryd.router.link_monitor.LinkMonitor` of this
             host, or None.
+        :param memory: The
+            :class:`~radishferryd.router.memory_account.MemoryAccount` of the
+            process, or None for no limit.
         """
+        self.memory = memory or memory_account.unlimited(scheduler.now)
         self._listener = listener
         self._links = links
         self._idle_limits = idle_limits
@@ -124,6 +131,8 @@
             attempt.load_at_send = self.stats.load(now)
         self.stats.note_sent(now)
         self.watch.note_sent(attempt)
+        if self.stats.shared is not None:
+            self.stats.outstanding.add(attempt)
         if attempt.key is not None:
             self.in_flight_by_key[attempt.key] += 1
         connection.send(attempt)
@@ -135,6 +144,7 @@
         :param result: None if it was cancelled.
         """
         self.stats.in_flight -= 1
+        self.stats.outstanding.discard(attempt)
         if attempt.key is not None:
             self.in_flight_by_key[attempt.key] -= 1
             if not self.in_flight_by_key[attempt.key]:
@@ -203,10 +213,33 @@
                 load.waiting,
                 load.slots,
                 self._scheduler.now(),
+                load.slowdown,
             )
             if self._listener is not None:
                 left = self._listener.on_load(self.server, load)
                 self.watch.note_report(left, self._scheduler.now())
+            if self.stats.shared is not None:
+                self.stats.shared.note_seen(load.running + load.waiting)
+
+    def note_work(self, estimate, attempt, elapsed_s):
+        """Record the work of an answered request of a route.
+
+        :param estimate: The :class:`~radishferry.direct.work.WorkEstimate` of
+            the route.
+        :param elapsed_s: Seconds from the send to the answer. They say
+            nothing of the work if requests wait at the server.
+        """
+        shared = self.stats.shared
+        if (
+            shared is None
+            or self.last_queue_length
+            or self._was_delayed_by_loss(attempt)
+        ):
+            return
+        own_s = elapsed_s / self.stats.slowdown(self._scheduler.now())
+        if not attempt.is_overdue:
+            shared.note_sample(own_s / estimate.mean_s)
+        estimate.note(own_s / shared.relative_time)
 
     def note_announcements(self, head):
         """Handle what the server announces in a response."""
@@ -335,8 +368,16 @@
         listener=None,
         links=None,
         backend_class=Backend,
+        shared_loads=None,
+        memory=None,
     ):
+        """Create the backends of this host, none at first.
+
+        :param memory: See :class:`Backend`.
+        """
+        self._memory = memory
         self._backend_class = backend_class
+        self._shared_loads = shared_loads
         self._host_name = host_name
         self._listener = listener
         self._links = links
@@ -379,8 +420,14 @@
                     self._listener,
                     self._hosts,
                     self._links,
+                    self._memory,
                 )
             )
+            if (
+                self._shared_loads is not None
+                and server.slots <= server_loads.MAX_SLOTS
+            ):
+                found.stats.shared = self._shared_loads.entry(server.server_id)
         found.server = server
         return found
 
--- a/packages/radishferryd/src/radishferryd/router/metrics.py
+++ b/packages/radishferryd/src/radishferryd/router/metrics.py
@@ -4,6 +4,7 @@
 
 from radishferryd import metric_table
 from radishferryd import metrics as recorders
+from radishferryd.router import memory_account
 
 _MAX_SERIES = 2048
 _METRIC = metric_table.Metric
@@ -26,6 +27,25 @@
         {'service': (), 'outcome': ()},
         _MAX_SERIES,
     ),
+    _METRIC(
+        'admissions',
+        'radishferry_admissions_total',
+        'counter',
+        'Requests admitted, or refused for want of room, by service, rank and '
+        'reason.',
+        {
+            'service': (),
+            'rank': (),
+            'decision': (
+                'admitted',
+                'overloaded',
+                'outranked',
+                'too-late',
+                'hot-key',
+            ),
+        },
+        _MAX_SERIES,
+    ),
     _METRIC(
         'refusals',
         'radishferry_early_refusals_total',
@@ -69,6 +89,19 @@
         'gauge',
         "Calls to the platform's store.",
     ),
+    _METRIC(
+        'store_era',
+        'radishferry_store_era',
+        'gauge',
+        'Era that the store names in its answers, 0 without one. It rises '
+        'with each restore from an older copy.',
+    ),
+    _METRIC(
+        'store_restores',
+        'radishferry_store_restores_total',
+        'gauge',
+        'Restores of the store that this process has noticed.',
+    ),
     _METRIC(
         'orders',
         'radishferry_orders_total',
@@ -94,6 +127,13 @@
         'gauge',
         'Version of the configuration in force.',
     ),
+    _METRIC(
+        'shared_loads_age',
+        'radishferry_shared_loads_age_seconds',
+        'gauge',
+        'Seconds since the granting host last told the loads of servers with '
+        'few slots; 1e9 before the first time.',
+    ),
     _METRIC(
         'is_granter',
         'radishferry_is_granter',
@@ -149,6 +189,17 @@
         'gauge',
         'Requests without an answer.',
     ),
+    _METRIC(
+        'held_bytes',
+        'radishferry_held_bytes',
+        'gauge',
+        'Bytes of memory that callers make this host hold, by what they are: '
+        'connections, heads of requests, bodies being received, bodies kept '
+        'until their response, bodies relayed by other hosts, responses that '
+        'callers or servers have not completed, and bytes that the system '
+        'may hold for connections that are not read.',
+        {'kind': tuple(kind.value for kind in memory_account.Kind)},
+    ),
     _METRIC(
         'dropped_lines',
         'radishferry_dropped_log_lines_total',
@@ -170,6 +221,10 @@
         self.requests.inc(service, route, outcome)
         self.latency.observe(took_s, service, outcome)
 
+    def count_admission(self, service, rank, decision):
+        """Count a request that was admitted, or refused for want of room."""
+        self.admissions.inc(service, str(rank), decision)
+
     def count_refusal(self, reason):
         """Count a request that was answered before it was routed."""
         self.refusals.inc(reason)
--- a/packages/radishferryd/src/radishferryd/router/results.py
+++ b/packages/radishferryd/src/radishferryd/router/results.py
@@ -101,6 +101,8 @@
     SERVER_PAUSED = 'server-paused'
     RATE_LIMITED = 'rate-limited'
     OVERLOADED = 'overloaded'
+    OUTRANKED = 'outranked'
+    TOO_LATE = 'too-late'
     FULL = 'full'
     HOT_KEY = 'hot-key'
     POISON = 'poison'
@@ -108,6 +110,7 @@
     BAD_ANSWER = 'bad-answer'
     TIMEOUT = 'timeout'
     STOPPING = 'stopping'
+    MEMORY = 'memory'
     #: A reason that another host gave and this version does not know.
     OTHER = 'other'
 
