--- a/packages/radishferryd/src/radishferryd/router/metrics.py
+++ b/packages/radishferryd/src/radishferryd/router/metrics.py
@@ -42,6 +42,7 @@
                 'outranked',
                 'too-late',
                 'hot-key',
+                'full',
             ),
         },
         _MAX_SERIES,
