--- a/packages/radishferry/src/radishferry/direct/selection.py
+++ b/packages/radishferry/src/radishferry/direct/selection.py
@@ -304,7 +304,9 @@
 
     def is_load_known(self, now) -> bool:
         """Return whether a report says something about the load now."""
-        return self.freshness(now) >= KNOWN_FRESHNESS
+        return (
+            self.has_shared_load(now) or self.freshness(now) >= KNOWN_FRESHNESS
+        )
 
     def expected_s(self, usual_s, now, prior_use=0.0) -> float:
         """Return the expected time of one more request in seconds.
