--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -105,7 +105,7 @@
     def wait_for_owner(self, request):
         """Ignore requests that wait."""
 
-    stop_waiting = note_key = finished = lambda *_: None
+    stop_waiting = note_key = finished = end_stalled_callers = lambda *_: None
     attempt_refused = attempt_lost = attempt_ended = lambda *_: None
 
 
