--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -38,9 +38,6 @@
 #: Seconds for which the servers' responses to callers that were ended may
 #: still occupy connections: responses to requests that run once are read.
 FREEING_S = 1.0
-#: Times its expected duration after which a request is reported to run long.
-#: One to three requests in a hundred take that long at a healthy server.
-OVERDUE_FACTOR = 4.0
 
 #: Outcomes of requests that were refused for want of room.
 _OVERLOAD_OUTCOMES = frozenset(
@@ -400,14 +397,9 @@
         shared = backend.stats.shared
         if shared is None:
             return
-        now = self.now()
         for attempt in backend.stats.outstanding:
-            estimate = self.route_stats(attempt.sink).work
-            expected_s = estimate.mean_s * shared.relative_time
-            ran_s = now - attempt.sent_at
-            if not attempt.is_overdue and ran_s > OVERDUE_FACTOR * expected_s:
-                attempt.is_overdue = True
-                shared.note_sample(ran_s / estimate.mean_s)
+            work_s = self.route_stats(attempt.sink).work.mean_s
+            shared.note_running(attempt, work_s, self.now())
 
     def _check_shared_loads(self):
         """Log when shared loads come into use, and when they are stale."""
