Switch admission by rank off unless a setting asks for it

Late answers still have a worth for callers, which the rule does not know. [admission] by_rank switches it on; otherwise the former rule decides.

--- a/packages/radishferry/src/radishferry/direct/admission.py
+++ b/packages/radishferry/src/radishferry/direct/admission.py
@@ -16,6 +16,7 @@
 import enum
 import math
 import random
+import typing
 
 from radishferry.direct import configuration
 from radishferry.direct import selection
@@ -39,6 +40,12 @@
 #: bytes; the guides and certificates of the users have about 90 kB.
 DOWNLOAD_BYTES = 90000.0
 
+#: Decrease of the target that :class:`TargetAdmission` applies for each rank
+#: from 2 on; ranks 0, the highest, and 1 get the full target.
+RANK_STEP = 0.12
+#: Highest number of such steps.
+MAX_RANK = 4
+
 #: Answers of a server from which its own service time is used.
 MIN_SERVICE_SAMPLES = 3
 #: Seconds over which the waits that the servers of a data centre report are
@@ -204,6 +211,53 @@
     is_repeated: bool = False
 
 
+class Rule(typing.Protocol):
+    """Decide which requests are sent to the chosen server."""
+
+    def note_arrival(self, service, route, route_stats, now) -> None:
+        """Record a request of a route to a service."""
+
+    def note_report(self, server, stats, waiting, usual_s, now) -> None:
+        """Record the queue of a server that answered."""
+
+    def keep_routes(self, names) -> None:
+        """Forget the arrivals of other routes than the given ones."""
+
+    def decide(self, asked: Asked, now) -> Admitted | Refused:
+        """Return whether a request is sent to a server."""
+
+
+class TargetAdmission:
+    """Admit what is expected to be answered within its route's target.
+
+    Each request is judged alone, by the target of its own route, whatever else
+    the service gets.
+    """
+
+    def note_arrival(self, service, route, route_stats, now):
+        """Ignore the request."""
+
+    def note_report(self, server, stats, waiting, usual_s, now):
+        """Ignore the report."""
+
+    def keep_routes(self, names):
+        """Ignore the change."""
+
+    def decide(self, asked: Asked, now) -> Admitted | Refused:
+        """Return whether a request is sent to a server."""
+        # Without a queue a refusal helps no other request, and only an answer
+        # can show that a server that was slow has recovered.
+        allowed_s = asked.left_s
+        if asked.stats.load(now) >= asked.stats.slots:
+            rank = min(MAX_RANK, max(0, asked.route.priority - 1))
+            target_s = asked.route.target_latency_s * (1 - RANK_STEP * rank)
+            least_s = MIN_TARGET_FACTOR * asked.route_stats.service_s
+            allowed_s = min(allowed_s, max(target_s, least_s))
+        if asked.expected_s <= allowed_s:
+            return Admitted()
+        return Refused(Cause.QUEUE, retry_after_s(asked.expected_s))
+
+
 class _MeanWait:
     """Average the waits that the servers of one data centre report."""
 
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -138,7 +138,11 @@
             self.memory,
         )
         self.announcements = announcements.Announcements()
-        self.admission = admission.Admission()
+        self.admission: admission.Rule = (
+            admission.Admission()
+            if settings.admission_by_rank
+            else admission.TargetAdmission()
+        )
         self._refusal_periods = refusal_periods.RefusalPeriods()
         self.budget = budget_module.RetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
--- a/packages/radishferryd/src/radishferryd/router/settings.py
+++ b/packages/radishferryd/src/radishferryd/router/settings.py
@@ -29,6 +29,7 @@
     grants_hold_max_s: float
     stop_grace_s: float
     evacuation_within_s: float = 5.0
+    admission_by_rank: bool = False
     host_is_first_start: bool = False
     host_link_mbps: float = 1000.0
     host_memory_mb: int = 160
@@ -190,6 +191,16 @@
         'last request must have been sent to its servers.',
         '5',
     ),
+    _option(
+        'admission',
+        'by_rank',
+        'true or false',
+        setting_readers.read_true_false,
+        'Whether requests of a less urgent rank leave room for more urgent '
+        'ones of the same service, and those whose callers have waited too '
+        'long are refused.',
+        'false',
+    ),
     _option(
         'log',
         'level',
