--- a/packages/radishferry/src/radishferry/direct/admission.py
+++ b/packages/radishferry/src/radishferry/direct/admission.py
@@ -226,6 +226,12 @@
     def decide(self, asked: Asked, now) -> Admitted | Refused:
         """Return whether a request is sent to a server."""
 
+    def key_limit(self, asked: Asked, hosts, now) -> int:
+        """Return how many requests for one key a host may have at a server.
+
+        :param hosts: Number of hosts that send to the server.
+        """
+
 
 class TargetAdmission:
     """Admit what is expected to be answered within its route's target.
@@ -257,6 +263,10 @@
             return Admitted()
         return Refused(Cause.QUEUE, retry_after_s(asked.expected_s))
 
+    def key_limit(self, asked: Asked, hosts, now) -> int:
+        """See :class:`Rule`."""
+        return _key_limit(asked, asked.route.target_latency_s, hosts)
+
 
 class _MeanWait:
     """Average the waits that the servers of one data centre report."""
@@ -350,13 +360,11 @@
 
         :param hosts: Number of hosts that send to the server.
         """
-        service_s = asked.stats.service_s or asked.route_stats.service_s
         target_s = min(
             other.target_latency_s
             for other, _ in [(asked.route, None), *self._rivals(asked, now)]
         )
-        in_time = HOT_KEY_SHARE * target_s / service_s
-        return max(1, math.ceil(asked.stats.slots * in_time / hosts))
+        return _key_limit(asked, target_s, hosts)
 
     def retry_after_s(self, asked: Asked, now) -> float:
         """Return after how many seconds a refused caller may return."""
@@ -462,6 +470,12 @@
     return None
 
 
+def _key_limit(asked, target_s, hosts):
+    service_s = asked.stats.service_s or asked.route_stats.service_s
+    in_time = HOT_KEY_SHARE * target_s / service_s
+    return max(1, math.ceil(asked.stats.slots * in_time / hosts))
+
+
 def _service_s(stats, usual_s):
     """Return the time of a request in a slot of a server, in seconds."""
     is_known = stats.samples >= MIN_SERVICE_SAMPLES
