--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -21,12 +21,14 @@
 from radishferry.direct import capacities
 from radishferry.direct import configuration
 from radishferry.direct import key_map
+from radishferry.direct import outstanding
 from radishferry.direct import rate_limit
 from radishferry.direct import registry
 from radishferry.direct import selection
 from radishferryd import http_message
 from radishferryd.platform import headers
 from radishferryd.router import backends
+from radishferryd.router import bodies
 from radishferryd.router import requests
 
 #: The users' rule: in each span of 4 s a server gets at most one and a half
@@ -56,6 +58,9 @@
     def on_malformed_announcement(self, server, detail):
         """Ignore what is only logged."""
 
+    def on_load(self, server, load):
+        return load.running + load.waiting
+
 
 class _Host:
     """Stand in for the gateway of a host."""
@@ -74,7 +79,9 @@
         )
         self.budget = budget.RetryBudget(0.2, 60, 10.0)
         self.told_at = None
+        self.outstanding = outstanding.Outstanding(hosts)
         self._stats = admission.RouteStats(configuration.Kind.SAFE)
+        self.admission = admission.Admission()
 
     def owner(self, service, key):
         return key_map.Segment(0, 65535, _SERVER.incarnation, 1), _SERVER
@@ -105,7 +112,7 @@
 class _Slot:
     """Record the response to the caller."""
 
-    body = ()
+    body = bodies.EMPTY
 
     def __init__(self, now, number):
         self.arrived_at = now
--- a/features/steps/direct_requests_steps.py
+++ b/features/steps/direct_requests_steps.py
@@ -18,11 +18,13 @@
 from radishferry.direct import configuration
 from radishferry.direct import cost_choice
 from radishferry.direct import key_map
+from radishferry.direct import outstanding
 from radishferry.direct import registry
 from radishferry.direct import selection
 from radishferry.direct import server_loads
 from radishferryd import http_message
 from radishferryd.platform import headers
+from radishferryd.router import bodies
 from radishferryd.router import requests
 from radishferryd.router import results
 
@@ -65,6 +67,7 @@
         self.relays = request_fixtures.relays(scheduler)
         self.budget = budget.RetryBudget(0.2, 10, 10.0)
         self._stats = admission.RouteStats(configuration.Kind.SAFE)
+        self.admission = admission.Admission()
         self._servers = {
             name: registry.Server(
                 name, 1, 'stock', ('127.0.0.1', 1), 'x', 4, False, 0.0
@@ -77,6 +80,7 @@
         }
         self.owner_name = 'a'
         self.availability = self
+        self.outstanding = outstanding.Outstanding()
         self.cost_choice = cost_choice.CostChoice(
             server_loads.SharedLoads(), self.stats, 'x'
         )
@@ -140,7 +144,7 @@
 class _Slot:
     """Record the response to the caller."""
 
-    body = ()
+    body = bodies.EMPTY
 
     def __init__(self, now, remaining_ms):
         self.arrived_at = now
--- a/packages/radishferryd/src/radishferryd/router/connections.py
+++ b/packages/radishferryd/src/radishferryd/router/connections.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import errno
+import math
 import typing
 
 from radishferry.direct import idle_limit
 from radishferryd import http_message
 from radishferryd import net
 from radishferryd.platform import headers
+from radishferryd.router import bodies
+from radishferryd.router import memory_account
 from radishferryd.router import results
 
 #: Connect timeout in seconds. Data centres are about 1 ms apart, so only an
@@ -56,13 +59,18 @@
         data,
         key=None,
         used_connections=(),
+        body=bodies.EMPTY,
     ):
         """Create the attempt.
 
         :param sink: A :class:`Sink`.
-        :param data: Bytes of the request.
+        :param data: Bytes of the head of the request.
         :param used_connections: Connections of the request's earlier attempts.
+        :param body: The :class:`~radishferryd.router.bodies.Body` of the
+            request, which is held until it has been written or the attempt
+            ends.
         """
+        self._body = body.hold()
         self.backend = backend
         self.used_connections = used_connections
         self.key = key
@@ -71,6 +79,13 @@
         self.sink = sink
         self.data = data
         self.sent_at = None
+        #: See :class:`radishferry.direct.hangs.Pending`.
+        self.answer_by = math.inf
+        self.usual_s = 0.0
+        self.is_idempotent = False
+        #: Load of the server that was assumed at the send, None without a
+        #: fresh report.
+        self.load_at_send = None
         #: Whether it has been reported to run much longer than expected.
         self.is_overdue = False
         self.connection = None
@@ -81,11 +96,28 @@
         """Return the server."""
         return self.backend.server
 
+    @property
+    def is_silent(self) -> bool:
+        """Return whether the server has accepted it and sent nothing."""
+        return self.connection is not None and self.connection.awaits_answer(
+            self
+        )
+
+    def expect(self, answer_by, usual_s):
+        """Set when an answer is due.
+
+        :param answer_by: End of the time that the server is given, in seconds.
+        :param usual_s: Usual time of such a request, in seconds.
+        """
+        self.answer_by = answer_by
+        self.usual_s = usual_s
+
     def finish(self, result):
         """Report the result, unless the attempt has already ended."""
         if self._is_done:
             return
         self._is_done = True
+        self.release_body()
         self.backend.ended(self, result)
         self.sink.on_result(self, result)
 
@@ -94,10 +126,29 @@
         if self._is_done:
             return
         self._is_done = True
+        self.release_body()
         self.backend.ended(self, None)
         if self.connection is not None:
             self.connection.abort()
 
+    def take_parts(self):
+        """Return the bytes of the request in parts to write."""
+        if self._body is bodies.EMPTY:
+            return [self.data]
+        if self._body.is_small:
+            # One packet in place of two.
+            return [b''.join((self.data, *self._body.parts()))]
+        return [self.data, *self._body.parts()]
+
+    def release_body(self):
+        """End the use of the body, which has been written or is not needed.
+
+        Parts of it that a connection is still writing stay in memory until
+        they have been written.
+        """
+        body, self._body = self._body, bodies.EMPTY
+        body.release()
+
     def pause(self):
         """Pause reading the response."""
         if self.connection is not None:
@@ -127,7 +178,11 @@
         self._is_streaming = False
         self._is_close_delimited = False
         self._keep_alive = True
-        self._pending_data = b''
+        self._pending_parts = []
+        #: Bytes of a response that is buffered.
+        self._lease = backend.memory.lease(
+            memory_account.Budget.RESPONSES, memory_account.Kind.RESPONSE
+        )
         #: Idle time before the current attempt, None on a new connection.
         self._idle_s = None
         #: Id of the last request; a late duplicate response to it may follow.
@@ -160,9 +215,13 @@
         self._unusable_bytes = 0
         self.last_request_id = attempt.request_id
         if self.is_connected:
-            self._connection.write(attempt.data)
+            self._write(attempt.take_parts())
         else:
-            self._pending_data = attempt.data
+            self._pending_parts = attempt.take_parts()
+
+    def _write(self, parts):
+        for part in parts:
+            self._connection.write(part)
 
     def abort(self):
         self._attempt = None
@@ -171,6 +230,19 @@
     def close(self):
         self._connection.close()
 
+    def awaits_answer(self, attempt) -> bool:
+        """Return whether an attempt was sent and no answer to it began."""
+        return (
+            self._attempt is attempt
+            and self.is_connected
+            and not self._pending_data
+            and self._head is None
+        )
+
+    def give_up(self, result):
+        """End the current attempt with a result, and reset."""
+        self._abort_with(result)
+
     def pause_reading(self):
         self._connection.pause_reading()
 
@@ -183,7 +255,7 @@
         self.is_connected = True
         self._timer.cancel()
         self._backend.note_connected()
-        if self._pending_data:
+        if self._pending_parts:
             self._timer = self._scheduler.call_later(
                 SETTLE_S, self._send_pending
             )
@@ -193,7 +265,7 @@
             # These bytes belong to no request, such as a duplicate response.
             self._connection.abort()
             return
-        if self._pending_data:
+        if self._pending_parts:
             self._fail(results.NotRun('the server sent bytes unasked'))
             self._connection.abort()
             return
@@ -228,10 +300,13 @@
         """Ignore a slow reader, since the whole request is already queued."""
 
     def resume_producing(self):
-        """See :meth:`pause_producing`."""
+        """Free a large body that has almost been written."""
+        if self._attempt is not None:
+            self._attempt.release_body()
 
     def closed(self, error):
         self._timer.cancel()
+        self._lease.release()
         if (
             error is None
             and self._is_close_delimited
@@ -243,7 +318,7 @@
             self._finish_completed(False)
         elif self._attempt is not None:
             detail = str(error) if error else 'connection closed'
-            if self.is_connected and self._pending_data:
+            if self.is_connected and self._pending_parts:
                 self._fail(results.NotRun(f'nothing was sent: {detail}'))
             elif self.is_connected:
                 if self._idle_s is not None and self._head is None:
@@ -281,9 +356,9 @@
             self._connection.abort()
 
     def _send_pending(self):
-        data, self._pending_data = self._pending_data, b''
+        parts, self._pending_parts = self._pending_parts, []
         if self._attempt is not None and self._connection.is_open:
-            self._connection.write(data)
+            self._write(parts)
 
     # Callbacks of the parser.
 
@@ -342,8 +417,9 @@
         self._size += len(data)
         if self._size > MAX_UNUSABLE_BYTES and not self._may_stream():
             self._abort_with(self._oversized_result())
-        elif self._size > BUFFER_BYTES:
+        elif not self._has_room(len(data)) or self._size > BUFFER_BYTES:
             self._is_streaming = True
+            self._lease.release()
             self._attempt.sink.on_stream_head(self._attempt, self._head)
             if self._attempt is not None:
                 self._attempt.sink.on_stream_body(
@@ -357,6 +433,18 @@
         if self._attempt is not None and not self._is_close_delimited:
             self._complete()
 
+    def _has_room(self, size):
+        """Take the bytes that were received, and return whether they fit.
+
+        A small response and one that must not be streamed are buffered in any
+        case; what others hold is ended for them.
+        """
+        is_whole = self._size <= memory_account.SMALL_BYTES
+        if self._lease.grow(size):
+            return True
+        self._lease.force(size)
+        return is_whole or not self._may_stream()
+
     def _may_stream(self):
         """Return whether the response may be passed on while incomplete."""
         head = self._head
@@ -410,6 +498,7 @@
         """
         attempt, self._attempt = self._attempt, None
         head, body = self._head, b''.join(self._parts)
+        self._lease.release()
         result = self._result(head, body)
         self._head, self._parts = None, []
         self.idle_limit_s = _idle_limit(head)
@@ -443,6 +532,7 @@
         """Report a result before the response is complete, and reset."""
         self._fail(result)
         self._parts = []
+        self._lease.release()
         self._connection.abort()
 
     def _fail(self, result):
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -12,12 +12,17 @@
 from radishferry.direct import availability
 from radishferry.direct import budget as budget_module
 from radishferry.direct import cost_choice
+from radishferry.direct import outstanding as outstanding_module
+from radishferry.direct import refusal_periods
 from radishferry.direct import server_loads
+from radishferryd import net
 from radishferryd.platform import headers
 from radishferryd.router import backends as backends_module
 from radishferryd.router import crash_detector
 from radishferryd.router import crashes as crashes_module
+from radishferryd.router import hang_monitor
 from radishferryd.router import link_monitor
+from radishferryd.router import memory_account
 from radishferryd.router import relays as relays_module
 from radishferryd.router import requests
 from radishferryd.router import results
@@ -27,6 +32,17 @@
 #: Seconds after which callers may retry at a host without configuration.
 STARTING_RETRY_S = 0.5
 
+#: Outcomes of requests that were refused for want of room.
+_OVERLOAD_OUTCOMES = frozenset(
+    reason.value
+    for reason in (
+        results.Reason.OVERLOADED,
+        results.Reason.OUTRANKED,
+        results.Reason.TOO_LATE,
+        results.Reason.HOT_KEY,
+    )
+)
+
 
 @dataclasses.dataclass(frozen=True)
 class Observations:
@@ -54,7 +70,14 @@
     """Start the requests of callers and provide their shared state."""
 
     def __init__(
-        self, poller, scheduler, routing_state, crashes, settings, metrics
+        self,
+        poller,
+        scheduler,
+        routing_state,
+        crashes,
+        settings,
+        metrics,
+        memory=None,
     ):
         """Create the gateway without connections.
 
@@ -63,7 +86,11 @@
         :param crashes: A :class:`~radishferryd.router.crashes.CrashCounts`.
         :param settings: A :class:`~radishferryd.router.settings.Settings`.
         :param metrics: A :class:`~radishferryd.router.metrics.Metrics`.
+        :param memory: The
+            :class:`~radishferryd.router.memory_account.MemoryAccount` of the
+            process, or None for no limit.
         """
+        self.memory = memory or memory_account.unlimited(scheduler.now)
         self.scheduler = scheduler
         self.connections = set()
         #: Whether connections close after their next response.
@@ -87,6 +114,7 @@
             self,
             self.links,
             shared_loads=self.shared_loads,
+            memory=self.memory,
         )
         self.cost_choice = cost_choice.CostChoice(
             self.shared_loads, self.backends.stats, self.data_centre
@@ -99,8 +127,11 @@
             settings.host_data_centre,
             self.links,
             routing_state,
+            self.memory,
         )
         self.announcements = announcements.Announcements()
+        self.admission = admission.Admission()
+        self._refusal_periods = refusal_periods.RefusalPeriods()
         self.budget = budget_module.RetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
@@ -109,6 +140,10 @@
         self.crash_detector = crash_detector.CrashDetector(
             poller, scheduler, self.links, crashes
         )
+        self.outstanding = outstanding_module.Outstanding()
+        self.hang_monitor = hang_monitor.HangMonitor(
+            scheduler, self.backends, self.links, self.outstanding, metrics
+        )
         self._metrics = metrics
         self._stats = {}
         self._keys = collections.defaultdict(list)
@@ -165,6 +200,7 @@
         """Divide connection limits and retry budgets among the hosts."""
         self.host_count = max(1, count)
         self.budget.set_hosts(self.host_count)
+        self.outstanding.hosts = self.host_count
         self._update_connection_limits()
 
     # Planned stop.
@@ -237,6 +273,8 @@
         )
         if origin is None or not origin.attempts:
             self.budget.note_request(service, self.now())
+        if origin is None:
+            self._note_arrival(request, head)
         self.open_requests += 1
         self.open_relayed_requests += request.is_relayed
         # The slot must know its request before a response arrives.
@@ -244,6 +282,19 @@
         request.start()
         return request
 
+    def _note_arrival(self, request, head):
+        """Record a request of a caller for the rule of admission."""
+        now = self.now()
+        route_stats = self.route_stats(request)
+        self.admission.note_arrival(
+            request.service, request.route, route_stats, now
+        )
+        remaining_s = headers.parse_remaining_s(
+            head.header(headers.REMAINING_MS)
+        )
+        if remaining_s is not None:
+            route_stats.note_arrival(remaining_s, now)
+
     def _choose_part(self, route, origin):
         """Return the service of a request.
 
@@ -283,6 +334,15 @@
 
     # Called by requests.
 
+    def end_stalled_callers(self) -> int:
+        """End callers that hold connections to servers by reading nothing.
+
+        :returns: Their number.
+        """
+        return self.memory.end_stalled(
+            memory_account.Budget.RESPONSES, net.HIGH_WATER_BYTES
+        )
+
     def note_key(self, service, key):
         """Record a request for a key, for the next load report."""
         self._keys[service].append(key)
@@ -396,6 +456,7 @@
         """
         detector = self.crash_detector
         if isinstance(result, results.Answered):
+            self._note_report(request, attempt)
             if detector.needs_completions and not headers.implies_not_run(
                 result.head
             ):
@@ -403,11 +464,23 @@
         elif isinstance(result, results.NotRun):
             if result.is_server_dead:
                 detector.note_refused(attempt.server)
+            elif not (result.is_unreachable or result.is_host_exhausted):
+                self._note_report(request, attempt)
         elif result.is_connection_lost and not result.is_unacknowledged:
             detector.note_connection_lost(
                 attempt.server, request.fingerprint, attempt.sent_at
             )
 
+    def _note_report(self, request, attempt):
+        backend = attempt.backend
+        self.admission.note_report(
+            attempt.server,
+            backend.stats,
+            backend.last_queue_length,
+            self.route_stats(request).service_s,
+            self.now(),
+        )
+
     def attempt_lost(self, request, attempt, result):
         """Log a failed attempt that a server may have run."""
         LOG.info(
@@ -488,6 +561,16 @@
             detail,
         )
 
+    def on_load(self, server, load) -> int:
+        """Record a load report, and return the requests left there."""
+        return self.outstanding.note_report(
+            server.service, load.running, load.waiting
+        )
+
+    def on_unanswered(self, server, attempt):
+        """Record that a server sent nothing in the time it was given."""
+        self.hang_monitor.note_unanswered(server, attempt)
+
     def paused_for_s(self, service) -> float:
         """Return the time until the first server of a service ends its pause.
 
@@ -530,6 +613,7 @@
             self._metrics.count_request(
                 request.service, request.route.name, outcome, took_s
             )
+            self._note_admission(request, outcome, now)
         if request.relays:
             self._metrics.count_relay('sent', outcome)
         in_time = took_s <= request.route.target_latency_s
@@ -553,6 +637,25 @@
             },
         )
 
+    def _note_admission(self, request, outcome, now):
+        """Count a request by its rank, and log when refusals begin or end."""
+        rank = request.route.priority
+        is_refused = outcome in _OVERLOAD_OUTCOMES
+        self._metrics.count_admission(
+            request.service, rank, outcome if is_refused else 'admitted'
+        )
+        change = self._refusal_periods.note(
+            request.service, rank, is_refused, now
+        )
+        if change is not None:
+            LOG.info(
+                'admission: %s %s to refuse requests of rank %d.',
+                change.service,
+                'begins' if change.has_begun else 'has ceased',
+                change.rank,
+                extra={'reason': outcome, 'refused': change.refused},
+            )
+
     # Changes of the configuration, servers and owners.
 
     def _on_configuration(self, configuration):
@@ -563,6 +666,7 @@
             for part in route.parts
         }
         self._stats = {k: v for k, v in self._stats.items() if k in names}
+        self.admission.keep_routes(names)
 
     def _update_connection_limits(self):
         configuration = self._routing_state.configuration
--- a/packages/radishferryd/src/radishferryd/router/metrics.py
+++ b/packages/radishferryd/src/radishferryd/router/metrics.py
@@ -4,6 +4,7 @@
 
 from radishferryd import metric_table
 from radishferryd import metrics as recorders
+from radishferryd.router import memory_account
 
 _MAX_SERIES = 2048
 _METRIC = metric_table.Metric
@@ -26,6 +27,25 @@
         {'service': (), 'outcome': ()},
         _MAX_SERIES,
     ),
+    _METRIC(
+        'admissions',
+        'radishferry_admissions_total',
+        'counter',
+        'Requests admitted, or refused for want of room, by service, rank and '
+        'reason.',
+        {
+            'service': (),
+            'rank': (),
+            'decision': (
+                'admitted',
+                'overloaded',
+                'outranked',
+                'too-late',
+                'hot-key',
+            ),
+        },
+        _MAX_SERIES,
+    ),
     _METRIC(
         'refusals',
         'radishferry_early_refusals_total',
@@ -50,12 +70,38 @@
         'a new limit or its end, and malformed ones.',
         {'kind': ('leaving', 'pause', 'limit', 'malformed')},
     ),
+    _METRIC(
+        'hung_requests',
+        'radishferry_hung_requests_total',
+        'counter',
+        'Requests that a server did not answer at all, by what showed it.',
+        {'evidence': ('overtaken', 'report', 'unanswered')},
+    ),
+    _METRIC(
+        'hanging_services',
+        'radishferry_hanging_services',
+        'gauge',
+        'Services whose servers do not answer requests beyond their queue.',
+    ),
     _METRIC(
         'store_calls',
         'radishferry_store_calls_total',
         'gauge',
         "Calls to the platform's store.",
     ),
+    _METRIC(
+        'store_era',
+        'radishferry_store_era',
+        'gauge',
+        'Era that the store names in its answers, 0 without one. It rises '
+        'with each restore from an older copy.',
+    ),
+    _METRIC(
+        'store_restores',
+        'radishferry_store_restores_total',
+        'gauge',
+        'Restores of the store that this process has noticed.',
+    ),
     _METRIC(
         'orders',
         'radishferry_orders_total',
@@ -143,6 +189,17 @@
         'gauge',
         'Requests without an answer.',
     ),
+    _METRIC(
+        'held_bytes',
+        'radishferry_held_bytes',
+        'gauge',
+        'Bytes of memory that callers make this host hold, by what they are: '
+        'connections, heads of requests, bodies being received, bodies kept '
+        'until their response, bodies relayed by other hosts, responses that '
+        'callers or servers have not completed, and bytes that the system '
+        'may hold for connections that are not read.',
+        {'kind': tuple(kind.value for kind in memory_account.Kind)},
+    ),
     _METRIC(
         'dropped_lines',
         'radishferry_dropped_log_lines_total',
@@ -164,6 +221,10 @@
         self.requests.inc(service, route, outcome)
         self.latency.observe(took_s, service, outcome)
 
+    def count_admission(self, service, rank, decision):
+        """Count a request that was admitted, or refused for want of room."""
+        self.admissions.inc(service, str(rank), decision)
+
     def count_refusal(self, reason):
         """Count a request that was answered before it was routed."""
         self.refusals.inc(reason)
@@ -172,6 +233,10 @@
         """Count a request that was sent to or received from another host."""
         self.relayed_requests.inc(direction, outcome)
 
+    def count_hang(self, evidence):
+        """Count a request that a server did not answer at all."""
+        self.hung_requests.inc(evidence)
+
     def count_announcement(self, kind):
         """Count an announcement of a server."""
         self.announcements.inc(kind)
--- a/packages/radishferryd/src/radishferryd/router/server_choice.py
+++ b/packages/radishferryd/src/radishferryd/router/server_choice.py
@@ -25,6 +25,8 @@
         of the route and the service.
     :ivar left_s: Seconds until the deadline of the request.
     :ivar tried: Incarnations to which it has been sent already.
+    :ivar remaining_s: Seconds for which the caller still waits, None if it
+        waits until the deadline of the request.
     """
 
     route: object
@@ -33,6 +35,7 @@
     route_stats: admission.RouteStats
     left_s: float
     tried: tuple[tuple[str, int], ...] = ()
+    remaining_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,13 +53,12 @@
 class Overloaded:
     """Refuse the request, since it would not be answered in time.
 
-    :ivar wait_s: Seconds after which there may be room, before limits and
-        randomisation.
+    :ivar retry_after_s: Seconds after which the caller may retry.
     :ivar facts: Log fields that describe the decision, empty without a server.
     """
 
     reason: results.Reason
-    wait_s: float
+    retry_after_s: float
     detail: str
     facts: dict = dataclasses.field(default_factory=dict)
 
@@ -93,6 +95,18 @@
 
 Decision = typing.Union[Send, Overloaded, NoOwner, NoServer]
 
+_REFUSALS = {
+    admission.Cause.QUEUE: (results.Reason.OVERLOADED, 'has too much work'),
+    admission.Cause.RANK: (
+        results.Reason.OUTRANKED,
+        'keeps its room for more urgent requests',
+    ),
+    admission.Cause.LATE: (
+        results.Reason.TOO_LATE,
+        'has no room for requests that are late',
+    ),
+}
+
 
 def choose(gateway, query: Query, now: float) -> Decision:
     """Return where a request goes now.
@@ -110,7 +124,7 @@
         return NoOwner(results.Reason.NO_OWNER, 'The key has no owner now.')
     backend = gateway.backends.get(server)
     stats = backend.stats
-    state = _state(gateway, server, stats, now)
+    state = _state(gateway, server, stats, query, now)
     if not state.is_available:
         return _owner_unavailable(server, stats, state, now)
     usual = _usual_s(query, stats, now)
@@ -122,19 +136,15 @@
         query.key
     ] >= admission.key_limit(query.route, stats, usual, gateway.host_count):
         return Overloaded(
-            results.Reason.HOT_KEY, expected, 'The key is overloaded.', facts
-        )
-    if not _is_admitted(query, stats, expected, now):
-        return Overloaded(
-            results.Reason.OVERLOADED,
-            expected,
-            f'{server.server_id} has too much work.',
+            results.Reason.HOT_KEY,
+            admission.retry_after_s(expected),
+            'The key is overloaded.',
             facts,
         )
-    return Send(backend, facts)
+    return _admit(gateway, query, backend, expected, facts, now)
 
 
-def _state(gateway, server, stats, now):
+def _state(gateway, server, stats, query, now):
     """Return whether the owner of a key may get a request from this host."""
     if stats.requested_pause_s(now):
         return availability.Unavailable(
@@ -146,7 +156,17 @@
         return availability.Unavailable(
             availability.Reason.RATE_LIMITED, now + permit_wait_s
         )
-    return availability.Available()
+    return _full_state(gateway, server, query, now)
+
+
+def _full_state(gateway, server, query, now):
+    """Return whether a server may get a request beyond those it has."""
+    return gateway.outstanding.check(
+        server,
+        gateway.backends.stats(server),
+        query.route_stats.service_s,
+        now,
+    )
 
 
 def _owner_unavailable(server, stats, state, now):
@@ -162,16 +182,37 @@
             f'{server.server_id} cannot be reached.',
             unreachable=server.incarnation,
         )
+    if state.reason is availability.Reason.FULL:
+        return Overloaded(
+            results.Reason.FULL,
+            admission.retry_after_s(state.until - now),
+            f'{server.server_id} is full.',
+        )
     return Overloaded(
         results.Reason.RATE_LIMITED,
-        state.until - now,
+        admission.retry_after_s(state.until - now),
         f'{server.server_id} has a limit of {stats.limit_per_s} requests a '
         'second.',
     )
 
 
 def _choose_any(gateway, query, now):
-    choice = _cheapest(gateway, query, now)
+    candidates = gateway.availability.candidates(query.service)
+    if candidates and gateway.outstanding.is_hanging(query.service):
+        states = [
+            (server, _full_state(gateway, server, query, now))
+            for server in candidates
+        ]
+        candidates = tuple(s for s, state in states if state.is_available)
+        if not candidates:
+            return Overloaded(
+                results.Reason.FULL,
+                admission.retry_after_s(
+                    min(state.until for _, state in states) - now
+                ),
+                f'All servers of {query.service} are full.',
+            )
+    choice = _cheapest(gateway, query, candidates, now)
     if choice is None:
         return NoServer(
             gateway.paused_for_s(query.service),
@@ -181,18 +222,47 @@
     facts = _facts(
         query, choice.server, backend.stats, choice.expected_s, now, None
     )
-    if not _is_admitted(query, backend.stats, choice.expected_s, now):
-        return Overloaded(
-            results.Reason.OVERLOADED,
-            choice.expected_s,
-            f'{query.service} has too much work.',
-            facts,
-        )
-    return Send(backend, facts)
+    return _admit(gateway, query, backend, choice.expected_s, facts, now)
+
+
+def _admit(gateway, query, backend, expected_s, facts, now):
+    """Send a request to a server, or refuse it for want of room there."""
+    verdict = gateway.admission.decide(
+        admission.Asked(
+            query.service,
+            query.route,
+            query.route_stats,
+            backend.stats,
+            backend.server.data_centre,
+            expected_s,
+            query.left_s,
+            query.left_s if query.remaining_s is None else query.remaining_s,
+            bool(query.tried),
+        ),
+        now,
+    )
+    if isinstance(verdict, admission.Admitted):
+        return Send(backend, facts)
+    reason, why = _REFUSALS[verdict.cause]
+    detail = f'{backend.server.server_id} of {query.service} {why}.'
+    return Overloaded(reason, verdict.retry_after_s, detail, facts)
 
 
-def _cheapest(gateway, query, now):
-    servers = gateway.availability.candidates(query.service)
+def _facts(query, server, stats, expected_s, now, fence):
+    shared = stats.shared
+    return {
+        'server': server.server_id,
+        'load': round(stats.load(now), 1),
+        'slots': stats.slots,
+        'expected_s': round(expected_s, 3),
+        'left_s': round(query.left_s, 3),
+        'fence': fence,
+        'relative_time': shared and round(shared.relative_time, 2),
+        'has_shared_load': stats.has_shared_load(now),
+    }
+
+
+def _cheapest(gateway, query, servers, now):
     if gateway.cost_choice.acts_on(servers, now):
         choice = gateway.cost_choice.choose(
             query.service,
@@ -223,28 +293,3 @@
     if stats.has_shared_load(now) and route_stats.work.is_known:
         return route_stats.work.mean_s
     return route_stats.service_s
-
-
-def _is_admitted(query, stats, expected_s, now):
-    return admission.is_admitted(
-        query.route,
-        stats,
-        _usual_s(query, stats, now),
-        expected_s=expected_s,
-        left_s=query.left_s,
-        now=now,
-    )
-
-
-def _facts(query, server, stats, expected_s, now, fence):
-    shared = stats.shared
-    return {
-        'server': server.server_id,
-        'load': round(stats.load(now), 1),
-        'slots': stats.slots,
-        'expected_s': round(expected_s, 3),
-        'left_s': round(query.left_s, 3),
-        'fence': fence,
-        'relative_time': shared and round(shared.relative_time, 2),
-        'has_shared_load': stats.has_shared_load(now),
-    }
