Give the rule by targets its limit for hot keys

The choice of the server asks the rule for it since the limits go by rank; the rule by targets lacked it, and requests for a key at a server without a free slot ended with an AttributeError.

--- a/packages/radishferry/src/radishferry/direct/admission.py
+++ b/packages/radishferry/src/radishferry/direct/admission.py
@@ -257,6 +257,16 @@
             return Admitted()
         return Refused(Cause.QUEUE, retry_after_s(asked.expected_s))
 
+    def key_limit(self, asked: Asked, hosts, now) -> int:
+        """See :meth:`Admission.key_limit`."""
+        service_s = asked.stats.service_s or asked.route_stats.service_s
+        in_time = HOT_KEY_SHARE * asked.route.target_latency_s / service_s
+        return max(1, math.ceil(asked.stats.slots * in_time / hosts))
+
+    def retry_after_s(self, asked: Asked, now) -> float:
+        """See :meth:`Admission.retry_after_s`."""
+        return retry_after_s(asked.expected_s)
+
 
 class _MeanWait:
     """Average the waits that the servers of one data centre report."""
