--- a/packages/radishferry/src/radishferry/direct/admission.py
+++ b/packages/radishferry/src/radishferry/direct/admission.py
@@ -232,6 +232,9 @@
         :param hosts: Number of hosts that send to the server.
         """
 
+    def retry_after_s(self, asked: Asked, now) -> float:
+        """Return after how many seconds a refused caller may return."""
+
 
 class TargetAdmission:
     """Admit what is expected to be answered within its route's target.
@@ -261,12 +264,16 @@
             allowed_s = min(allowed_s, max(target_s, least_s))
         if asked.expected_s <= allowed_s:
             return Admitted()
-        return Refused(Cause.QUEUE, retry_after_s(asked.expected_s))
+        return Refused(Cause.QUEUE, self.retry_after_s(asked, now))
 
     def key_limit(self, asked: Asked, hosts, now) -> int:
         """See :class:`Rule`."""
         return _key_limit(asked, asked.route.target_latency_s, hosts)
 
+    def retry_after_s(self, asked: Asked, now) -> float:
+        """See :class:`Rule`."""
+        return retry_after_s(asked.expected_s)
+
 
 class _MeanWait:
     """Average the waits that the servers of one data centre report."""
