--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -120,6 +120,7 @@
             settings.host_name,
             lambda: self._gateway.host_count,
             self._gateway.links,
+            settings.placement_spreads_groups,
         )
         self._routing_state.on_servers.append(self._ownership.servers_changed)
         self._relay_directory = relay_directory.RelayDirectory(
--- a/packages/radishferryd/src/radishferryd/router/ownership.py
+++ b/packages/radishferryd/src/radishferryd/router/ownership.py
@@ -61,6 +61,7 @@
         name,
         hosts,
         links,
+        spreads_groups=False,
     ):
         """Create an inactive instance; :meth:`begin` activates it.
 
@@ -72,9 +73,11 @@
         :param links: The
             :class:`~radishferryd.router.link_monitor.LinkMonitor` of this
             host.
+        :param spreads_groups: See :mod:`radishferry.direct.hot_groups`.
         """
         self._scheduler = scheduler
         self._links = links
+        self._spreads_groups = spreads_groups
         self._routing_state = routing_state
         self._term = term
         self._hold_max_s = hold_max_s
@@ -459,7 +462,9 @@
             return placement.initial_layout(
                 [server.incarnation for server in servers]
             )
-        is_small = all(s.slots <= hot_groups.MAX_SLOTS for s in servers)
+        is_small = self._spreads_groups and all(
+            s.slots <= hot_groups.MAX_SLOTS for s in servers
+        )
         service.rates.advance(now, is_fast=is_small)
         to_evacuate = self._owners_to_evacuate(service, now)
         loads = service.rates.load_map
--- a/packages/radishferryd/src/radishferryd/router/settings.py
+++ b/packages/radishferryd/src/radishferryd/router/settings.py
@@ -30,6 +30,7 @@
     stop_grace_s: float
     evacuation_within_s: float = 5.0
     admission_by_rank: bool = False
+    placement_spreads_groups: bool = False
     host_is_first_start: bool = False
     host_link_mbps: float = 1000.0
     host_memory_mb: int = 160
@@ -191,6 +192,15 @@
         'last request must have been sent to its servers.',
         '5',
     ),
+    _option(
+        'placement',
+        'spreads_groups',
+        'true or false',
+        setting_readers.read_true_false,
+        'Whether groups of keys that suddenly become busy are cut into narrow '
+        'ranges and spread over servers with few slots.',
+        'false',
+    ),
     _option(
         'admission',
         'by_rank',
