--- a/packages/radishferryd/src/radishferryd/router/connections.py
+++ b/packages/radishferryd/src/radishferryd/router/connections.py
@@ -245,7 +245,7 @@
         return (
             self._attempt is attempt
             and self.is_connected
-            and not self._pending_data
+            and not self._pending_parts
             and self._head is None
         )
 
