--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -16,16 +16,19 @@
 
 from radishferry.direct import admission
 from radishferry.direct import announcements
+from radishferry.direct import availability
 from radishferry.direct import budget
 from radishferry.direct import capacities
 from radishferry.direct import configuration
 from radishferry.direct import key_map
+from radishferry.direct import outstanding
 from radishferry.direct import rate_limit
 from radishferry.direct import registry
 from radishferry.direct import selection
 from radishferryd import http_message
 from radishferryd.platform import headers
 from radishferryd.router import backends
+from radishferryd.router import bodies
 from radishferryd.router import requests
 
 #: The users' rule: in each span of 4 s a server gets at most one and a half
@@ -55,6 +58,9 @@
     def on_malformed_announcement(self, server, detail):
         """Ignore what is only logged."""
 
+    def on_load(self, server, load):
+        return load.running + load.waiting
+
 
 class _Host:
     """Stand in for the gateway of a host."""
@@ -68,9 +74,17 @@
         self.backends = backends.Backends(None, scheduler, 'h', self.listener)
         self.relays = request_fixtures.relays(scheduler)
         self.backends.configure({'stock': request_fixtures.SERVICE}, hosts)
+        self.availability = availability.ServerAvailability(
+            scheduler.now, registry.Registry()
+        )
         self.budget = budget.RetryBudget(0.2, 60, 10.0)
         self.told_at = None
+        self.outstanding = outstanding.Outstanding(hosts)
         self._stats = admission.RouteStats(configuration.Kind.SAFE)
+        self.admission = admission.Admission()
+
+    def end_stalled_callers(self):
+        return 0
 
     def owner(self, service, key):
         return key_map.Segment(0, 65535, _SERVER.incarnation, 1), _SERVER
@@ -84,17 +98,24 @@
     def route_stats(self, request):
         return self._stats
 
+    def note_answer(self, request, attempt, result):
+        self._stats.note(
+            len(result.body),
+            self.now() - attempt.sent_at,
+            attempt.backend.last_queue_length,
+        )
+
     def wait_for_owner(self, request):
         """Ignore requests that wait."""
 
-    stop_waiting = note_key = finished = lambda *_: None
+    stop_waiting = note_key = finished = end_stalled_callers = lambda *_: None
     attempt_refused = attempt_lost = attempt_ended = lambda *_: None
 
 
 class _Slot:
     """Record the response to the caller."""
 
-    body = ()
+    body = bodies.EMPTY
 
     def __init__(self, now, number):
         self.arrived_at = now
--- a/features/steps/direct_requests_steps.py
+++ b/features/steps/direct_requests_steps.py
@@ -16,11 +16,15 @@
 from radishferry.direct import admission
 from radishferry.direct import budget
 from radishferry.direct import configuration
+from radishferry.direct import cost_choice
 from radishferry.direct import key_map
+from radishferry.direct import outstanding
 from radishferry.direct import registry
 from radishferry.direct import selection
+from radishferry.direct import server_loads
 from radishferryd import http_message
 from radishferryd.platform import headers
+from radishferryd.router import bodies
 from radishferryd.router import requests
 from radishferryd.router import results
 
@@ -63,6 +67,7 @@
         self.relays = request_fixtures.relays(scheduler)
         self.budget = budget.RetryBudget(0.2, 10, 10.0)
         self._stats = admission.RouteStats(configuration.Kind.SAFE)
+        self.admission = admission.Admission()
         self._servers = {
             name: registry.Server(
                 name, 1, 'stock', ('127.0.0.1', 1), 'x', 4, False, 0.0
@@ -74,12 +79,19 @@
             for name, server in self._servers.items()
         }
         self.owner_name = 'a'
-        self.registry = self
+        self.availability = self
+        self.outstanding = outstanding.Outstanding()
+        self.cost_choice = cost_choice.CostChoice(
+            server_loads.SharedLoads(), self.stats, 'x'
+        )
         self.left_names = ['a']
 
-    def usable(self, service):
+    def candidates(self, service):
         return [self._servers[name] for name in self.left_names]
 
+    def cold_s(self, server):
+        return 0.0
+
     def get(self, server):
         return self._backends[server.server_id]
 
@@ -99,6 +111,13 @@
     def route_stats(self, request):
         return self._stats
 
+    def note_answer(self, request, attempt, result):
+        self._stats.note(
+            len(result.body),
+            self.now() - attempt.sent_at,
+            attempt.backend.last_queue_length,
+        )
+
     def wait_for_owner(self, request):
         self.waiting[request] = None
 
@@ -108,6 +127,8 @@
     def paused_for_s(self, service):
         return 0.0
 
+    permit_wait_s = paused_for_s
+
     def note_key(self, service, key):
         """Ignore the key, which only counts as load."""
 
@@ -123,7 +144,7 @@
 class _Slot:
     """Record the response to the caller."""
 
-    body = ()
+    body = bodies.EMPTY
 
     def __init__(self, now, remaining_ms):
         self.arrived_at = now
--- a/packages/radishferryd/src/radishferryd/platform/documents.py
+++ b/packages/radishferryd/src/radishferryd/platform/documents.py
@@ -16,6 +16,9 @@
 OPERATOR_TABLE = 'op'
 #: Key of the configuration in force.
 CONFIGURATION_KEY = 'config'
+#: Start of the keys of rows that ask for the evacuation of a data centre, as
+#: long as they exist; the name of the data centre follows.
+EVACUATION_PREFIX = 'evacuate/'
 #: Table in which servers register themselves; read-only for this system.
 SERVER_TABLE = 'servers'
 
@@ -72,6 +75,24 @@
         raise DocumentError(f'configuration: {exc!r:.200}') from exc
 
 
+def apply_evacuations(data_centres, rows) -> frozenset[str]:
+    """Return the evacuated data centres after some rows were written.
+
+    :param data_centres: Data centres that were evacuated before.
+    :param rows: Rows of :data:`OPERATOR_TABLE` in the order of their writes.
+    """
+    evacuated = set(data_centres)
+    for row in rows:
+        if not row.key.startswith(EVACUATION_PREFIX):
+            continue
+        data_centre = row.key[len(EVACUATION_PREFIX) :]
+        if row.is_deleted:
+            evacuated.discard(data_centre)
+        else:
+            evacuated.add(data_centre)
+    return frozenset(evacuated)
+
+
 def _text(value):
     if not isinstance(value, str):
         raise ValueError(f'expected a string, found {value!r:.40}')
@@ -134,6 +155,8 @@
         ),
         is_keyed=bool(fields.get('sharded')),
         warm_s=_number(fields.get('warm_s') or 0.0, 0, MAX_TIME_S),
+        cold_s=_number(fields.get('warmup_s') or 0.0, 0, MAX_TIME_S),
+        cold_per_s=_number(fields.get('warmup_per_s') or 0.0, 0, MAX_COUNT),
     )
 
 
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -8,14 +8,14 @@
 
 from radishferry.direct import admission
 from radishferry.direct import key_map
-from radishferry.direct import selection
-from radishferryd import http_message
 from radishferryd.platform import headers
 from radishferryd.router import connections
 from radishferryd.router import crashes
 from radishferryd.router import relay_headers
 from radishferryd.router import relays
+from radishferryd.router import request_format
 from radishferryd.router import results
+from radishferryd.router import server_choice
 
 LOG = logging.getLogger(__name__)
 
@@ -58,7 +58,7 @@
         self.service = service
         self._head = slot.head
         self.request_id = slot.head.header(headers.REQUEST_ID)
-        self.body = b''.join(slot.body)
+        self.body = slot.body.hold()
         self.arrived_at = slot.arrived_at
         now = gateway.now()
         remaining = headers.parse_remaining_s(
@@ -127,7 +127,7 @@
     def fingerprint(self):
         """Return a hash that is the same for identical requests."""
         key = self.key if self.is_keyed else None
-        return crashes.fingerprint(self._head, key, self.body)
+        return crashes.fingerprint(self._head, key, self.body.parts())
 
     def start(self):
         """Send the request to a server, or refuse it."""
@@ -150,12 +150,19 @@
         """
         if self._is_done:
             return
+        if not self.is_idempotent:
+            # The attempt goes on, and the body of the fingerprint is freed.
+            _ = self.fingerprint
         self._end()
         attempt, self._attempt = self._attempt, None
         # A request that may run only once is left to complete: its effect
-        # matters without a caller too, and cancelling would not undo it.
-        if attempt is not None and self.is_idempotent:
-            attempt.cancel()
+        # matters without a caller too, and cancelling would not undo it. It
+        # has run when its response has begun.
+        if attempt is not None:
+            if self.is_idempotent or attempt.is_answered:
+                attempt.cancel()
+            else:
+                attempt.resume()
         self._gateway.finished(self, 0, 'cancelled', detail)
 
     def stop(self):
@@ -283,13 +290,15 @@
             self.request_id,
             self._head.method,
             self,
-            self._format_request(now, origin=origin),
+            self._format_head(now, origin=origin),
             None,
             self._used_connections,
+            self.body,
         )
         self._attempt = attempt
         if not backend.send(attempt, self.is_idempotent):
             self._attempt = None
+            attempt.release_body()
             return False
         if not origin.attempts:
             gateway.budget.forget_request(self.service)
@@ -306,9 +315,7 @@
 
     def _relay_after(self, attempt, result):
         """Relay the request after its last attempt to connect failed."""
-        if not isinstance(result, results.NotRun) or (
-            not result.is_unreachable
-        ):
+        if not (isinstance(result, results.NotRun) and result.is_unreachable):
             return False
         target = attempt.server.incarnation if self.is_keyed else self.service
         return self._relay_around(target, self._gateway.now())
@@ -404,10 +411,7 @@
             self._gateway.attempt_lost(self, attempt, result)
             self._start_attempt()
             return
-        elapsed = self._gateway.now() - attempt.sent_at
-        self._gateway.route_stats(self).note(
-            len(result.body), elapsed, attempt.backend.last_queue_length
-        )
+        self._gateway.note_answer(self, attempt, result)
         self._finish_answer(result)
 
     def _finish_answer(self, result):
@@ -443,137 +447,66 @@
                 'No server and no further host can be reached.',
                 admission.retry_after_s(0.5),
             )
-        elif self.is_keyed:
-            self._send_to_owner(now)
         else:
-            self._send_to_any_server(now)
+            self._choose_server(now)
 
-    def _send_to_owner(self, now):
+    def _choose_server(self, now):
+        """Send the request to the chosen server, or end or hold it."""
         gateway = self._gateway
-        segment, server = gateway.owner(self.service, self.key)
-        if server is None:
-            self._wait_for_owner(
-                results.Reason.NO_OWNER, 'The key has no owner now.'
-            )
-            return
-        backend = gateway.backends.get(server)
-        stats = backend.stats
-        if requested_pause_s := stats.requested_pause_s(now):
-            self._wait_for_owner(
+        query = server_choice.Query(
+            self.route,
+            self.service,
+            self.key,
+            gateway.route_stats(self),
+            self._left_s(now),
+            tuple(self._tried),
+            self._caller_deadline - now,
+        )
+        decision = server_choice.choose(gateway, query, now)
+        if isinstance(decision, server_choice.NoServer):
+            self._handle_no_server(decision, now)
+        elif isinstance(decision, server_choice.NoOwner):
+            if decision.unreachable is None or not self._relay_around(
+                decision.unreachable, now
+            ):
+                self._wait_for_owner(
+                    decision.reason, decision.detail, decision.retry_after_s
+                )
+        else:
+            if decision.facts:
+                self._selection = decision.facts
+            if isinstance(decision, server_choice.Send):
+                self._send(decision.backend, now)
+            else:
+                self._refuse_overloaded(
+                    decision.reason, decision.retry_after_s, decision.detail
+                )
+
+    def _handle_no_server(self, decision, now):
+        if decision.paused_for_s and not self._may_have_run:
+            self._refuse(
+                503,
                 results.Reason.SERVER_PAUSED,
-                f'{server.server_id} wants no request now.',
-                admission.retry_after_pause_s(requested_pause_s),
+                f'All servers of {self.service} want a pause.',
+                admission.retry_after_pause_s(decision.paused_for_s),
             )
+        elif self._relay_around(self.service, now):
             return
-        if stats.is_paused(now):
-            if self._relay_around(server.incarnation, now):
-                return
-            self._wait_for_owner(
-                results.Reason.OWNER_UNREACHABLE,
-                f'{server.server_id} cannot be reached.',
-            )
-            return
-        if permit_wait_s := stats.permit_wait_s(now):
+        elif self._last_result is not None:
+            self._give_up(self._last_result)
+        elif decision.permit_wait_s:
             self._refuse_overloaded(
                 results.Reason.RATE_LIMITED,
-                permit_wait_s,
-                f'{server.server_id} has a limit of {stats.limit_per_s} '
-                'requests a second.',
-            )
-            return
-        usual = gateway.route_stats(self).service_s
-        expected = stats.expected_s(usual, now)
-        if server.warmup_s > 0:
-            expected *= selection.WARMUP_FACTOR
-        self._record_selection(server, stats, expected, now, segment.fence)
-        if stats.load(now) >= stats.slots and backend.in_flight_by_key[
-            self.key
-        ] >= admission.key_limit(self.route, stats, usual, gateway.host_count):
-            self._refuse_overloaded(
-                results.Reason.HOT_KEY, expected, 'The key is overloaded.'
-            )
-            return
-        if not self._is_admitted(stats, expected, now):
-            self._refuse_overloaded(
-                results.Reason.OVERLOADED,
-                expected,
-                f'{server.server_id} has too much work.',
+                admission.retry_after_s(decision.permit_wait_s),
+                f'The servers of {self.service} have a limit.',
             )
-            return
-        self._send(backend, now)
-
-    def _send_to_any_server(self, now):
-        gateway = self._gateway
-        stats = gateway.route_stats(self)
-        choice = selection.choose(
-            gateway.registry.usable(self.service),
-            gateway.backends.stats,
-            usual_s=stats.service_s,
-            data_centre=gateway.data_centre,
-            answer_bytes=stats.answer_bytes,
-            now=now,
-            hosts=gateway.host_count,
-            skip=self._tried,
-        )
-        if choice is None:
-            paused_for_s = self._paused_for_s()
-            if paused_for_s and not self._may_have_run:
-                self._refuse(
-                    503,
-                    results.Reason.SERVER_PAUSED,
-                    f'All servers of {self.service} want a pause.',
-                    admission.retry_after_pause_s(paused_for_s),
-                )
-                return
-            if self._relay_around(self.service, now):
-                return
-            if self._last_result is not None:
-                self._give_up(self._last_result)
-                return
-            if permit_wait_s := gateway.permit_wait_s(self.service):
-                self._refuse_overloaded(
-                    results.Reason.RATE_LIMITED,
-                    permit_wait_s,
-                    f'The servers of {self.service} have a limit.',
-                )
-                return
+        else:
             self._refuse(
                 503,
                 results.Reason.NO_SERVER,
                 f'No server of {self.service} can be reached.',
                 admission.retry_after_s(0.5),
             )
-            return
-        chosen = gateway.backends.stats(choice.server)
-        self._record_selection(choice.server, chosen, choice.expected_s, now)
-        if not self._is_admitted(chosen, choice.expected_s, now):
-            self._refuse_overloaded(
-                results.Reason.OVERLOADED,
-                choice.expected_s,
-                f'{self.service} has too much work.',
-            )
-            return
-        self._send(gateway.backends.get(choice.server), now)
-
-    def _record_selection(self, server, stats, expected_s, now, fence=None):
-        self._selection = {
-            'server': server.server_id,
-            'load': round(stats.load(now), 1),
-            'slots': stats.slots,
-            'expected_s': round(expected_s, 3),
-            'left_s': round(self._left_s(now), 3),
-            'fence': fence,
-        }
-
-    def _is_admitted(self, stats, expected_s, now):
-        return admission.is_admitted(
-            self.route,
-            stats,
-            self._gateway.route_stats(self).service_s,
-            expected_s=expected_s,
-            left_s=self._left_s(now),
-            now=now,
-        )
 
     def _send(self, backend, now):
         gateway = self._gateway
@@ -585,16 +518,24 @@
             self.request_id,
             self._head.method,
             self,
-            self._format_request(now, server.server_id),
+            self._format_head(now, server.server_id),
             self.key,
             self._used_connections,
+            self.body,
+        )
+        attempt.expect(
+            now + self._left_s(now), gateway.route_stats(self).service_s
         )
         self._attempt = attempt
         if not backend.send(attempt, self.is_idempotent):
             self._attempt = None
+            attempt.release_body()
+            if gateway.end_stalled_callers():
+                self._schedule_retry(RETRY_BACKOFF_S)
+                return
             self._refuse_overloaded(
                 results.Reason.OVERLOADED,
-                0.3,
+                admission.retry_after_s(0.3),
                 f'All connections to {server.server_id} are in use.',
             )
             return
@@ -603,35 +544,12 @@
         if server.incarnation not in self._tried:
             self._tried.append(server.incarnation)
 
-    def _format_request(self, now, server_id=None, origin=None):
-        """Return the bytes of the request to a server or another host."""
-        connection_options = {
-            name.strip().lower()
-            for name in self._head.header('connection').split(',')
-        }
-        kept = [
-            (name, value)
-            for name, value in self._head.headers
-            if name not in http_message.HOP_BY_HOP_HEADERS
-            and name not in connection_options
-            and name not in relay_headers.OWN_NAMES
-            and name != 'content-length'
-        ]
-        lines = headers.forwarded_headers(
-            kept,
-            max(0.001, self._left_s(now) - RESPONSE_MARGIN_S),
-            server_id,
+    def _format_head(self, now, server_id=None, origin=None):
+        """Return the head of the request to a server or another host."""
+        left_s = self._left_s(now) - RESPONSE_MARGIN_S
+        return request_format.format_head(
+            self._head, self.body.size, left_s, server_id, origin
         )
-        if origin is not None:
-            lines.append(
-                (relay_headers.RELAY, relay_headers.format_origin(origin))
-            )
-        if self.body or self._head.method not in ('GET', 'HEAD', 'DELETE'):
-            lines.append(('Content-Length', str(len(self.body))))
-        head = http_message.format_request(
-            self._head.method, self._head.target, lines
-        )
-        return head + self.body
 
     def _wait_for_owner(self, reason, detail, retry_after_s=None):
         """Wait while the key is being moved, or refuse the request.
@@ -768,11 +686,11 @@
             results.Refusal(502, results.Reason.BAD_ANSWER, detail)
         )
 
-    def _refuse_overloaded(self, reason, expected_s, detail):
+    def _refuse_overloaded(self, reason, retry_after_s, detail):
         if self._may_have_run and not self.is_idempotent:
             self._give_up(self._last_result)
             return
-        self._refuse(503, reason, detail, admission.retry_after_s(expected_s))
+        self._refuse(503, reason, detail, retry_after_s)
 
     def _refuse(self, status, reason, detail, retry_after_s=None):
         self._end()
@@ -785,6 +703,8 @@
         self._slot.refuse(refusal)
 
     def _end(self):
+        if not self._is_done:
+            self.body.release()
         self._is_done = True
         self._timer.cancel()
         self._stop_waiting()
--- a/packages/radishferryd/src/radishferryd/router/results.py
+++ b/packages/radishferryd/src/radishferryd/router/results.py
@@ -101,12 +101,16 @@
     SERVER_PAUSED = 'server-paused'
     RATE_LIMITED = 'rate-limited'
     OVERLOADED = 'overloaded'
+    OUTRANKED = 'outranked'
+    TOO_LATE = 'too-late'
+    FULL = 'full'
     HOT_KEY = 'hot-key'
     POISON = 'poison'
     NOT_RUN = 'not-run'
     BAD_ANSWER = 'bad-answer'
     TIMEOUT = 'timeout'
     STOPPING = 'stopping'
+    MEMORY = 'memory'
     #: A reason that another host gave and this version does not know.
     OTHER = 'other'
 
--- a/packages/radishferryd/src/radishferryd/router/settings.py
+++ b/packages/radishferryd/src/radishferryd/router/settings.py
@@ -28,8 +28,13 @@
     retry_window_s: float
     grants_hold_max_s: float
     stop_grace_s: float
+    evacuation_within_s: float = 5.0
+    admission_by_rank: bool = False
+    placement_spreads_groups: bool = False
     host_is_first_start: bool = False
     host_link_mbps: float = 1000.0
+    host_memory_mb: int = 160
+    host_max_fds: float = 0.0
     retry_hosts: int = 16
     log_level: str = 'info'
     log_format: str = 'json'
@@ -74,6 +79,24 @@
         'link grants keys only if no other host does.',
         '1000',
     ),
+    _option(
+        'host',
+        'memory_mb',
+        'integer',
+        setting_readers.read_count,
+        'Memory that this process may use, in megabytes. Callers that would '
+        'make it hold more are refused.',
+        '160',
+    ),
+    _option(
+        'host',
+        'max_fds',
+        'number',
+        setting_readers.read_number,
+        'Descriptors that this process may use; 0 for the limit that the '
+        'system sets. Connections of callers take up to 60% of them.',
+        '0',
+    ),
     _option(
         'listen',
         'callers',
@@ -160,6 +183,34 @@
         setting_readers.read_number,
         'Seconds after SIGTERM at which the process is killed.',
     ),
+    _option(
+        'evacuation',
+        'within_s',
+        'number',
+        setting_readers.read_number,
+        'Seconds after the request to evacuate a data centre within which the '
+        'last request must have been sent to its servers.',
+        '5',
+    ),
+    _option(
+        'placement',
+        'spreads_groups',
+        'true or false',
+        setting_readers.read_true_false,
+        'Whether groups of keys that suddenly become busy are cut into narrow '
+        'ranges and spread over servers with few slots.',
+        'false',
+    ),
+    _option(
+        'admission',
+        'by_rank',
+        'true or false',
+        setting_readers.read_true_false,
+        'Whether requests of a less urgent rank leave room for more urgent '
+        'ones of the same service, and those whose callers have waited too '
+        'long are refused.',
+        'false',
+    ),
     _option(
         'log',
         'level',
