Remove messages that no part uses

A level of admission that hosts share was weighed and left out (docs/design/admission.md), so the fields that were reserved for it go.

--- a/packages/radishferryd/idl/router.thrift
+++ b/packages/radishferryd/idl/router.thrift
@@ -31,20 +31,6 @@
   3: list<i8> log_times
 }
 
-/* Requests of one rank for a service since the sender's last report. */
-struct ServiceDemand {
-  1: string service_name
-  2: i32 rank
-  3: i32 arrived
-  4: i32 refused
-}
-
-/* Rank and share below which requests for a service are refused. */
-struct AdmissionLevel {
-  1: string service_name
-  2: double level
-}
-
 /* Heartbeat that the granting host sends at a fixed interval. */
 struct Beat {
   1: i32 hosts
@@ -65,7 +51,6 @@
   7: double configuration_age_s
   /* Servers whose load or speed has changed; older versions ignore both. */
   8: optional ServerLoads loads
-  9: optional list<AdmissionLevel> levels
 }
 
 /* Consents to longer grants under one version of the term. */
@@ -173,7 +158,6 @@
   7: optional list<i64> completed
   /* Missing if the sender is of an older version, or has seen none. */
   8: optional ServerLoads loads
-  9: optional list<ServiceDemand> demand
 }
 
 /* Host that reaches servers and takes requests that other hosts relay. */
--- a/packages/radishferryd/src/radishferryd/gen/router/ttypes.py
+++ b/packages/radishferryd/src/radishferryd/gen/router/ttypes.py
@@ -198,164 +198,6 @@
         return not (self == other)
 
 
-class ServiceDemand(object):
-    """
-    Attributes:
-     - service_name
-     - rank
-     - arrived
-     - refused
-
-    """
-
-
-    def __init__(self, service_name=None, rank=None, arrived=None, refused=None,):
-        self.service_name = service_name
-        self.rank = rank
-        self.arrived = arrived
-        self.refused = refused
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I32:
-                    self.rank = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I32:
-                    self.arrived = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.I32:
-                    self.refused = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('ServiceDemand')
-        if self.service_name is not None:
-            oprot.writeFieldBegin('service_name', TType.STRING, 1)
-            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
-            oprot.writeFieldEnd()
-        if self.rank is not None:
-            oprot.writeFieldBegin('rank', TType.I32, 2)
-            oprot.writeI32(self.rank)
-            oprot.writeFieldEnd()
-        if self.arrived is not None:
-            oprot.writeFieldBegin('arrived', TType.I32, 3)
-            oprot.writeI32(self.arrived)
-            oprot.writeFieldEnd()
-        if self.refused is not None:
-            oprot.writeFieldBegin('refused', TType.I32, 4)
-            oprot.writeI32(self.refused)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
-class AdmissionLevel(object):
-    """
-    Attributes:
-     - service_name
-     - level
-
-    """
-
-
-    def __init__(self, service_name=None, level=None,):
-        self.service_name = service_name
-        self.level = level
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.DOUBLE:
-                    self.level = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('AdmissionLevel')
-        if self.service_name is not None:
-            oprot.writeFieldBegin('service_name', TType.STRING, 1)
-            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
-            oprot.writeFieldEnd()
-        if self.level is not None:
-            oprot.writeFieldBegin('level', TType.DOUBLE, 2)
-            oprot.writeDouble(self.level)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class Beat(object):
     """
     Attributes:
@@ -367,12 +209,11 @@
      - wants_long_holds
      - configuration_age_s
      - loads
-     - levels
 
     """
 
 
-    def __init__(self, hosts=None, registry_age_s=None, is_stopping=None, term_version=None, has_usual_holds=None, wants_long_holds=None, configuration_age_s=None, loads=None, levels=None,):
+    def __init__(self, hosts=None, registry_age_s=None, is_stopping=None, term_version=None, has_usual_holds=None, wants_long_holds=None, configuration_age_s=None, loads=None,):
         self.hosts = hosts
         self.registry_age_s = registry_age_s
         self.is_stopping = is_stopping
@@ -381,7 +222,6 @@
         self.wants_long_holds = wants_long_holds
         self.configuration_age_s = configuration_age_s
         self.loads = loads
-        self.levels = levels
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -433,17 +273,6 @@
                     self.loads.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 9:
-                if ftype == TType.LIST:
-                    self.levels = []
-                    (_etype916, _size917) = iprot.readListBegin()
-                    for _i918 in range(_size917):
-                        _elem919 = AdmissionLevel()
-                        _elem919.read(iprot)
-                        self.levels.append(_elem919)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -486,13 +315,6 @@
             oprot.writeFieldBegin('loads', TType.STRUCT, 8)
             self.loads.write(oprot)
             oprot.writeFieldEnd()
-        if self.levels is not None:
-            oprot.writeFieldBegin('levels', TType.LIST, 9)
-            oprot.writeListBegin(TType.STRUCT, len(self.levels))
-            for iter920 in self.levels:
-                iter920.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1428,12 +1250,11 @@
      - crashes
      - completed
      - loads
-     - demand
 
     """
 
 
-    def __init__(self, keys=None, speeds=None, suspects=None, notices=None, reaches_servers=None, crashes=None, completed=None, loads=None, demand=None,):
+    def __init__(self, keys=None, speeds=None, suspects=None, notices=None, reaches_servers=None, crashes=None, completed=None, loads=None,):
         self.keys = keys
         self.speeds = speeds
         self.suspects = suspects
@@ -1442,7 +1263,6 @@
         self.crashes = crashes
         self.completed = completed
         self.loads = loads
-        self.demand = demand
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1533,17 +1353,6 @@
                     self.loads.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 9:
-                if ftype == TType.LIST:
-                    self.demand = []
-                    (_etype921, _size922) = iprot.readListBegin()
-                    for _i923 in range(_size922):
-                        _elem924 = ServiceDemand()
-                        _elem924.read(iprot)
-                        self.demand.append(_elem924)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1608,13 +1417,6 @@
             oprot.writeFieldBegin('loads', TType.STRUCT, 8)
             self.loads.write(oprot)
             oprot.writeFieldEnd()
-        if self.demand is not None:
-            oprot.writeFieldBegin('demand', TType.LIST, 9)
-            oprot.writeListBegin(TType.STRUCT, len(self.demand))
-            for iter925 in self.demand:
-                iter925.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2091,20 +1893,6 @@
     (2, TType.LIST, 'loads', (TType.BYTE, None, False), None, ),  # 2
     (3, TType.LIST, 'log_times', (TType.BYTE, None, False), None, ),  # 3
 )
-all_structs.append(ServiceDemand)
-ServiceDemand.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
-    (2, TType.I32, 'rank', None, None, ),  # 2
-    (3, TType.I32, 'arrived', None, None, ),  # 3
-    (4, TType.I32, 'refused', None, None, ),  # 4
-)
-all_structs.append(AdmissionLevel)
-AdmissionLevel.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
-    (2, TType.DOUBLE, 'level', None, None, ),  # 2
-)
 all_structs.append(Beat)
 Beat.thrift_spec = (
     None,  # 0
@@ -2116,7 +1904,6 @@
     (6, TType.BOOL, 'wants_long_holds', None, None, ),  # 6
     (7, TType.DOUBLE, 'configuration_age_s', None, None, ),  # 7
     (8, TType.STRUCT, 'loads', [ServerLoads, None], None, ),  # 8
-    (9, TType.LIST, 'levels', (TType.STRUCT, [AdmissionLevel, None], False), None, ),  # 9
 )
 all_structs.append(LongHoldConsent)
 LongHoldConsent.thrift_spec = (
@@ -2203,7 +1990,6 @@
     (6, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 6
     (7, TType.LIST, 'completed', (TType.I64, None, False), None, ),  # 7
     (8, TType.STRUCT, 'loads', [ServerLoads, None], None, ),  # 8
-    (9, TType.LIST, 'demand', (TType.STRUCT, [ServiceDemand, None], False), None, ),  # 9
 )
 all_structs.append(RelayHost)
 RelayHost.thrift_spec = (
