--- a/features/steps/direct_relays_steps.py
+++ b/features/steps/direct_relays_steps.py
@@ -100,6 +100,7 @@
             host_data_centre='x',
             retry_hosts=3,
             admission_by_rank=False,
+            balancing_shares_loads=False,
             retry_ratio=0.2,
             retry_slack=64,
             retry_window_s=10,
--- a/packages/radishferryd/src/radishferryd/router/gateway.py
+++ b/packages/radishferryd/src/radishferryd/router/gateway.py
@@ -114,6 +114,7 @@
         )
         #: Loads and speeds of servers with few slots.
         self.shared_loads = server_loads.SharedLoads()
+        self._shares_loads = settings.balancing_shares_loads
         self._has_stale_loads = True
         self.backends = backends_module.Backends(
             poller,
@@ -121,7 +122,7 @@
             settings.host_name,
             self,
             self.links,
-            shared_loads=self.shared_loads,
+            shared_loads=(self.shared_loads if self._shares_loads else None),
             memory=self.memory,
         )
         self.cost_choice = cost_choice.CostChoice(
@@ -424,7 +425,8 @@
 
         :param loads: A :class:`~radishferry.direct.server_loads.Loads`.
         """
-        self.shared_loads.apply(loads, self.now())
+        if self._shares_loads:
+            self.shared_loads.apply(loads, self.now())
 
     def note_answer(self, request, attempt, result):
         """Record what an answer tells about the requests of a route."""
--- a/packages/radishferryd/src/radishferryd/router/settings.py
+++ b/packages/radishferryd/src/radishferryd/router/settings.py
@@ -30,6 +30,7 @@
     stop_grace_s: float
     evacuation_within_s: float = 5.0
     admission_by_rank: bool = False
+    balancing_shares_loads: bool = False
     placement_spreads_groups: bool = False
     host_is_first_start: bool = False
     host_link_mbps: float = 1000.0
@@ -192,6 +193,15 @@
         'last request must have been sent to its servers.',
         '5',
     ),
+    _option(
+        'balancing',
+        'shares_loads',
+        'true or false',
+        setting_readers.read_true_false,
+        'Whether hosts share the loads and speeds of servers with few slots, '
+        'and choose these servers by the cost of requests.',
+        'false',
+    ),
     _option(
         'placement',
         'spreads_groups',
