--- a/review/lab2/http.py
+++ b/review/lab2/http.py
@@ -5,20 +5,30 @@
 import asyncio
 import contextlib
 import dataclasses
+import random
 import socket
 import urllib.parse
 
 LOOPBACK = '127.0.0.1'
 
 
+#: Ports below those that the system gives to outgoing connections, one of
+#: which could otherwise take a port before its process listens there.
+PORTS = range(10240, 32000)
+
+
 def free_ports(count):
     """Return ports on which nothing listens now."""
     with contextlib.ExitStack() as stack:
         found = []
-        for _ in range(count):
+        while len(found) < count:
+            port = random.choice(PORTS)
             sock = stack.enter_context(socket.socket())
-            sock.bind((LOOPBACK, 0))
-            found.append(sock.getsockname()[1])
+            try:
+                sock.bind((LOOPBACK, port))
+            except OSError:
+                continue
+            found.append(port)
         return found
 
 
