Add review case 10: a pause of more than a minute is cut to a minute

Cause: ServerStats.note_requested_pause bounds a pause by MAX_REQUESTED_PAUSE_S, and what follows the probe is not bounded.

The stand-ins remove the files of the hosts and end them on SIGTERM.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # dependencies beyond the standard library, so this only compiles them.
 set -e
 cd "$(dirname "$0")"
-python3 - lab2 6 7 8 9 <<'PY'
+python3 - lab2 6 7 8 9 10 <<'PY'
 import ast
 import pathlib
 import sys
--- a/review/lab2/bed.py
+++ b/review/lab2/bed.py
@@ -6,6 +6,7 @@
 import itertools
 import os
 import pathlib
+import shutil
 import signal
 import subprocess
 import tempfile
@@ -178,11 +179,18 @@
             self.note('host is ready', host=host.name)
 
     def stop(self):
-        """End the hosts that were started."""
+        """End the hosts that were started, and remove their files.
+
+        With KEEP_LOGS in the environment the files stay.
+        """
         for host in self.hosts:
             if host.process is not None and host.process.poll() is None:
                 host.process.send_signal(signal.SIGKILL)
                 host.process.wait()
+        if os.environ.get('KEEP_LOGS'):
+            print(f'the logs of the hosts are in {self.folder}')
+        else:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     async def request(
         self, host, method, path, deadline_s=2.5, key=None, body=b''
--- a/review/lab2/play.py
+++ b/review/lab2/play.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import traceback
 
@@ -26,6 +27,9 @@
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
 
     async def run():
+        loop = asyncio.get_running_loop()
+        this_task = asyncio.current_task()
+        loop.add_signal_handler(signal.SIGTERM, this_task.cancel)
         bed = bed_module.Bed(**bed_options)
         try:
             return await asyncio.wait_for(play(bed, has_trouble), LIMIT_S)
@@ -35,7 +39,7 @@
 
     try:
         broken = asyncio.run(run())
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         traceback.print_exc()
         print('the case could not run')
         sys.exit(CANNOT_RUN)
