--- a/review/6/case.py
+++ b/review/6/case.py
@@ -44,8 +44,11 @@
         for request_id, parts in upstream.late:
             body = b''.join(parts)
             bed.note(
-                'read as the body', upstream=upstream.id, id=request_id,
-                size=len(body), bytes=body,
+                'read as the body',
+                upstream=upstream.id,
+                id=request_id,
+                size=len(body),
+                bytes=body,
             )
             if request_id == slow_id and not BODY.startswith(body):
                 found.append(body)
--- a/review/lab2/http.py
+++ b/review/lab2/http.py
@@ -172,7 +172,6 @@
             self._writers.discard(writer)
             writer.close()
 
-
     async def _wait_for_body(self, request, reading):
         """Return whether the body comes within the time that it is given."""
         timeout_s = self._late.body_wait_s if self._late else None
--- a/review/lab2/store.py
+++ b/review/lab2/store.py
@@ -99,9 +99,7 @@
         limit = int(query.get('limit', 500))
         keys = sorted(k for t, k in self._rows if t == table and k >= start)
         rows = [self._encode(table, key) for key in keys[:limit]]
-        return self._answer(
-            200, {'rows': rows, 'has_more': len(keys) > limit}
-        )
+        return self._answer(200, {'rows': rows, 'has_more': len(keys) > limit})
 
     async def _feed(self, query):
         table, after = query['table'], int(query['after'])
--- a/review/lab2/tokens.py
+++ b/review/lab2/tokens.py
@@ -78,9 +78,7 @@
     """
     await bed.store.start()
     upstreams = [
-        upstream_module.Upstream(
-            bed, n, 'keyed', work_s=WORK_S, slots=SLOTS
-        )
+        upstream_module.Upstream(bed, n, 'keyed', work_s=WORK_S, slots=SLOTS)
         for n in range(UPSTREAMS)
     ]
     for upstream in upstreams:
--- a/review/lab2/upstream.py
+++ b/review/lab2/upstream.py
@@ -165,7 +165,11 @@
                 kept.append((end + 1, last, fence, until))
         self._grants = kept
         self.bed.note(
-            'release', upstream=self.id, born=self.born, start=start, end=end,
+            'release',
+            upstream=self.id,
+            born=self.born,
+            start=start,
+            end=end,
             fence=order['fence'],
         )
         lines = [*self._headers(request), ('X-Handover', f'h{start}')]
