--- a/review/6/case.py
+++ b/review/6/case.py
@@ -12,12 +12,13 @@
 from lab2 import upstream as upstream_module  # noqa: E402
 
 HEARTBEAT_S = 1.5
+UPSTREAMS = 8
 SLOTS = 3
 WORK_S = 0.14
 #: Connections that an upstream accepts; the host uses 85% of them.
 CONNECTIONS = 12
 HOST_CONNECTIONS = 10
-#: Seconds of work while the upstreams are slow, five times the usual.
+#: Seconds of work while one upstream is slow, five times the usual.
 SLOW_WORK_S = 0.7
 #: Bytes of a download, the largest of the small deployments.
 ANSWER_BYTES = 540_000
@@ -59,7 +60,7 @@
     await bed.store.start()
     upstreams = [
         upstream_module.Upstream(bed, n, 'keyed', work_s=WORK_S, slots=SLOTS)
-        for n in range(6)
+        for n in range(UPSTREAMS)
     ]
     for upstream in upstreams:
         upstream.answer_bytes = ANSWER_BYTES
@@ -113,9 +114,11 @@
     else:
         await slow.receive()
     await asyncio.sleep(STILL_S)
+    owner = next(u for u in upstreams if u.id == grant['upstream'])
     for upstream in upstreams:
         upstream.answer_bytes = 200
-        upstream.work_s = SLOW_WORK_S
+    owner.work_s = SLOW_WORK_S
+    bed.note('turns slow', upstream=owner.id)
     others = []
     for number in range(HOST_CONNECTIONS):
         others.append(
@@ -145,8 +148,8 @@
             )
         )
         if number == 20:
-            for upstream in upstreams:
-                upstream.work_s = WORK_S
+            owner.work_s = WORK_S
+            bed.note('is slow no more', upstream=owner.id)
         await asyncio.sleep(GAP_S)
     await asyncio.gather(*others)
     await asyncio.sleep(0.5)
