Use no connection again whose request was not sent in full

Cause: a connection to a server, or to another host, counted as reusable as soon as its response was complete and no written byte was queued. A request of which fewer bytes were written than its head declares left the server waiting for the rest, which then came from the next request.

Why this works: each attempt knows the bytes that its head declares, the connection subtracts what it writes, and closes after the response if anything is missing, whatever the reason. It logs that as an error, since it is a fault of the host.

Test: "A connection with ... of 10 bytes of a body" in direct_connections.feature; the examples with 0 and 9 bytes failed before.

--- a/features/direct_connections.feature
+++ b/features/direct_connections.feature
@@ -188,3 +188,18 @@
       | another | no requests for 0.35 s |
       | itself  | further requests       |
       | nothing | further requests       |
+
+  # Guards against a server that reads the next request on a connection as the
+  # missing part of the body before it, whatever made the host send too little.
+  Scenario Outline: A connection with <sent> of 10 bytes of a body is <reused>
+    Given a connection to a server
+    When request "r2" is sent with <sent> of the 10 bytes of its body
+    And the server sends a response to "r2"
+    Then request "r2" gets the response to "r2"
+    And the connection is <reused>
+
+    Examples:
+      | sent | reused         |
+      | 0    | not used again |
+      | 9    | not used again |
+      | 10   | kept for reuse |
--- a/features/steps/direct_connections_steps.py
+++ b/features/steps/direct_connections_steps.py
@@ -6,6 +6,7 @@
 import errno
 import itertools
 import socket as socket_module
+import types
 from unittest import mock
 
 import behave
@@ -16,6 +17,7 @@
 from radishferry.direct import registry
 from radishferryd import net
 from radishferryd.router import backends
+from radishferryd.router import bodies
 from radishferryd.router import connections
 from radishferryd.router import link_monitor
 from radishferryd.router import results
@@ -52,7 +54,7 @@
         yield opened
 
 
-def _send_unsettled(context, request_id):
+def _send_unsettled(context, request_id, body=bodies.EMPTY):
     """Send an attempt; on a new connection it waits for the settle time."""
     sink = _Sink()
     used = context.used_connections.setdefault(request_id, [])
@@ -63,6 +65,7 @@
         sink,
         request_id.encode(),
         used_connections=used,
+        body=body,
     )
     assert context.backend.send(attempt, True)
     used.append(attempt.connection)
@@ -72,8 +75,8 @@
     return sink
 
 
-def _send(context, request_id):
-    sink = _send_unsettled(context, request_id)
+def _send(context, request_id, body=bodies.EMPTY):
+    sink = _send_unsettled(context, request_id, body)
     context.scheduler.advance(0.01)
     return sink
 
@@ -220,6 +223,18 @@
         context.sink.when_done = lambda: _send(context, 'r3')
 
 
+@behave.when('request "r2" is sent with {sent:d} of the 10 bytes of its body')
+def send_incomplete(context, sent):
+    body = types.SimpleNamespace(
+        size=10,
+        is_small=True,
+        parts=lambda: [b'b' * sent],
+        release=lambda: None,
+    )
+    body.hold = lambda: body
+    context.sink = _send(context, 'r2', body)
+
+
 @behave.when('request "{request_id}" is sent again')
 def send_again(context, request_id):
     context.sink = _send(context, request_id)
@@ -280,6 +295,12 @@
     assert len(context.sockets) == 2
 
 
+@behave.then('the connection is kept for reuse')
+def reused(context):
+    _send(context, 'r9')
+    assert len(context.sockets) == 1 and context.sockets[0].is_open
+
+
 @behave.then('request "r3" is sent on another connection')
 def r3_on_another(context):
     context.scheduler.advance(0.01)
--- a/packages/radishferryd/src/radishferryd/router/connections.py
+++ b/packages/radishferryd/src/radishferryd/router/connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import logging
 import math
 import typing
 
@@ -14,6 +15,8 @@
 from radishferryd.router import memory_account
 from radishferryd.router import results
 
+LOG = logging.getLogger(__name__)
+
 #: Connect timeout in seconds. Data centres are about 1 ms apart, so only an
 #: unreachable server takes this long.
 CONNECT_TIMEOUT_S = 0.35
@@ -71,6 +74,8 @@
             ends.
         """
         self._body = body.hold()
+        #: Bytes of the whole request, as its head declares them.
+        self.size = len(data) + body.size
         self.backend = backend
         self.used_connections = used_connections
         self.key = key
@@ -184,6 +189,8 @@
         self._is_close_delimited = False
         self._keep_alive = True
         self._pending_parts = []
+        #: Bytes of the current request that have not been written.
+        self._unwritten_bytes = 0
         #: Bytes of a response that is buffered.
         self._lease = backend.memory.lease(
             memory_account.Budget.RESPONSES, memory_account.Kind.RESPONSE
@@ -223,6 +230,7 @@
         self._idle_s = now - self.idle_since if self.is_connected else None
         self._head = None
         self._unusable_bytes = 0
+        self._unwritten_bytes = attempt.size
         self.last_request_id = attempt.request_id
         if self.is_connected:
             self._write(attempt.take_parts())
@@ -231,6 +239,7 @@
 
     def _write(self, parts):
         for part in parts:
+            self._unwritten_bytes -= len(part)
             self._connection.write(part)
 
     def abort(self):
@@ -517,11 +526,9 @@
     def _finish_completed(self, is_reusable):
         """Return the connection to the pool or reset it, and report."""
         (attempt, result), self._completed = self._completed, None
-        # If the server responded before the whole request was sent, the rest
-        # must not follow on a connection that is reused.
         if (
             not is_reusable
-            or self._connection.queued_bytes
+            or not self._is_request_sent()
             or not self._keep_alive
             or not self._parser.is_between_messages
         ):
@@ -532,6 +539,23 @@
             self._backend.connection_idle(self)
         attempt.finish(result)
 
+    def _is_request_sent(self):
+        """Return whether the server gets the whole request.
+
+        It would read the next request as the part that is missing.
+        """
+        if self._unwritten_bytes:
+            LOG.error(
+                'backends: A request to %s was not sent in full; its '
+                'connection is closed.',
+                self._backend.server.server_id,
+                extra={
+                    'request_id': self.last_request_id,
+                    'missing_bytes': self._unwritten_bytes,
+                },
+            )
+        return not (self._unwritten_bytes or self._connection.queued_bytes)
+
     def _result(self, head, body):
         self._backend.note_load(head)
         if headers.is_not_run(head):
