Raise an error when a released body is to be sent

A body that its last user had released kept its length.

hold(), parts() and size raise ReleasedError from then on.

Tests: "A released body cannot be sent" in direct_memory.feature, which failed before.

--- a/features/direct_memory.feature
+++ b/features/direct_memory.feature
@@ -67,3 +67,10 @@
       | size  |
       | 7     |
       | 65536 |
+
+  # Guards against a request whose head declares a body that has been freed: the
+  # server reads what comes next on the connection as that body.
+  Scenario: A released body cannot be sent
+    Given a connection of a caller
+    And that the host has 160 MB
+    Then a body can be sent until its last user has released it
--- a/packages/radishferryd/src/radishferryd/router/bodies.py
+++ b/packages/radishferryd/src/radishferryd/router/bodies.py
@@ -13,12 +13,18 @@
 STEP_BYTES = 1048576
 
 
+class ReleasedError(RuntimeError):
+    """A body was to be used after its last user had released it."""
+
+
 class Body:
     """Collect the parts of a body, and give them to those that send it.
 
     Each user of the body calls :meth:`hold`, except the one that created it,
     and :meth:`release`. Blocks that wait to be written stay in memory until
-    then, also after the last user has released the body.
+    then, also after the last user has released the body. Nobody else can use
+    it from then on: it would be sent as an empty one, or with a length that
+    nothing follows.
     """
 
     def __init__(self, lease=None):
@@ -32,7 +38,17 @@
         self._blocks = []
         self._room = 0
         self._users = 1
-        self.size = 0
+        self._size = 0
+        self._is_released = False
+
+    @property
+    def size(self) -> int:
+        """Return the number of bytes received.
+
+        :raises ReleasedError: The last user has released the body.
+        """
+        self._check()
+        return self._size
 
     @property
     def lease(self):
@@ -46,9 +62,9 @@
 
     def append(self, data):
         """Add received bytes, however few they are at a time."""
-        self.size += len(data)
+        self._size += len(data)
         if not self._blocks:
-            if self.size <= memory_account.SMALL_BYTES:
+            if self._size <= memory_account.SMALL_BYTES:
                 self._start += data
                 return
             data = self._start + data
@@ -73,7 +89,11 @@
             data = data[len(part) :]
 
     def parts(self):
-        """Return the bytes in parts that refer to the body."""
+        """Return the bytes in parts that refer to the body.
+
+        :raises ReleasedError: The last user has released the body.
+        """
+        self._check()
         if not self._blocks:
             return [bytes(self._start)] if self._start else []
         found = [memoryview(block) for block in self._blocks]
@@ -81,7 +101,11 @@
         return found
 
     def hold(self):
-        """Return the body for another user."""
+        """Return the body for another user.
+
+        :raises ReleasedError: The last user has released the body.
+        """
+        self._check()
         self._users += 1
         return self
 
@@ -90,9 +114,14 @@
         self._users -= 1
         if self._users or self._lease is None:
             return
+        self._is_released = True
         self._start, self._blocks = bytearray(), []
         self._lease.release()
 
+    def _check(self):
+        if self._is_released:
+            raise ReleasedError('the last user has released the body')
+
 
 #: Body of requests without one.
 EMPTY = Body()
