Free a response whose caller is ended to make room for it

Cause: a response takes memory from the account, which may end callers that do not read. The caller of this very response may be one of them, if it pipelines. Its connection to the server was closed and its lease released, then the lease took the bytes, for good. If they did not fit, the ended attempt was used, and the error closed the connection.

Why this works: the connection looks again at whether it still has an attempt after it has asked for room, and gives the bytes back if not.

Test: "A response whose caller is ended for it leaves nothing behind" in direct_connections.feature, which failed before (9,999 bytes stayed).

--- a/features/direct_connections.feature
+++ b/features/direct_connections.feature
@@ -203,3 +203,10 @@
       | 0    | not used again |
       | 9    | not used again |
       | 10   | kept for reuse |
+
+  # Guards against memory that counts as used for good, and against an error,
+  # when room for a response is made by ending the very caller that it is for.
+  Scenario: A response whose caller is ended for it leaves nothing behind
+    Given a connection to a server of a host whose memory is used up
+    When the caller of "r2" is ended to make room for its response
+    Then the connection is closed, and nothing is held for the response
--- a/features/steps/direct_connections_steps.py
+++ b/features/steps/direct_connections_steps.py
@@ -20,6 +20,7 @@
 from radishferryd.router import bodies
 from radishferryd.router import connections
 from radishferryd.router import link_monitor
+from radishferryd.router import memory_account
 from radishferryd.router import results
 
 #: Before a test replaces it.
@@ -461,3 +462,39 @@
 @behave.then('it gets further requests')
 def gets_more(context):
     assert not context.backend.stats.is_paused(context.scheduler.now())
+
+
+@behave.given('a connection to a server of a host whose memory is used up')
+def memory_used_up(context):
+    unused(context)
+    context.account = memory_account.MemoryAccount(
+        0, 100, context.scheduler.now
+    )
+    context.backend.memory = context.account
+    budget = memory_account.Budget.RESPONSES
+    context.unread = context.account.lease(
+        budget, memory_account.Kind.RESPONSE, lambda: _end_caller(context)
+    )
+    context.unread.set(int(context.account.limit(budget)))
+
+
+def _end_caller(context):
+    context.unread.release()
+    context.attempt.cancel()
+
+
+@behave.when('the caller of "r2" is ended to make room for its response')
+def ended_for_response(context):
+    context.sink = _send_unsettled(context, 'r2')
+    context.attempt = context.used_connections['r2'][0]._attempt
+    context.scheduler.advance(memory_account.STALL_S)
+    context.sockets[0].deliver(
+        _format_response(200, 'r2', b'x' * 9999, _SIGNED)
+    )
+
+
+@behave.then('the connection is closed, and nothing is held for the response')
+def nothing_held(context):
+    assert not context.sockets[0].is_open
+    assert not context.account.held(memory_account.Kind.RESPONSE)
+    assert context.sink.result is None, context.sink.result
--- a/packages/radishferryd/src/radishferryd/router/connections.py
+++ b/packages/radishferryd/src/radishferryd/router/connections.py
@@ -436,7 +436,13 @@
         self._size += len(data)
         if self._size > MAX_UNUSABLE_BYTES and not self._may_stream():
             self._abort_with(self._oversized_result())
-        elif not self._has_room(len(data)) or self._size > BUFFER_BYTES:
+            return
+        has_room = self._has_room(len(data))
+        if self._attempt is None:
+            # The caller of this request was ended to make room.
+            self._parts = []
+            self._lease.release()
+        elif not has_room or self._size > BUFFER_BYTES:
             self._is_streaming = True
             self._lease.release()
             self._attempt.sink.on_stream_head(self._attempt, self._head)
