Skip jobs that have ended before their turn

Cause: the dispatcher starts, expires or drains a list of work, and looks up each job. The refusal of one may end another one, such as the one behind it on the connection of its caller. The look-up of that one failed with KeyError, and the jobs behind it in the list were neither sent nor refused, while their slots counted as used.

Why this works: a job that is not there any more is skipped in its turn.

Test: "A job that ends before its turn does not stop the others" in dispatch.feature, which ended with KeyError before.

--- a/features/dispatch.feature
+++ b/features/dispatch.feature
@@ -172,3 +172,13 @@
       | seconds |
       | 0.01    |
       | 1       |
+
+  # Guards against jobs that are never sent or refused, since the work that is
+  # started with them includes a job that has ended meanwhile.
+  Scenario: A job that ends before its turn does not stop the others
+    Given a dispatcher with 3 slots
+    And the dispatcher may not send work
+    When 3 jobs arrive for range 1
+    And the dispatcher may send work, and the first job ends the second
+    Then 3 jobs have ended
+    And the dispatcher is idle
--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -161,6 +161,20 @@
     _arrive(context, range_id)
 
 
+@behave.when('the dispatcher may send work, and the first job ends the second')
+def first_ends_second(context):
+    first, second = context.sinks[0], context.jobs[1]
+    first.on_refused = lambda refusal: second.cancel()
+    context.pool.is_exhausted = context.can_send_work = True
+    context.dispatcher.pump()
+
+
+@behave.then('{count:d} jobs have ended')
+def jobs_have_ended(context, count):
+    found = [job for job in context.jobs if job.result is not None]
+    assert len(found) == count, found
+
+
 @behave.when('a long job arrives for range {range_id:d}')
 def long_job_arrives(context, range_id):
     _arrive(context, range_id, 'file')
--- a/packages/radishferryd/src/radishferryd/dispatch.py
+++ b/packages/radishferryd/src/radishferryd/dispatch.py
@@ -166,14 +166,14 @@
     def _pump_once(self):
         now = self.scheduler.now()
         if self.view.can_send_work(now):
-            for work in self.queue.start(now):
-                self._jobs[work.work_id].start(now)
+            for job in self._remaining(self.queue.start(now)):
+                job.start(now)
         self._refuse_expired(now)
 
     def refuse_queued(self):
         """Refuse all queued jobs, because this host stood down."""
-        for work in self.queue.drain():
-            self._jobs[work.work_id].refuse(
+        for job in self._remaining(self.queue.drain()):
+            job.refuse(
                 outcomes.Reason.STALE_ROUTE,
                 job_module.MOVE_RETRY_S,
                 'The server is being moved to another coordinator.',
@@ -221,6 +221,17 @@
         if self._jobs:
             self.pump()
 
+    def _remaining(self, works):
+        """Yield the jobs of some work that have not ended by their turn.
+
+        The end of one may end others, such as those behind it on the
+        connection of its caller.
+        """
+        for work in works:
+            job = self._jobs.get(work.work_id)
+            if job is not None:
+                yield job
+
     def _check(self, job, now):
         request = job.request
         if not self.view.term or not self._holds(request):
@@ -237,10 +248,9 @@
         return request.range_id < 0 or request.range_id in self.view.active
 
     def _refuse_expired(self, now):
-        for work in self.queue.expire(now):
-            job = self._jobs[work.work_id]
+        for job in self._remaining(self.queue.expire(now)):
             wait_s = self.queue.expected_wait
-            if work.deadline <= now:
+            if job.work.deadline <= now:
                 job.refuse(
                     outcomes.Reason.DEADLINE,
                     wait_s,
