Start no attempt for a request that has ended

Cause: a request that finds no free connection to its server lets the host end callers that do not read their responses. Its own caller was one of them, so the request had ended when that returned, and its body had been released. It scheduled a retry all the same, and neither a retry nor a change of owners looked at whether the request had ended. The same holds for a request that another one ends while both are told of new owners.

Why this works: the request looks at whether it has ended after it has let the host end callers and before each attempt, and a request that does not wait ignores a change of owners.

Deadlines, planned stops, callers that leave while a body is coming in, pipelined requests, interim responses and relaying were read and need no change.

--- a/features/direct_requests.feature
+++ b/features/direct_requests.feature
@@ -147,3 +147,22 @@
     When no descriptor is left for a connection to server "a"
     Then the request is refused with status 503
     And the request has been sent to "a"
+
+  # Guards against a request that a server gets without its body, so that it
+  # reads the next request on the connection as that body: the host had ended
+  # the caller to free connections, and sent the request nevertheless.
+  Scenario: A request that is ended while connections are freed is not sent
+    Given all connections to server "a" are in use
+    When a request comes whose caller is ended to free connections
+    And the connections to server "a" become free
+    And 1 seconds pass for the request
+    Then the request has been sent to "a"
+    And no request is waiting
+
+  # Guards against the same for requests that are told of a new owner one after
+  # the other, when one of them ends the caller of a later one.
+  Scenario: A request that is ended while owners change is not sent
+    Given all connections to server "a" are in use
+    And two more requests that wait for a connection
+    When the key moves to server "b", where the first ends the second
+    Then only the first of them is waiting
--- a/features/steps/direct_requests_steps.py
+++ b/features/steps/direct_requests_steps.py
@@ -33,6 +33,7 @@
     """Record the attempts at one server."""
 
     is_relay = False
+    is_full = False
 
     def __init__(self, server, sent, now):
         self.server = server
@@ -42,6 +43,8 @@
         self._now = now
 
     def send(self, attempt, is_idempotent):
+        if self.is_full:
+            return False
         self._sent.append(attempt)
         attempt.connection = mock.Mock(number=len(self._sent))
         self.stats.note_sent(self._now())
@@ -85,6 +88,8 @@
             server_loads.SharedLoads(), self.stats, 'x'
         )
         self.left_names = ['a']
+        #: Requests whose callers are ended to free connections.
+        self.requests_to_end = []
 
     def candidates(self, service):
         return [self._servers[name] for name in self.left_names]
@@ -124,6 +129,11 @@
     def stop_waiting(self, request):
         self.waiting.pop(request, None)
 
+    def end_stalled_callers(self):
+        for request in self.requests_to_end:
+            request.cancel('the caller was ended')
+        return True
+
     def paused_for_s(self, service):
         return 0.0
 
@@ -251,6 +261,43 @@
     _request(context).start()
 
 
+@behave.given('all connections to server "a" are in use')
+def connections_in_use(context):
+    context.gateway.get(types.SimpleNamespace(server_id='a')).is_full = True
+
+
+@behave.when('the connections to server "a" become free')
+def connections_free(context):
+    context.gateway.get(types.SimpleNamespace(server_id='a')).is_full = False
+
+
+@behave.when('a request comes whose caller is ended to free connections')
+def ended_to_free(context):
+    request = _request(context)
+    context.gateway.requests_to_end = [request]
+    request.start()
+
+
+@behave.given('two more requests that wait for a connection')
+def two_waiting(context):
+    for _ in range(2):
+        another_request(context)
+    assert len(context.gateway.waiting) == 2
+
+
+@behave.when('the key moves to server "b", where the first ends the second')
+def first_ends_second(context):
+    context.first, second = context.gateway.waiting
+    context.gateway.requests_to_end = [second]
+    context.gateway.get(types.SimpleNamespace(server_id='b')).is_full = True
+    key_moves(context)
+
+
+@behave.then('only the first of them is waiting')
+def only_first_waits(context):
+    assert list(context.gateway.waiting) == [context.first]
+
+
 @behave.when('no descriptor is left for a connection to server "a"')
 def no_descriptor(context):
     context.gateway.sent[-1].finish(
--- a/packages/radishferryd/src/radishferryd/router/requests.py
+++ b/packages/radishferryd/src/radishferryd/router/requests.py
@@ -186,6 +186,9 @@
 
     def owner_changed(self):
         """Retry after a key map change, unless the rejecting owner stays."""
+        if not self._is_waiting:
+            # An earlier request that was notified has ended this one.
+            return
         if self._rejected_by is not None:
             _, server = self._gateway.owner(self.service, self.key)
             if server is not None and server.incarnation == self._rejected_by:
@@ -426,6 +429,9 @@
     # Server selection.
 
     def _start_attempt(self):
+        if self._is_done:
+            # Its body has been released.
+            return
         now = self._gateway.now()
         if self._left_s(now) < MIN_ATTEMPT_S:
             self._give_up(self._last_result)
@@ -530,7 +536,11 @@
         if not backend.send(attempt, self.is_idempotent):
             self._attempt = None
             attempt.release_body()
-            if gateway.end_stalled_callers():
+            may_retry = gateway.end_stalled_callers()
+            if self._is_done:
+                # The caller of this request was one of them.
+                return
+            if may_retry:
                 self._schedule_retry(RETRY_BACKOFF_S)
                 return
             self._refuse_overloaded(
