Keep what a server has asked for while its entry is missing

Cause: the pause, and the limit that a server names, are kept with the connections of a host to that server, and were dropped with its entry. A server that does not reach the store for a moment is listed again as the same incarnation, and the host knew nothing of it.

Why this works: what a host holds for an incarnation now outlives the entry as long as it has an effect: a pause, the single request after it, a limit, a share while cold, a backoff, or open connections. How the entry vanished makes no difference, since all lists of servers pass through the same function. Loads, speeds and the share of failures are forgotten as before, since they limit nothing and the next responses show them again. The next incarnation begins without any of this.

What a server says of its leaving was already kept by its incarnation.

--- a/packages/radishferry/src/radishferry/direct/selection.py
+++ b/packages/radishferry/src/radishferry/direct/selection.py
@@ -255,6 +255,18 @@
         """
         return now < max(self._backoff_until, self._requested_pause_until)
 
+    def is_restricted(self, now) -> bool:
+        """Return whether requests to the server are limited in any way.
+
+        By what it has asked for, by its warm-up, or by a backoff. Its load,
+        speed and failures limit nothing: the next answers show them again.
+        """
+        return (
+            self._needs_probe
+            or self.is_paused(now)
+            or next(self._limits(now), None) is not None
+        )
+
     def failure_share(self, now) -> float:
         """Return the share of recent requests that failed, 0 to 1."""
         age = max(0.0, now - self._failure_at)
--- a/packages/radishferryd/src/radishferryd/router/app.py
+++ b/packages/radishferryd/src/radishferryd/router/app.py
@@ -423,6 +423,7 @@
                     'is_paused': backend.stats.is_paused(now),
                     'asked_pause_s': backend.stats.requested_pause_s(now),
                     'connections': backend.open_connections,
+                    'is_listed': self._gateway.backends.is_listed(backend),
                 }
                 for backend in self._gateway.backends
             ],
--- a/packages/radishferryd/src/radishferryd/router/backends.py
+++ b/packages/radishferryd/src/radishferryd/router/backends.py
@@ -12,6 +12,7 @@
 from radishferry.direct import idle_limit
 from radishferry.direct import selection
 from radishferry.direct import server_loads
+from radishferry.direct import unlisted
 from radishferryd.platform import headers
 from radishferryd.router import connections
 from radishferryd.router import memory_account
@@ -117,6 +118,16 @@
         """Return the number of open connections, idle ones included."""
         return len(self._open)
 
+    def is_needed(self) -> bool:
+        """Return whether to keep the backend of a server without an entry.
+
+        Its requests in progress count for its load and its connections, and
+        what it has asked for holds also when its entry returns.
+        """
+        return bool(self._open) or self.stats.is_restricted(
+            self._scheduler.now()
+        )
+
     def send(self, attempt, is_idempotent):
         """Send an attempt on an idle or a new connection.
 
@@ -358,7 +369,11 @@
 
 
 class Backends:
-    """Hold a :class:`Backend` for each incarnation of a server."""
+    """Hold a :class:`Backend` for each incarnation of a server.
+
+    It outlives the entry of the server as long as it is needed, see
+    :mod:`radishferry.direct.unlisted`.
+    """
 
     def __init__(
         self,
@@ -384,6 +399,7 @@
         self._poller = poller
         self._scheduler = scheduler
         self._by_incarnation = {}
+        self._unlisted = unlisted.UnlistedServers()
         self._hosts = 1
         self._limits = {}
         self._idle_limits = idle_limit.IdleLimit()
@@ -423,11 +439,7 @@
                     self._memory,
                 )
             )
-            if (
-                self._shared_loads is not None
-                and server.slots <= server_loads.MAX_SLOTS
-            ):
-                found.stats.shared = self._shared_loads.entry(server.server_id)
+            self._share_load(found)
         found.server = server
         return found
 
@@ -435,20 +447,63 @@
         """Return the statistics of a server."""
         return self.get(server).stats
 
+    def is_listed(self, backend) -> bool:
+        """Return whether the server of a backend has an entry."""
+        return backend.server.incarnation not in self._unlisted
+
     def keep(self, servers):
-        """Drop all backends except those of the given incarnations."""
-        incarnations = {server.incarnation for server in servers}
-        for gone in [
-            known
-            for known in self._by_incarnation
-            if known not in incarnations
-        ]:
-            self._by_incarnation.pop(gone).close_idle()
+        """Drop the backends of other servers that are not needed any more."""
+        returned = self._unlisted.update(
+            self._by_incarnation,
+            {server.incarnation for server in servers},
+            self._scheduler.now(),
+        )
+        for incarnation, missing_s in returned.items():
+            self._note_returned(self._by_incarnation[incarnation], missing_s)
+        self._drop_unneeded()
 
     def close_old(self):
         """Close connections that exceed their idle limit."""
         for backend in self:
             backend.close_old()
+        self._drop_unneeded()
+
+    def _drop_unneeded(self):
+        """Drop backends of servers without an entry that are not needed."""
+        for incarnation in self._unlisted:
+            self._by_incarnation[incarnation].close_idle()
+        for incarnation in self._unlisted.take_expired(
+            lambda known: self._by_incarnation[known].is_needed(),
+            self._scheduler.now(),
+        ):
+            del self._by_incarnation[incarnation]
+
+    def _note_returned(self, backend, missing_s):
+        self._share_load(backend)
+        server = backend.server
+        pause_s = backend.stats.requested_pause_s(self._scheduler.now())
+        limit_per_s = backend.stats.limit_per_s
+        if pause_s or limit_per_s is not None:
+            LOG.info(
+                'backends: %s is listed again; what it has asked for holds.',
+                server.server_id,
+                extra={
+                    'service': server.service,
+                    'born_ms': server.born_ms,
+                    'missing_s': round(missing_s, 3),
+                    'pause_s': round(pause_s, 3),
+                    'limit_per_s': limit_per_s,
+                },
+            )
+
+    def _share_load(self, backend):
+        """Use the load of a server with few slots that all hosts share."""
+        server = backend.server
+        if (
+            self._shared_loads is not None
+            and server.slots <= server_loads.MAX_SLOTS
+        ):
+            backend.stats.shared = self._shared_loads.entry(server.server_id)
 
     def forget_failures(self):
         """Forget the failures of all servers.
