Count a server as cold also after its entry was missing

Cause: when a data centre is taken back, its servers count as cold for the time of a warm-up, since their entries do not tell it yet. This was dropped with an entry that is missing for a moment, so that such servers got their usual share of the requests at once when the entry returned.

Why this works: the end of the warm-up is kept by incarnation until it has passed, with the bounds of other knowledge of servers without an entry. A server that returns is reported as cold again, so that the hosts limit what they send to it.

Test: "Servers that count as cold still do when their entries return" in direct_availability.feature, which failed before.

--- a/features/direct_availability.feature
+++ b/features/direct_availability.feature
@@ -38,6 +38,15 @@
     When 0.2 seconds pass for both hosts
     Then both hosts send requests to servers in x and y
 
+  # Guards against the same when their entries are missing for a moment.
+  Scenario: Servers that count as cold still do when their entries return
+    When the granting host reads a row that evacuates y
+    And the granting host reads that the row was deleted
+    And the entries of the servers in y are missing for 1 s
+    Then both hosts send requests to servers in x only
+    When 2 seconds pass for both hosts
+    Then both hosts send requests to servers in x and y
+
   # Guards against servers that crash just after they have joined.
   Scenario: A server that has just started gets requests after its warm-up
     When a server joins x with 2.5 seconds of warm-up
--- a/features/steps/direct_availability_steps.py
+++ b/features/steps/direct_availability_steps.py
@@ -163,6 +163,15 @@
     context.spoke._on_servers_push(ttypes.ServersPush(False, [], [], 0.1))
 
 
+@behave.when('the entries of the servers in y are missing for {seconds:g} s')
+def entries_missing(context, seconds):
+    listed, context.servers = context.servers, _servers('x')
+    _read_servers(context)
+    context.time.advance(seconds)
+    context.servers = listed
+    _read_servers(context)
+
+
 @behave.when('a server joins x with {warmup_s:g} seconds of warm-up')
 def joins(context, warmup_s):
     (context.joined,) = _servers('n', 1, warmup_s)
--- a/packages/radishferry/src/radishferry/direct/availability.py
+++ b/packages/radishferry/src/radishferry/direct/availability.py
@@ -16,6 +16,8 @@
 import math
 import typing
 
+from radishferry.direct import unlisted
+
 LOG = logging.getLogger(__name__)
 
 #: Seconds by which the end of a warm-up may move between two reads of the
@@ -101,6 +103,7 @@
         self._limits = {}
         self._evacuated = {}
         self._cold_until = {}
+        self._unlisted = unlisted.UnlistedServers()
         #: Incremented by each change; candidates are cached until then.
         self._revision = 0
         self._cache = {}
@@ -113,8 +116,7 @@
     @property
     def cold_count(self) -> int:
         """Return the number of servers that are cold."""
-        now = self._now()
-        return sum(1 for until in self._cold_until.values() if until > now)
+        return sum(1 for s in self._registry.all() if self.cold_s(s))
 
     def warmup_limit(self, service) -> WarmupLimit | None:
         """Return what cold servers of a service tolerate, None if anything."""
@@ -168,14 +170,22 @@
         return cold
 
     def note_servers(self, servers, read_at):
-        """Record which servers are cold, and forget those that have gone.
+        """Record which servers are cold.
+
+        One whose entry vanishes is still cold if it returns: the entry does
+        not tell that its data centre has just been taken back.
 
         :param servers: All known servers.
         :param read_at: When their entries were read, in seconds.
-        :returns: The servers that have become cold.
+        :returns: The servers that have become cold, or returned as such.
         """
         now = self._now()
-        cold_until = {}
+        returned = self._forget_warm(servers, now)
+        cold_until = {
+            incarnation: until
+            for incarnation, until in self._cold_until.items()
+            if until > now
+        }
         became_cold = []
         for server in servers:
             known = self._cold_until.get(server.incarnation, -math.inf)
@@ -187,7 +197,7 @@
                     until = known
             if until > now:
                 cold_until[server.incarnation] = until
-                if known <= now:
+                if known <= now or server.incarnation in returned:
                     became_cold.append(server)
         if became_cold:
             LOG.info(
@@ -205,6 +215,20 @@
         self._revision += 1
         return tuple(became_cold)
 
+    def _forget_warm(self, servers, now):
+        """Forget servers without an entry, unless they are still cold.
+
+        :returns: Incarnations whose entries have returned.
+        """
+        returned = self._unlisted.update(
+            self._cold_until, {server.incarnation for server in servers}, now
+        )
+        for incarnation in self._unlisted.take_expired(
+            lambda known: self._cold_until[known] > now, now
+        ):
+            del self._cold_until[incarnation]
+        return returned
+
     def cold_s(self, server) -> float:
         """Return the seconds for which a server is still cold, 0 if it isn't.
 
