Bound what the granting host keeps of servers' pauses and limits

The granting host keeps, by incarnation, which hosts a server has asked for a pause and the limit that it named, also when the server has left. Pauses were removed only when the share of a listed server was asked for, limits never.

Both keep the 1,024 incarnations that were told of last, the same bound as that of the hosts that report them.

Test: "What the granting host keeps of thousands of servers is bounded" in direct_announcements.feature, which failed before (5,000 kept).

--- a/features/direct_announcements.feature
+++ b/features/direct_announcements.feature
@@ -124,3 +124,9 @@
   Scenario: A report without announcements is accepted
     Given a load report without announcements
     Then the granting host accepts it
+
+  # Guards against unbounded memory at a granting host that keeps what servers
+  # have asked for after they have left.
+  Scenario: What the granting host keeps of thousands of servers is bounded
+    Given a granting host that is told of 5000 servers in turn
+    Then it knows the pauses and limits of the last 1024 of them
--- a/features/steps/direct_announcements_steps.py
+++ b/features/steps/direct_announcements_steps.py
@@ -318,3 +318,18 @@
     link = links.Link(scheduler, hub)
     hub.link_message(link, 'load_report', context.report)
     assert ownership.keys == {'stock': [1]}
+
+
+@behave.given('a granting host that is told of {count:d} servers in turn')
+def told_of_many(context, count):
+    context.shares = pause_shares.PauseShares()
+    context.capacities = capacities.Capacities()
+    for number in range(count):
+        context.shares.note((f's{number}', 1), 'host0', 200.0)
+        context.capacities.note_limit((f's{number}', 1), 3.0, 100.0)
+
+
+@behave.then('it knows the pauses and limits of the last {count:d} of them')
+def knows_last(context, count):
+    for known in (context.shares._pause_ends, context.capacities._limits):
+        assert len(known) == count and ('s4999', 1) in known, len(known)
--- a/packages/radishferry/src/radishferry/direct/capacities.py
+++ b/packages/radishferry/src/radishferry/direct/capacities.py
@@ -10,6 +10,7 @@
 from radishferry.direct import placement
 from radishferry.direct import rate_limit
 from radishferry.direct import selection
+from radishferry.direct import unlisted
 
 #: Number of latest answers over which the service time of a server is
 #: averaged.
@@ -89,8 +90,13 @@
             older response than the last one is ignored.
         """
         known = self._limits.get(incarnation)
-        if known is None or known.named_at <= named_at:
-            self._limits[incarnation] = _Limit(limit_per_s, named_at)
+        if known is not None and known.named_at > named_at:
+            return
+        # The dict keeps the latest ones last.
+        self._limits.pop(incarnation, None)
+        self._limits[incarnation] = _Limit(limit_per_s, named_at)
+        if len(self._limits) > unlisted.MAX_UNLISTED:
+            del self._limits[next(iter(self._limits))]
 
     def estimate(self, servers, hosts, now):
         """Return a :class:`~radishferry.direct.placement.Capacity` for each.
--- a/packages/radishferry/src/radishferry/direct/pause_shares.py
+++ b/packages/radishferry/src/radishferry/direct/pause_shares.py
@@ -2,21 +2,26 @@
 
 from __future__ import annotations
 
-import collections
+from radishferry.direct import unlisted
 
 
 class PauseShares:
     """Track the share of hosts from which each server wants no requests."""
 
     def __init__(self):
-        self._pause_ends = collections.defaultdict(dict)
+        self._pause_ends = {}
 
     def note(self, incarnation, host, until):
         """Record that a server wants no requests from a host for a while.
 
         :param until: When the pause ends, in seconds.
         """
-        self._pause_ends[incarnation][host] = until
+        # The dict keeps the latest ones last.
+        paused = self._pause_ends.pop(incarnation, {})
+        paused[host] = until
+        self._pause_ends[incarnation] = paused
+        if len(self._pause_ends) > unlisted.MAX_UNLISTED:
+            del self._pause_ends[next(iter(self._pause_ends))]
 
     def share(self, incarnation, hosts, now) -> float:
         """Return the share of hosts that a server has paused, 0 to 1.
