--- a/packages/radishferry/src/radishferry/direct/selection.py
+++ b/packages/radishferry/src/radishferry/direct/selection.py
@@ -256,10 +256,10 @@
         return now < max(self._backoff_until, self._requested_pause_until)
 
     def is_restricted(self, now) -> bool:
-        """Return whether requests to the server are limited in any way.
+        """Return whether anything limits the requests to the server.
 
-        By what it has asked for, by its warm-up, or by a backoff. Its load,
-        speed and failures limit nothing: the next answers show them again.
+        That is a pause, a limit, a warm-up or a backoff. Load, speed and
+        failures only rank servers, and the next answers show them again.
         """
         return (
             self._needs_probe
--- a/packages/radishferry/src/radishferry/direct/unlisted.py
+++ b/packages/radishferry/src/radishferry/direct/unlisted.py
@@ -10,8 +10,8 @@
 
 from __future__ import annotations
 
-#: Seconds after which nothing is kept of a server that is not listed, much
-#: longer than any pause or warm-up that is limited in time.
+#: Seconds after which nothing is kept of a server that is not listed. A limit
+#: has no end of its own; pauses and usual warm-ups are much shorter.
 MAX_UNLISTED_S = 600.0
 #: Highest number of incarnations that are kept without an entry; those that
 #: have been missing for the longest time are dropped. The largest deployment
--- a/packages/radishferryd/src/radishferryd/router/backends.py
+++ b/packages/radishferryd/src/radishferryd/router/backends.py
@@ -452,7 +452,10 @@
         return backend.server.incarnation not in self._unlisted
 
     def keep(self, servers):
-        """Drop the backends of other servers that are not needed any more."""
+        """Drop the backends of other servers, unless they are still needed.
+
+        :param servers: All listed servers.
+        """
         returned = self._unlisted.update(
             self._by_incarnation,
             {server.incarnation for server in servers},
